--- /dev/null
+++ b/src/blocks/mod.rs
@@ -0,0 +1,191 @@
+//! Blocks: machines of one zone, leased together to a controller. Only the leader grants them.
+//!
+//! The number of a grant, its seal, is the token that workers check. A grant is written anew by every new
+//! leader: with the same seal when the same process keeps the block, with a higher one when it changes hands.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use tracing::info;
+
+use crate::config::Config;
+use crate::domain::{BlockId, NodeName, Now, Zone, since};
+use crate::policy::Policy;
+use crate::store::records::{Grant, LEADER, SEAL, Seal, grant_key};
+use crate::store::{Op, Outcome, Txn, View, Writer};
+
+/// The blocks that should exist: as many in each zone as give every controller one.
+pub fn wanted(zones: &[Zone], controllers: usize) -> Vec<(BlockId, Zone)> {
+    let each = controllers.div_ceil(zones.len().max(1)).max(1);
+    let blocks = zones.iter().flat_map(|zone| {
+        (0..each).map(move |n| (BlockId::from(format!("{zone}.{n}").as_str()), zone.clone()))
+    });
+    blocks.collect()
+}
+
+#[derive(Debug)]
+pub struct Granting {
+    writer: Writer,
+    leading_since: Option<(u64, Instant)>,
+    /// When each controller last spoke to us.
+    heard: BTreeMap<NodeName, (u64, Instant)>,
+    /// Blocks whose holder asked for a new seal.
+    renew: BTreeMap<BlockId, u64>,
+}
+
+impl Granting {
+    pub fn new() -> Self {
+        Granting { writer: Writer::Idle, leading_since: None, heard: BTreeMap::new(), renew: BTreeMap::new() }
+    }
+
+    pub fn heard_from(&mut self, now: Now, node: &NodeName, boot: u64) {
+        self.heard.insert(node.clone(), (boot, now.steady));
+    }
+
+    /// A holder has lost track of a command: only a higher seal makes sure that it can't be executed late.
+    pub fn wants_new_seal(&mut self, block: &BlockId, seal: u64) {
+        self.renew.insert(block.clone(), seal);
+    }
+
+    fn trusted(&self, now: Now, node: &NodeName, config: &Config, policy: &Policy, view: &View) -> bool {
+        if *node == config.name {
+            return true;
+        }
+        let Some(member) = view.members.get(node) else { return false };
+        let since_start = self.leading_since.map_or(Duration::ZERO, |(_, at)| since(now, at));
+        match self.heard.get(node) {
+            Some((boot, at)) if *boot == member.value.boot => since(now, *at) < policy.suspect_after,
+            _ => since_start < policy.suspect_after,
+        }
+    }
+
+    /// Grants what is not held, or held by a controller that is gone. One transaction at a time.
+    pub fn poll(
+        &mut self,
+        now: Now,
+        config: &Config,
+        policy: &Policy,
+        zones: &[Zone],
+        term: u64,
+        leader_version: u64,
+        view: &mut View,
+    ) -> Option<Op> {
+        if self.leading_since.is_none_or(|(known, _)| known != term) {
+            self.leading_since = Some((term, now.steady));
+            self.heard.clear();
+            self.renew.clear();
+            self.writer = Writer::Unsure { since: now.steady };
+        }
+        if !self.writer.ready(now, view) {
+            return None;
+        }
+        let members: Vec<NodeName> = view
+            .members
+            .keys()
+            .filter(|node| self.trusted(now, node, config, policy, view))
+            .cloned()
+            .collect();
+        let boot_of = |node: &NodeName| view.members.get(node).map(|member| member.value.boot);
+        let mut held: BTreeMap<&NodeName, usize> = members.iter().map(|node| (node, 0)).collect();
+        for grant in view.grants.values() {
+            if let Some(count) = held.get_mut(&grant.value.holder) {
+                *count += 1;
+            }
+        }
+        let mut last = view.max_seal();
+        let mut changes = Vec::new();
+        for (block, zone) in wanted(zones, config.controllers()) {
+            let old = view.grants.get(&block);
+            let kept = old.filter(|old| {
+                members.contains(&old.value.holder) && boot_of(&old.value.holder) == Some(old.value.boot)
+            });
+            let renewed = kept.filter(|old| self.renew.get(&block) != Some(&old.value.seal));
+            if let Some(old) = renewed {
+                if old.value.term != term {
+                    changes.push((block, old.version, Grant { term, ..old.value.clone() }));
+                }
+                continue;
+            }
+            // The zone's own controller if it is up, for a cut between zones then leaves them together; else
+            // whoever holds least.
+            let zone_of = |node: &NodeName| {
+                if *node == config.name {
+                    return Some(&config.zone);
+                }
+                config.peers.iter().find(|peer| peer.name == *node).map(|peer| &peer.zone)
+            };
+            let chosen = match kept {
+                Some(old) => Some(old.value.holder.clone()),
+                None => members
+                    .iter()
+                    .min_by_key(|node| (zone_of(node) != Some(&zone), held.get(node).copied().unwrap_or(0)))
+                    .cloned(),
+            };
+            let Some((holder, boot)) = chosen.and_then(|node| boot_of(&node).map(|boot| (node, boot))) else {
+                continue;
+            };
+            if let Some(count) = held.get_mut(&holder) {
+                *count += 1;
+            }
+            last += 1;
+            let version = old.map_or(0, |old| old.version);
+            changes.push((block, version, Grant { zone, holder, boot, seal: last, term }));
+        }
+        if changes.is_empty() {
+            if let Some((block, node, version)) = self.unbalanced(now, config, zones, &held, view) {
+                let zone = view.grants.get(&block).map(|grant| grant.value.zone.clone())?;
+                let boot = boot_of(&node)?;
+                last += 1;
+                changes.push((block, version, Grant { zone, holder: node, boot, seal: last, term }));
+            } else {
+                return None;
+            }
+        }
+        changes.truncate(config.state_limits.txn_ops - 1);
+        let mut txn = Txn::default().when(LEADER, leader_version);
+        if last > view.max_seal() {
+            txn = txn
+                .when(SEAL, view.seal.as_ref().map_or(0, |seal| seal.version))
+                .put(SEAL, &Seal { last });
+        }
+        for (block, version, grant) in &changes {
+            info!(%block, holder = %grant.holder, seal = grant.seal, term, "grant");
+            txn = txn.when(grant_key(block), *version).put(grant_key(block), grant);
+        }
+        self.writer.sent();
+        Some(Op::Commit(txn))
+    }
+
+    /// A controller that came back gets blocks again, once it has been heard for a while.
+    fn unbalanced(
+        &self,
+        now: Now,
+        config: &Config,
+        zones: &[Zone],
+        held: &BTreeMap<&NodeName, usize>,
+        view: &View,
+    ) -> Option<(BlockId, NodeName, u64)> {
+        let settled = self.leading_since.is_some_and(|(_, at)| since(now, at) > Duration::from_secs(5));
+        let (idle, none) = held.iter().min_by_key(|(_, count)| **count)?;
+        let (busy, most) = held.iter().max_by_key(|(_, count)| **count)?;
+        if !settled || *most < none + 2 {
+            return None;
+        }
+        let (block, _) = wanted(zones, config.controllers())
+            .into_iter()
+            .filter(|(block, _)| view.grants.get(block).is_some_and(|grant| grant.value.holder == **busy))
+            .max_by_key(|(_, zone)| config.peers.iter().any(|p| p.name == **idle && p.zone == *zone))?;
+        let version = view.grants.get(&block)?.version;
+        Some((block, (*idle).clone(), version))
+    }
+
+    pub fn answered(&mut self, now: Now, outcome: &Outcome) {
+        self.writer.answered(now, outcome);
+    }
+}
+
+impl Default for Granting {
+    fn default() -> Self {
+        Granting::new()
+    }
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,333 @@
+//! The settings file that the platform hands over: read and checked in full before anything starts.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::domain::{NodeName, Team, Zone};
+
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("{path}: {source}")]
+    Unreadable { path: String, source: std::io::Error },
+    #[error("{path}: {message}")]
+    Malformed { path: String, message: String },
+    #[error("{path}: `{field}` {problem}")]
+    Invalid { path: String, field: String, problem: String },
+}
+
+#[derive(Debug, Clone)]
+pub struct Config {
+    pub name: NodeName,
+    pub zone: Zone,
+    pub listen: SocketAddr,
+    pub peer_listen: SocketAddr,
+    pub peers: Vec<Peer>,
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+    pub zones: Vec<Zone>,
+    pub teams: Vec<TeamLimits>,
+    pub report_every: Duration,
+    pub lease: Duration,
+    pub cancel_within: Duration,
+    pub state_limits: StateLimits,
+    pub cloud_rps: f64,
+    pub list_lag: Duration,
+    pub max_sockets: usize,
+}
+
+#[derive(Debug, Clone)]
+pub struct Peer {
+    pub name: NodeName,
+    pub zone: Zone,
+    pub addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct TeamLimits {
+    pub name: Team,
+    pub cpus: f64,
+    pub cpus_max: f64,
+    pub gpus: f64,
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+}
+
+// What the file says, before it is checked. Every field is asked for by name so that a missing one is named.
+#[derive(Deserialize)]
+struct File {
+    node_name: String,
+    domain: String,
+    bind: String,
+    back: String,
+    #[serde(default)]
+    members: Vec<FileMember>,
+    external: FileExternal,
+    params: FileParams,
+}
+
+#[derive(Deserialize)]
+struct FileMember {
+    node_name: String,
+    domain: String,
+    peer_addr: String,
+}
+
+#[derive(Deserialize)]
+struct FileExternal {
+    cloud: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct FileParams {
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    teams: Vec<FileTeam>,
+    workers: FileWorkers,
+    state: FileState,
+    cloud: FileCloud,
+    quota: FileQuota,
+}
+
+#[derive(Deserialize)]
+struct FileTeam {
+    name: String,
+    cpus: f64,
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct FileWorkers {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct FileState {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: i64,
+}
+
+#[derive(Deserialize)]
+struct FileCloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct FileQuota {
+    sockets: i64,
+}
+
+/// A transaction of ours changes up to this many records at once: a block's placements with what they
+/// finish, or a machine with its order.
+const LEAST_TXN_OPS: i64 = 4;
+/// A block's placements must fit a value.
+const LEAST_VALUE_KB: f64 = 2.0;
+
+impl Config {
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ConfigError::Unreadable { path: shown.clone(), source })?;
+        Self::parse(&shown, &text)
+    }
+
+    pub fn parse(path: &str, text: &str) -> Result<Self, ConfigError> {
+        let file: File = toml::from_str(text).map_err(|error| ConfigError::Malformed {
+            path: path.to_owned(),
+            message: one_line(&error.to_string()),
+        })?;
+        let check = Check { path };
+        let mut teams = Vec::new();
+        for team in &file.params.teams {
+            let field = |name: &str| format!("params.teams.{}.{name}", team.name);
+            check.text("params.teams.name", &team.name)?;
+            if teams.iter().any(|known: &TeamLimits| *known.name.0 == *team.name) {
+                return Err(check.wrong(&field("name"), "is given twice"));
+            }
+            teams.push(TeamLimits {
+                name: team.name.as_str().into(),
+                cpus: check.amount(&field("cpus"), team.cpus)?,
+                cpus_max: check.amount(&field("cpus_max"), team.cpus_max)?,
+                gpus: check.amount(&field("gpus"), team.gpus)?,
+                gpus_max: check.amount(&field("gpus_max"), team.gpus_max)?,
+            });
+            if team.cpus > team.cpus_max {
+                return Err(check.wrong(&field("cpus"), "must not exceed `cpus_max`"));
+            }
+            if team.gpus > team.gpus_max {
+                return Err(check.wrong(&field("gpus"), "must not exceed `gpus_max`"));
+            }
+        }
+        let mut peers = Vec::new();
+        for member in &file.members {
+            check.text("members.node_name", &member.node_name)?;
+            if member.node_name == file.node_name || peers.iter().any(|p: &Peer| *p.name.0 == *member.node_name) {
+                return Err(check.wrong("members.node_name", &format!("names `{}` twice", member.node_name)));
+            }
+            peers.push(Peer {
+                name: member.node_name.as_str().into(),
+                zone: member.domain.as_str().into(),
+                addr: check.address("members.peer_addr", &member.peer_addr)?,
+            });
+        }
+        let workers = &file.params.workers;
+        let lease = check.duration("params.workers.lease_s", workers.lease_s)?;
+        let cancel_within = check.duration("params.workers.cancel_s", workers.cancel_s)?;
+        if cancel_within <= lease {
+            return Err(check.wrong("params.workers.cancel_s", "must exceed `lease_s`"));
+        }
+        let state = &file.params.state;
+        if state.txn_ops < LEAST_TXN_OPS {
+            return Err(check.wrong("params.state.txn_ops", &format!("must be at least {LEAST_TXN_OPS}")));
+        }
+        if !(state.value_kb >= LEAST_VALUE_KB && state.value_kb <= 65_536.0) {
+            return Err(check.wrong("params.state.value_kb", &format!("must be from {LEAST_VALUE_KB} to 65536")));
+        }
+        if file.params.quota.sockets < 50 {
+            return Err(check.wrong("params.quota.sockets", "must be at least 50"));
+        }
+        let mut zones: Vec<Zone> = Vec::new();
+        for zone in &file.params.zones {
+            check.text("params.zones", zone)?;
+            zones.push(zone.as_str().into());
+        }
+        Ok(Config {
+            name: check.text("node_name", &file.node_name)?.into(),
+            zone: check.text("domain", &file.domain)?.into(),
+            listen: check.address("bind", &file.bind)?,
+            peer_listen: check.address("back", &file.back)?,
+            peers,
+            cloud: check.address("external.cloud", &file.external.cloud)?,
+            state: check.address("external.state", &file.external.state)?,
+            zones,
+            teams,
+            report_every: check.duration("params.workers.report_s", workers.report_s)?,
+            lease,
+            cancel_within,
+            state_limits: StateLimits {
+                rps: check.rate("params.state.rps", state.rps)?,
+                write_rps: check.rate("params.state.write_rps", state.write_rps)?,
+                value_bytes: (state.value_kb * 1024.0) as usize,
+                txn_ops: state.txn_ops.clamp(1, 10_000) as usize,
+            },
+            cloud_rps: check.rate("params.cloud.rps", file.params.cloud.rps)?,
+            list_lag: check.duration("params.cloud.list_lag_s", file.params.cloud.list_lag_s)?,
+            max_sockets: file.params.quota.sockets.clamp(50, 1_000_000) as usize,
+        })
+    }
+
+    pub fn team(&self, name: &Team) -> Option<&TeamLimits> {
+        self.teams.iter().find(|team| team.name == *name)
+    }
+
+    /// How many controllers there are, this one included.
+    pub fn controllers(&self) -> usize {
+        self.peers.len() + 1
+    }
+}
+
+struct Check<'a> {
+    path: &'a str,
+}
+
+impl Check<'_> {
+    fn wrong(&self, field: &str, problem: &str) -> ConfigError {
+        ConfigError::Invalid { path: self.path.to_owned(), field: field.to_owned(), problem: problem.to_owned() }
+    }
+
+    fn text<'t>(&self, field: &str, value: &'t str) -> Result<&'t str, ConfigError> {
+        if value.is_empty() || value.contains(char::is_whitespace) || value.contains('/') || value.len() > 100 {
+            return Err(self.wrong(field, "must be 1 to 100 characters without spaces or slashes"));
+        }
+        Ok(value)
+    }
+
+    fn address(&self, field: &str, value: &str) -> Result<SocketAddr, ConfigError> {
+        value.parse().map_err(|_| self.wrong(field, &format!("must be an IP address and port, not `{value}`")))
+    }
+
+    fn amount(&self, field: &str, value: f64) -> Result<f64, ConfigError> {
+        if value.is_finite() && value >= 0.0 { Ok(value) } else { Err(self.wrong(field, "must not be negative")) }
+    }
+
+    fn rate(&self, field: &str, value: f64) -> Result<f64, ConfigError> {
+        if value.is_finite() && value >= 1.0 { Ok(value) } else { Err(self.wrong(field, "must be at least 1")) }
+    }
+
+    fn duration(&self, field: &str, seconds: f64) -> Result<Duration, ConfigError> {
+        if seconds.is_finite() && seconds > 0.0 && seconds <= 86_400.0 {
+            Ok(Duration::from_secs_f64(seconds))
+        } else {
+            Err(self.wrong(field, "must be seconds above 0, a day at most"))
+        }
+    }
+}
+
+/// TOML errors come with an excerpt over several lines; a log line wants the place and the sentence.
+fn one_line(message: &str) -> String {
+    let mut lines = message.lines().filter(|line| !line.contains('|') && !line.trim().is_empty());
+    let place = lines.next().unwrap_or_default().to_owned();
+    match lines.next_back() {
+        Some(problem) => format!("{place}: {problem}"),
+        None => place,
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const SETTINGS: &str = include_str!("../../tests/data/settings.toml");
+
+    #[test]
+    fn the_settings_of_a_node_are_read() {
+        let config = Config::parse("s.toml", SETTINGS).expect("the sample is valid");
+        assert_eq!(&*config.name.0, "node-0");
+        assert_eq!(config.peers.len(), 2);
+        assert_eq!(config.state_limits.value_bytes, 8192);
+        assert_eq!(config.lease, Duration::from_secs(20));
+    }
+
+    #[test]
+    fn nonsense_is_refused_by_the_name_of_its_field() {
+        let cases = [
+            ("lease_s = 20.0", "lease_s = -1.0", "s.toml: `params.workers.lease_s` must be seconds above 0, a day at most"),
+            ("cancel_s = 50.0", "cancel_s = 19.0", "s.toml: `params.workers.cancel_s` must exceed `lease_s`"),
+            ("back = \"10.0.0.1:8081\"", "back = \"nowhere\"", "s.toml: `back` must be an IP address and port, not `nowhere`"),
+            ("cpus = 16.0", "cpus = 999.0", "s.toml: `params.teams.red.cpus` must not exceed `cpus_max`"),
+            ("txn_ops = 16", "txn_ops = 0", "s.toml: `params.state.txn_ops` must be at least 4"),
+            ("domain = \"a\"", "", "s.toml: TOML parse error at line 1, column 1: missing field `domain`"),
+        ];
+        for (from, to, message) in cases {
+            assert!(SETTINGS.contains(from), "{from}");
+            let error = Config::parse("s.toml", &SETTINGS.replacen(from, to, 1)).expect_err(to);
+            assert_eq!(error.to_string(), message);
+        }
+    }
+
+    #[test]
+    fn unknown_fields_are_ignored() {
+        let more = format!("later = 1\n{SETTINGS}\n[params.later]\nx = [1]\n");
+        assert!(Config::parse("s.toml", &more).is_ok());
+    }
+}
--- /dev/null
+++ b/src/domain.rs
@@ -0,0 +1,352 @@
+//! The names every slice shares: jobs, tasks, machines and the time they are seen at.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// The two clocks, read once per event so that a state machine never reads them itself.
+///
+/// Deadlines are kept on the steady clock; the time of day only orders jobs.
+#[derive(Debug, Clone, Copy)]
+pub struct Now {
+    pub steady: Instant,
+    pub wall: SystemTime,
+}
+
+impl Now {
+    pub fn read() -> Self {
+        Now { steady: Instant::now(), wall: SystemTime::now() }
+    }
+
+    pub fn unix_ms(&self) -> u64 {
+        self.wall
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+/// Time since `then`, zero when the clock was read in another order.
+pub fn since(now: Now, then: Instant) -> Duration {
+    now.steady.saturating_duration_since(then)
+}
+
+macro_rules! as_text {
+    ($name:ty) => {
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = String::deserialize(deserializer)?;
+                text.parse().map_err(|NotAName| D::Error::custom("malformed name"))
+            }
+        }
+    };
+}
+
+/// A text that does not have the form of the name it should be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("malformed name")]
+pub struct NotAName;
+
+/// A job id: `j-` and at least six digits. Kept as its number, since final states are kept for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId(pub u64);
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "j-{:06}", self.0)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = NotAName;
+
+    /// Only the canonical spelling is an id, so that two spellings never mean one job.
+    fn from_str(text: &str) -> Result<Self, NotAName> {
+        let digits = text.strip_prefix("j-").ok_or(NotAName)?;
+        let plain = digits.bytes().all(|b| b.is_ascii_digit());
+        let canonical = digits.len() == 6 || (digits.len() > 6 && !digits.starts_with('0'));
+        if !plain || !canonical || digits.len() > 18 {
+            return Err(NotAName);
+        }
+        digits.parse().map(JobId).map_err(|_| NotAName)
+    }
+}
+
+as_text!(JobId);
+
+/// One task of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = NotAName;
+
+    fn from_str(text: &str) -> Result<Self, NotAName> {
+        let (job, index) = text.split_once('/').ok_or(NotAName)?;
+        Ok(TaskId { job: job.parse()?, index: index.parse().map_err(|_| NotAName)? })
+    }
+}
+
+as_text!(TaskId);
+
+/// One attempt at a task. Attempt numbers are never given twice, so a late command for an old attempt can't
+/// be taken for a new one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Attempt {
+    pub task: TaskId,
+    pub number: u64,
+}
+
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.task, self.number)
+    }
+}
+
+macro_rules! text_name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name(pub Arc<str>);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                $name(text.into())
+            }
+        }
+    };
+}
+
+// `Arc<str>` keeps clones cheap: these names are keys of most maps.
+text_name!(
+    /// A machine as the cloud names it.
+    MachineId
+);
+text_name!(
+    /// A controller.
+    NodeName
+);
+text_name!(
+    /// A zone of the cloud.
+    Zone
+);
+text_name!(
+    /// A machine type.
+    TypeName
+);
+text_name!(
+    /// A team.
+    Team
+);
+text_name!(
+    /// An image.
+    Image
+);
+text_name!(
+    /// A block: machines of one zone that are leased to a controller together.
+    BlockId
+);
+
+/// What a task takes of a machine, or what a machine has.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Room {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Sums of decimals such as 0.1 miss by a little; a task that fits exactly must still fit.
+const SLACK: f64 = 1e-6;
+
+impl Room {
+    pub fn fits(&self, need: &Room) -> bool {
+        need.cpus <= self.cpus + SLACK && need.gpus <= self.gpus + SLACK && need.memory_gb <= self.memory_gb + SLACK
+    }
+
+    pub fn add(&mut self, other: &Room) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+
+    pub fn take(&mut self, other: &Room) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+
+    /// How many tasks of `need` an empty machine of this size holds.
+    pub fn count_of(&self, need: &Room) -> u32 {
+        let of = |have: f64, need: f64| if need <= SLACK { f64::INFINITY } else { (have + SLACK) / need };
+        let count = of(self.cpus, need.cpus).min(of(self.gpus, need.gpus)).min(of(self.memory_gb, need.memory_gb));
+        // Saturates: a task that needs nothing fits any number of times.
+        count.floor().clamp(0.0, f64::from(u32::MAX)) as u32
+    }
+
+    /// The share of this machine that `need` takes, by the scarcest resource.
+    pub fn share_of(&self, need: &Room) -> f64 {
+        let of = |have: f64, need: f64| if need <= SLACK { 0.0 } else { need / have.max(SLACK) };
+        of(self.cpus, need.cpus).max(of(self.gpus, need.gpus)).max(of(self.memory_gb, need.memory_gb))
+    }
+}
+
+/// Ordinary machines, or spot machines that the cloud may take back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Tenure {
+    Ordinary,
+    Spot,
+}
+
+impl Tenure {
+    pub fn spot(spot: bool) -> Self {
+        if spot { Tenure::Spot } else { Tenure::Ordinary }
+    }
+
+    pub fn is_spot(self) -> bool {
+        self == Tenure::Spot
+    }
+}
+
+/// From the most to the least important.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Priority {
+    #[serde(rename = "prod")]
+    Production,
+    #[serde(rename = "high")]
+    High,
+    #[serde(rename = "standard")]
+    Standard,
+    #[serde(rename = "low")]
+    Low,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    #[serde(rename = "sweep")]
+    Array,
+    #[serde(rename = "service")]
+    Service,
+}
+
+/// A job as accepted. Field names are short because each job is one value in the state service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    #[serde(rename = "c")]
+    pub class: Arc<str>,
+    #[serde(rename = "t")]
+    pub team: Team,
+    #[serde(rename = "k")]
+    pub kind: Kind,
+    #[serde(rename = "p")]
+    pub priority: Priority,
+    #[serde(rename = "n")]
+    pub tasks: u32,
+    #[serde(rename = "r")]
+    pub need: Room,
+    #[serde(rename = "ty")]
+    pub types: Option<Vec<TypeName>>,
+    #[serde(rename = "z")]
+    pub zone: Option<Zone>,
+    #[serde(rename = "oz")]
+    pub one_zone: bool,
+    #[serde(rename = "sp")]
+    pub spread: bool,
+    #[serde(rename = "l")]
+    pub spot: bool,
+    #[serde(rename = "i")]
+    pub image: Image,
+    #[serde(rename = "ig")]
+    pub image_gb: f64,
+    #[serde(rename = "e")]
+    pub estimate_s: f64,
+    #[serde(rename = "ce")]
+    pub checkpoint_every_s: f64,
+    #[serde(rename = "cs")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "d")]
+    pub deadline_s: Option<f64>,
+    /// When it was accepted: orders a team's queue.
+    #[serde(rename = "at")]
+    pub accepted_ms: u64,
+}
+
+impl Job {
+    pub fn allows_type(&self, name: &TypeName) -> bool {
+        self.types.as_ref().is_none_or(|types| types.contains(name))
+    }
+
+    pub fn allows_zone(&self, zone: &Zone) -> bool {
+        self.zone.as_ref().is_none_or(|only| only == zone)
+    }
+
+    pub fn allows_tenure(&self, tenure: Tenure) -> bool {
+        self.spot || !tenure.is_spot()
+    }
+
+    /// The most tasks of this job that may be in one zone.
+    pub fn zone_limit(&self) -> u32 {
+        if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Final {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "cancelled")]
+    Cancelled,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_job_has_one_spelling() {
+        assert_eq!("j-000412".parse(), Ok(JobId(412)));
+        assert_eq!("j-1000412".parse(), Ok(JobId(1_000_412)));
+        for wrong in ["j-412", "j-0000412", "j-00041x", "k-000412", "j-", "j-+00412", "j-9999999999999999999"] {
+            assert_eq!(wrong.parse::<JobId>(), Err(NotAName), "{wrong}");
+        }
+        assert_eq!(TaskId { job: JobId(412), index: 3 }.to_string(), "j-000412/3");
+        assert_eq!("j-000412/3".parse(), Ok(TaskId { job: JobId(412), index: 3 }));
+    }
+
+    #[test]
+    fn room_is_counted_by_the_scarcest_resource() {
+        let machine = Room { cpus: 32.0, gpus: 0.0, memory_gb: 128.0 };
+        assert_eq!(machine.count_of(&Room { cpus: 8.0, gpus: 0.0, memory_gb: 27.0 }), 4);
+        assert_eq!(machine.count_of(&Room { cpus: 1.0, gpus: 0.0, memory_gb: 64.0 }), 2);
+        assert_eq!(machine.count_of(&Room { cpus: 1.0, gpus: 1.0, memory_gb: 1.0 }), 0);
+        let tenth = Room { cpus: 0.1, ..Room::default() };
+        let mut free = Room { cpus: 0.3, ..Room::default() };
+        for _ in 0..3 {
+            assert!(free.fits(&tenth));
+            free.take(&tenth);
+        }
+        assert!(!free.fits(&tenth));
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,837 @@
+//! The holder's side of a block: its machines' reports, the tasks on them, and the record of both.
+//!
+//! Every task is in the block's places before it is launched, and leaves them only when it is proven gone:
+//! its worker, having seen our seal, reports its exit; or the machine's record is removed, which the leader
+//! does only after the cloud has deleted it.
+
+pub mod wire;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use tracing::{debug, info};
+
+use crate::config::Config;
+use crate::domain::{Attempt, BlockId, Image, JobId, MachineId, Now, Room, TaskId, since};
+use crate::peer::{BlockStatus, MachineStatus, Wanted, Work};
+use crate::placement::{self, Candidate};
+use crate::provisioning::Flavors;
+use crate::store::records::{Places, Ranges, grant_key, machine_key, places_key};
+use crate::store::{Op, Outcome, Txn, View, Writer};
+use wire::{Cause, Order, Orders, Report, TaskState};
+
+/// A lost launch is repeated after this long.
+const RELAUNCH: Duration = Duration::from_millis(1500);
+/// A worker that has not reported for this long gets no new tasks.
+const QUIET: Duration = Duration::from_secs(9);
+/// A command of unknown outcome that stands in the way this long is fenced by a new seal.
+const RENEW_AFTER: Duration = Duration::from_secs(3);
+/// Machines one transaction places on: each is one of its conditions.
+const MACHINES_PER_WRITE: usize = 24;
+
+/// How a launch under the present seal and session went.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Launch {
+    /// Sent; no answer yet.
+    Sent { at: Instant },
+    /// The worker's answer shows it.
+    Confirmed,
+    /// No answer came: it is repeated after a while.
+    Lost { at: Instant },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Seen {
+    number: u64,
+    state: TaskState,
+    cause: Option<Cause>,
+}
+
+/// A machine's worker as its holder knows it.
+#[derive(Debug)]
+struct Worker {
+    addr: Option<String>,
+    session: u64,
+    seq: u64,
+    seal: u64,
+    /// Steady time of the last report, or of the grant if there was none yet.
+    heard: Instant,
+    reported: bool,
+    notice: bool,
+    tasks: BTreeMap<TaskId, Seen>,
+    launches: HashMap<Attempt, Launch>,
+    /// Attempts of which some launch went unanswered: it may still be executed, minutes later, as long as
+    /// seal and session stay the same. Only the worker's memory of the attempt keeps it from starting again.
+    tainted: HashSet<Attempt>,
+    /// A direct command is on its way.
+    busy: bool,
+    /// Something to tell the worker that should not wait for its next report.
+    due: bool,
+    errors: u32,
+    images: BTreeSet<Image>,
+}
+
+impl Worker {
+    fn new(now: Now) -> Self {
+        Worker {
+            addr: None,
+            session: 0,
+            seq: 0,
+            seal: 0,
+            heard: now.steady,
+            reported: false,
+            notice: false,
+            tasks: BTreeMap::new(),
+            launches: HashMap::new(),
+            tainted: HashSet::new(),
+            busy: false,
+            due: false,
+            errors: 0,
+            images: BTreeSet::new(),
+        }
+    }
+
+    /// Whether a launch of this attempt may still be on its way.
+    fn may_start_late(&self, attempt: &Attempt) -> bool {
+        self.tainted.contains(attempt) || matches!(self.launches.get(attempt), Some(Launch::Sent { .. }))
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Done,
+    Gone,
+}
+
+/// A block that is leased to us.
+#[derive(Debug)]
+struct Block {
+    id: BlockId,
+    seal: u64,
+    grant_version: u64,
+    places: Places,
+    places_version: u64,
+    writer: Writer,
+    workers: BTreeMap<MachineId, Worker>,
+    last_work: u64,
+    pending: Vec<Wanted>,
+    /// Attempts already dealt with that the leader may not know of yet.
+    handled: HashSet<u64>,
+    /// Attempts of the transaction that is under way or whose outcome is not known.
+    unsure: Vec<u64>,
+    stops: HashSet<Attempt>,
+    /// What is proven and not yet recorded.
+    ended: BTreeMap<(MachineId, Attempt), End>,
+    draft: Option<Places>,
+    blocked_since: Option<Instant>,
+}
+
+/// Direct commands to a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Command {
+    pub block: BlockId,
+    pub machine: MachineId,
+    pub addr: String,
+    pub body: Orders,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CommandOutcome {
+    Executed(Report),
+    /// The worker's token or session is another.
+    Rejected(Report),
+    Unknown,
+}
+
+/// What a controller answers to a report.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    Orders(Orders),
+    /// Not ours: to that controller, if known.
+    Elsewhere(Option<crate::domain::NodeName>),
+    /// Not entitled to answer.
+    Unavailable,
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    blocks: BTreeMap<BlockId, Block>,
+}
+
+impl Fleet {
+    pub fn new() -> Self {
+        Fleet::default()
+    }
+
+    pub fn holds_any(&self) -> bool {
+        !self.blocks.is_empty()
+    }
+
+    /// Takes up blocks granted to us and drops those that are not any more.
+    pub fn sync(&mut self, now: Now, config: &Config, boot: u64, view: &View) {
+        if !view.ready() {
+            return;
+        }
+        let ours = |block: &BlockId| {
+            view.grants.get(block).filter(|grant| grant.value.holder == config.name && grant.value.boot == boot)
+        };
+        self.blocks.retain(|id, block| {
+            let kept = ours(id).is_some_and(|grant| grant.value.seal == block.seal);
+            if !kept {
+                info!(block = %id, seal = block.seal, "block given up");
+            }
+            kept
+        });
+        for (id, grant) in &view.grants {
+            if ours(id).is_none() {
+                continue;
+            }
+            let (places, places_version) = recorded(view, id);
+            match self.blocks.get_mut(id) {
+                Some(block) if block.grant_version >= grant.version => {}
+                Some(block) => {
+                    // A new leader. What the old one wanted is void, and no write under the old version can
+                    // be committed any more, so our copy holds all that were.
+                    block.grant_version = grant.version;
+                    block.places = places;
+                    block.places_version = places_version;
+                    block.last_work = 0;
+                    block.pending.clear();
+                    block.handled.clear();
+                    block.unsure.clear();
+                    block.stops.clear();
+                    if block.writer != Writer::Sent {
+                        block.draft = None;
+                        block.writer = Writer::Idle;
+                    }
+                }
+                None => {
+                    info!(block = %id, seal = grant.value.seal, tasks = places.attempts().count(), "block taken up");
+                    let block = Block {
+                        id: id.clone(),
+                        seal: grant.value.seal,
+                        grant_version: grant.version,
+                        places,
+                        places_version,
+                        writer: Writer::Idle,
+                        workers: BTreeMap::new(),
+                        last_work: 0,
+                        pending: Vec::new(),
+                        handled: HashSet::new(),
+                        unsure: Vec::new(),
+                        stops: HashSet::new(),
+                        ended: BTreeMap::new(),
+                        draft: None,
+                        blocked_since: None,
+                    };
+                    self.blocks.insert(id.clone(), block);
+                }
+            }
+        }
+        for block in self.blocks.values_mut() {
+            block.sync_machines(now, view);
+        }
+    }
+
+    /// A worker's report. `entitled`: our copy of the grants is recent enough to act on.
+    pub fn report(
+        &mut self,
+        now: Now,
+        report: Report,
+        config: &Config,
+        view: &View,
+        entitled: bool,
+    ) -> Answer {
+        if !view.ready() || !entitled {
+            return Answer::Unavailable;
+        }
+        let Some(machine) = view.machines.get(&report.machine) else {
+            // Unknown so far: the leader takes it up.
+            let leader = view.leader.as_ref().map(|leader| leader.value.node.clone());
+            return Answer::Elsewhere(leader.filter(|leader| *leader != config.name));
+        };
+        let block_id = &machine.value.block;
+        let Some(block) = self.blocks.get_mut(block_id) else {
+            let holder = view.grants.get(block_id).map(|grant| grant.value.holder.clone());
+            return Answer::Elsewhere(holder.filter(|holder| *holder != config.name));
+        };
+        if report.seal > block.seal {
+            // Somebody was granted the block after us. A 200 from us would be dropped and the lease run out.
+            return Answer::Elsewhere(None);
+        }
+        let id = report.machine.clone();
+        block.take_report(now, report, view);
+        match block.workers.get(&id) {
+            Some(_) => Answer::Orders(block.orders(now, &id, view, None)),
+            None => Answer::Unavailable,
+        }
+    }
+
+    pub fn commanded(
+        &mut self,
+        now: Now,
+        block: &BlockId,
+        machine: &MachineId,
+        body: &Orders,
+        outcome: CommandOutcome,
+        view: &View,
+    ) {
+        let Some(block) = self.blocks.get_mut(block) else { return };
+        if block.seal != body.seal {
+            return;
+        }
+        block.commanded(now, machine, body, outcome, view);
+    }
+
+    /// What the leader wants. False if our grant is not the one it means.
+    pub fn work(&mut self, work: Work) -> bool {
+        let Some(block) = self.blocks.get_mut(&work.block) else { return false };
+        if block.grant_version != work.grant_version {
+            return false;
+        }
+        if work.number <= block.last_work {
+            return true;
+        }
+        block.last_work = work.number;
+        let wanted: HashSet<u64> = work.want.iter().map(|wanted| wanted.attempt.number).collect();
+        block.handled.retain(|number| wanted.contains(number));
+        let placed: HashSet<u64> = block.places.attempts().map(|(_, attempt)| attempt.number).collect();
+        block.pending = work
+            .want
+            .into_iter()
+            .filter(|wanted| !block.handled.contains(&wanted.attempt.number))
+            .filter(|wanted| !placed.contains(&wanted.attempt.number))
+            .collect();
+        block.stops = work.stop.into_iter().collect();
+        let touched: BTreeSet<MachineId> = block
+            .places
+            .attempts()
+            .filter(|(_, attempt)| block.stops.contains(attempt))
+            .map(|(machine, _)| machine.clone())
+            .collect();
+        block.mark_due(touched);
+        true
+    }
+
+    /// Prepares the next write of each block.
+    pub fn writes(&mut self, now: Now, config: &Config, view: &mut View, flavors: &Flavors) -> Vec<(BlockId, Op)> {
+        let mut ops = Vec::new();
+        for block in self.blocks.values_mut() {
+            if let Some(op) = block.write(now, config, view, flavors) {
+                ops.push((block.id.clone(), op));
+            }
+        }
+        ops
+    }
+
+    pub fn written(&mut self, now: Now, block: &BlockId, grant_version: u64, outcome: &Outcome) {
+        if let Some(block) = self.blocks.get_mut(block) {
+            block.written(now, grant_version, outcome);
+        }
+    }
+
+    pub fn grant_version(&self, block: &BlockId) -> u64 {
+        self.blocks.get(block).map_or(0, |block| block.grant_version)
+    }
+
+    /// Commands that should not wait for the next report.
+    pub fn commands(&mut self, now: Now, view: &View) -> Vec<Command> {
+        let mut commands = Vec::new();
+        for block in self.blocks.values_mut() {
+            let due: Vec<MachineId> = block
+                .workers
+                .iter()
+                .filter(|(_, w)| w.due && !w.busy && w.addr.is_some() && w.session > 0)
+                .map(|(id, _)| id.clone())
+                .collect();
+            for machine in due {
+                let session = block.workers.get(&machine).map(|worker| worker.session);
+                let body = block.orders(now, &machine, view, session);
+                let id = block.id.clone();
+                let seal = block.seal;
+                let Some(worker) = block.workers.get_mut(&machine) else { continue };
+                worker.due = false;
+                if body.orders.is_empty() && worker.seal >= seal {
+                    continue;
+                }
+                worker.busy = true;
+                let addr = worker.addr.clone().unwrap_or_default();
+                commands.push(Command { block: id, machine, addr, body });
+            }
+        }
+        commands
+    }
+
+    /// Tells workers at once when jobs end that have tasks on them.
+    pub fn jobs_ended(&mut self, view: &View) {
+        for block in self.blocks.values_mut() {
+            let machines: BTreeSet<MachineId> = block
+                .places
+                .attempts()
+                .filter(|(machine, attempt)| {
+                    !wanted_alive(view, attempt.task.job)
+                        && block.workers.get(*machine).is_some_and(|worker| {
+                            worker.tasks.get(&attempt.task).is_some_and(|seen| seen.state != TaskState::Exited)
+                        })
+                })
+                .map(|(machine, _)| machine.clone())
+                .collect();
+            block.mark_due(machines);
+        }
+    }
+
+    pub fn status(&self, now: Now) -> Vec<BlockStatus> {
+        self.blocks.values().map(|block| block.status(now)).collect()
+    }
+}
+
+/// Whether a job's tasks should run at all.
+fn wanted_alive(view: &View, job: JobId) -> bool {
+    view.open.get(&job).is_some_and(|open| !open.cancelled)
+}
+
+fn recorded(view: &View, block: &BlockId) -> (Places, u64) {
+    view.places.get(block).map_or((Places::default(), 0), |places| (places.value.clone(), places.version))
+}
+
+impl Block {
+    fn mark_due(&mut self, machines: impl IntoIterator<Item = MachineId>) {
+        for machine in machines {
+            if let Some(worker) = self.workers.get_mut(&machine) {
+                worker.due = true;
+            }
+        }
+    }
+
+    fn sync_machines(&mut self, now: Now, view: &View) {
+        self.workers.retain(|machine, _| view.machines.contains_key(machine));
+        for (id, machine) in &view.machines {
+            if machine.value.block == self.id && !self.workers.contains_key(id) {
+                self.workers.insert(id.clone(), Worker::new(now));
+            }
+        }
+        // The record of a machine is removed after the cloud has deleted it: its tasks are gone.
+        let gone: Vec<(MachineId, Attempt)> = self
+            .places
+            .attempts()
+            .filter(|(machine, _)| !view.machines.contains_key(*machine))
+            .map(|(machine, attempt)| (machine.clone(), attempt))
+            .collect();
+        for (machine, attempt) in gone {
+            self.ended.entry((machine, attempt)).or_insert_with(|| {
+                info!(%attempt, proof = "machine deleted", "task lost");
+                End::Gone
+            });
+        }
+    }
+
+    /// The one place where what a worker says is taken in.
+    fn take_report(&mut self, now: Now, report: Report, view: &View) {
+        let seal = self.seal;
+        let Some(worker) = self.workers.get_mut(&report.machine) else { return };
+        let newer = (report.session, report.seq) > (worker.session, worker.seq);
+        if !newer {
+            // Late: its task list is as old as it is.
+            return;
+        }
+        if worker.session != 0 && report.session != worker.session {
+            // Commands for the old session are not executed any more.
+            info!(machine = %report.machine, session = report.session, "worker's lease had expired");
+            worker.launches.clear();
+            worker.tainted.clear();
+        }
+        worker.session = report.session;
+        worker.seq = report.seq;
+        worker.heard = now.steady;
+        worker.reported = true;
+        worker.notice = report.notice_s.is_some();
+        worker.addr = Some(report.addr);
+        worker.tasks = report
+            .tasks
+            .iter()
+            .map(|task| (task.task, Seen { number: task.number, state: task.state, cause: task.cause }))
+            .collect();
+        let raised = report.seal >= seal && worker.seal < seal;
+        worker.seal = report.seal;
+        if worker.seal < seal || raised {
+            // Raise its token, or start what waited for it.
+            worker.due = true;
+        }
+        for (task, seen) in &worker.tasks {
+            if matches!(seen.state, TaskState::Running | TaskState::Saving)
+                && let Some(open) = view.open.get(&task.job)
+            {
+                worker.images.insert(open.job.image.clone());
+            }
+        }
+        let here: Vec<Attempt> = self
+            .places
+            .on
+            .get(&report.machine)
+            .map(|list| list.iter().map(|placed| placed.0).collect())
+            .unwrap_or_default();
+        for attempt in here {
+            let key = (report.machine.clone(), attempt);
+            let seen = worker.tasks.get(&attempt.task).filter(|seen| seen.number == attempt.number);
+            match seen {
+                Some(seen) => {
+                    if seen.state != TaskState::Exited {
+                        if seen.state == TaskState::Running {
+                            worker.errors = worker.errors.min(1);
+                        }
+                        continue;
+                    }
+                    if worker.seal < seal {
+                        // An older holder could still give it commands.
+                        continue;
+                    }
+                    let done = seen.cause == Some(Cause::Done);
+                    if !self.ended.contains_key(&key) {
+                        debug!(%attempt, cause = ?seen.cause, "task ended");
+                        match seen.cause {
+                            Some(Cause::Done) => worker.errors = 0,
+                            Some(Cause::Error) => worker.errors += 1,
+                            _ => {}
+                        }
+                        self.ended.insert(key, if done { End::Done } else { End::Gone });
+                    }
+                }
+                None => {
+                    let unwanted = !wanted_alive(view, attempt.task.job) || self.stops.contains(&attempt);
+                    if unwanted && worker.seal >= seal && !worker.may_start_late(&attempt) {
+                        // Not there, and nothing that could start it is under way.
+                        self.ended.insert(key, End::Gone);
+                    } else if worker.seal >= seal {
+                        worker.due = true;
+                    }
+                }
+            }
+        }
+    }
+
+    /// All that the worker should be told now. `session`: for a direct command, else for a report's answer.
+    fn orders(&mut self, now: Now, machine: &MachineId, view: &View, session: Option<u64>) -> Orders {
+        let mut orders = Vec::new();
+        let seal = self.seal;
+        if let Some(worker) = self.workers.get_mut(machine) {
+            let here: BTreeMap<TaskId, u64> = self
+                .places
+                .on
+                .get(machine)
+                .map(|list| list.iter().map(|placed| (placed.0.task, placed.0.number)).collect())
+                .unwrap_or_default();
+            for (task, seen) in &worker.tasks {
+                let attempt = Attempt { task: *task, number: seen.number };
+                let recorded = here.get(task) == Some(&seen.number);
+                let wanted = recorded && wanted_alive(view, task.job) && !self.stops.contains(&attempt);
+                match seen.state {
+                    // Reaped only once its end is recorded, and never while an old launch of it may come late.
+                    TaskState::Exited if !recorded && !worker.may_start_late(&attempt) => {
+                        orders.push(Order::Reap { task: *task, number: seen.number });
+                    }
+                    TaskState::Exited => {}
+                    _ if wanted => {}
+                    _ => {
+                        let job = view.open.get(&task.job).filter(|open| !open.cancelled).map(|open| &open.job);
+                        let grace_s = job
+                            .filter(|job| job.checkpoint_every_s > 0.0 && recorded)
+                            .map_or(0.0, |job| job.checkpoint_s);
+                        orders.push(Order::Stop { task: *task, number: seen.number, grace_s });
+                    }
+                }
+            }
+            // Nothing is launched before the worker has shown our seal; direct commands only, so that each
+            // launch has an answer of its own.
+            if session.is_some() && worker.seal >= seal {
+                for (task, number) in &here {
+                    let attempt = Attempt { task: *task, number: *number };
+                    let there = worker.tasks.get(task).is_some_and(|seen| seen.number == *number);
+                    let recent = match worker.launches.get(&attempt) {
+                        Some(Launch::Sent { .. }) => true,
+                        Some(Launch::Lost { at }) => since(now, *at) < RELAUNCH,
+                        Some(Launch::Confirmed) | None => false,
+                    };
+                    let wanted = wanted_alive(view, task.job) && !self.stops.contains(&attempt);
+                    let ended = self.ended.contains_key(&(machine.clone(), attempt));
+                    if !there && !recent && wanted && !ended {
+                        worker.launches.insert(attempt, Launch::Sent { at: now.steady });
+                        orders.push(Order::Launch { task: *task, number: *number });
+                    }
+                }
+            }
+        }
+        Orders { seal, session, orders }
+    }
+
+    fn commanded(&mut self, now: Now, machine: &MachineId, body: &Orders, outcome: CommandOutcome, view: &View) {
+        let Some(worker) = self.workers.get_mut(machine) else { return };
+        worker.busy = false;
+        let launched = body.orders.iter().filter_map(|order| match order {
+            Order::Launch { task, number } => Some(Attempt { task: *task, number: *number }),
+            _ => None,
+        });
+        let same_session = body.session == Some(worker.session);
+        for attempt in launched {
+            let next = match &outcome {
+                CommandOutcome::Executed(_) => Some(Launch::Confirmed),
+                CommandOutcome::Rejected(_) => None,
+                CommandOutcome::Unknown => Some(Launch::Lost { at: now.steady }),
+            };
+            match next {
+                _ if !same_session => {}
+                Some(next) => {
+                    if matches!(next, Launch::Lost { .. }) {
+                        worker.tainted.insert(attempt);
+                    }
+                    worker.launches.insert(attempt, next);
+                }
+                None => {
+                    worker.launches.remove(&attempt);
+                }
+            }
+        }
+        match outcome {
+            CommandOutcome::Executed(report) | CommandOutcome::Rejected(report) => {
+                if report.machine == *machine {
+                    self.take_report(now, report, view);
+                }
+            }
+            CommandOutcome::Unknown => {}
+        }
+    }
+
+    fn candidates(&self, now: Now, view: &View, flavors: &Flavors) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        for (id, worker) in &self.workers {
+            let Some(machine) = view.machines.get(id) else { continue };
+            let Some(flavor) = flavors.get(&machine.value.type_name) else { continue };
+            if machine.value.draining || !self.usable(now, worker) {
+                continue;
+            }
+            let mut free = flavor.room();
+            for placed in self.places.on.get(id).into_iter().flatten() {
+                free.take(&view.open.get(&placed.0.task.job).map_or(Room::default(), |open| open.job.need));
+            }
+            candidates.push(Candidate {
+                machine: id.clone(),
+                type_name: machine.value.type_name.clone(),
+                zone: machine.value.zone.clone(),
+                tenure: machine.value.tenure,
+                size: flavor.room(),
+                free,
+                images: worker.images.iter().cloned().collect(),
+                fetch_s_per_gb: flavor.fetch_s_per_gb(),
+            });
+        }
+        candidates
+    }
+
+    fn usable(&self, now: Now, worker: &Worker) -> bool {
+        worker.reported && worker.seal >= self.seal && !worker.notice && since(now, worker.heard) < QUIET
+    }
+
+    /// The next transaction: what ended, what is placed, what can be forgotten.
+    fn write(&mut self, now: Now, config: &Config, view: &mut View, flavors: &Flavors) -> Option<Op> {
+        let unsure = matches!(self.writer, Writer::Unsure { .. });
+        if !self.writer.ready(now, view) {
+            return None;
+        }
+        if unsure {
+            // Nothing of ours is under way that our copy does not show, but for a late repeat of the last
+            // transaction, which fails once another one has been committed.
+            let (places, version) = recorded(view, &self.id);
+            if version > self.places_version {
+                self.unsure.clear();
+            }
+            self.places = places;
+            self.places_version = version;
+            for (machine, attempt) in self.places.attempts() {
+                if self.pending.iter().any(|wanted| wanted.attempt.number == attempt.number) {
+                    self.handled.insert(attempt.number);
+                    if let Some(worker) = self.workers.get_mut(machine) {
+                        worker.due = true;
+                    }
+                }
+            }
+            self.pending.retain(|wanted| !self.handled.contains(&wanted.attempt.number));
+        }
+        let mut draft = self.places.clone();
+        for ((machine, attempt), end) in &self.ended {
+            if draft.remove(machine, *attempt) && *end == End::Done && view.open.contains_key(&attempt.task.job) {
+                draft.done.entry(attempt.task.job).or_default().insert(attempt.task.index);
+            }
+        }
+        prune(&mut draft, view);
+        let mut conditions = BTreeMap::new();
+        let mut unsure = Vec::new();
+        if !self.pending.is_empty() {
+            let mut candidates = self.candidates(now, view, flavors);
+            // Their room was counted with what has ended still in place; it is counted again next time.
+            for wanted in &self.pending {
+                let Some(open) = view.open.get(&wanted.attempt.task.job).filter(|open| !open.cancelled) else {
+                    continue;
+                };
+                if open.done.contains(wanted.attempt.task.index)
+                    || draft.size() + 64 > config.state_limits.value_bytes
+                    || conditions.len() >= MACHINES_PER_WRITE
+                {
+                    continue;
+                }
+                let hinted = candidates.iter().find(|c| c.machine == wanted.machine);
+                let chosen = hinted
+                    .filter(|c| c.allows(&open.job) && c.free.fits(&open.job.need))
+                    .or_else(|| placement::choose(candidates.iter(), &open.job, |_| true))
+                    .map(|c| c.machine.clone());
+                let Some(machine) = chosen else { continue };
+                let Some(version) = view.machines.get(&machine).map(|m| m.version) else { continue };
+                if let Some(candidate) = candidates.iter_mut().find(|c| c.machine == machine) {
+                    candidate.free.take(&open.job.need);
+                }
+                conditions.insert(machine.clone(), version);
+                draft.add(&machine, wanted.attempt);
+                unsure.push(wanted.attempt.number);
+            }
+        }
+        // A write of unknown outcome is made sure of by the next one, needed or not.
+        if draft == self.places && self.unsure.is_empty() {
+            self.ended.retain(|(machine, attempt), _| still_there(&self.places, machine, attempt));
+            return None;
+        }
+        let mut txn = Txn::default()
+            .when(grant_key(&self.id), self.grant_version)
+            .when(places_key(&self.id), self.places_version);
+        for (machine, version) in conditions {
+            txn = txn.when(machine_key(&machine), version);
+        }
+        txn = txn.put(places_key(&self.id), &draft);
+        self.unsure.extend(unsure);
+        self.draft = Some(draft);
+        self.writer.sent();
+        Some(Op::Commit(txn))
+    }
+
+    fn written(&mut self, now: Now, grant_version: u64, outcome: &Outcome) {
+        self.writer.answered(now, outcome);
+        let draft = self.draft.take();
+        if grant_version != self.grant_version {
+            // The answer to a write under an older leader: our copy already holds it if it was committed.
+            self.writer = Writer::Unsure { since: now.steady };
+            return;
+        }
+        match (outcome, draft) {
+            (Outcome::Committed { revision }, Some(draft)) => {
+                let old: HashSet<u64> = self.places.attempts().map(|(_, attempt)| attempt.number).collect();
+                let started: Vec<(MachineId, Attempt)> = draft
+                    .attempts()
+                    .filter(|(_, attempt)| !old.contains(&attempt.number))
+                    .map(|(machine, attempt)| (machine.clone(), attempt))
+                    .collect();
+                self.places = draft;
+                self.places_version = *revision;
+                // We know our own places; only others' records are waited for.
+                self.writer = Writer::Idle;
+                self.unsure.clear();
+                self.ended.retain(|(machine, attempt), _| still_there(&self.places, machine, attempt));
+                for (machine, attempt) in started {
+                    debug!(%attempt, %machine, "placed");
+                    self.handled.insert(attempt.number);
+                    self.pending.retain(|wanted| wanted.attempt.number != attempt.number);
+                    self.mark_due([machine]);
+                }
+            }
+            (Outcome::Unknown, _) => {}
+            // Not executed.
+            _ => self.unsure.clear(),
+        }
+    }
+
+    fn status(&self, now: Now) -> BlockStatus {
+        let machines = self.workers.iter().map(|(id, worker)| MachineStatus {
+            machine: id.clone(),
+            usable: self.usable(now, worker),
+            seen: worker.reported,
+            silent_ms: u64::try_from(since(now, worker.heard).as_millis()).unwrap_or(u64::MAX),
+            notice: worker.notice,
+            errors: worker.errors,
+            images: worker.images.iter().cloned().collect(),
+            running: worker
+                .tasks
+                .values()
+                .filter(|seen| seen.state == TaskState::Running)
+                .map(|seen| seen.number)
+                .collect(),
+        });
+        let mut pending: Vec<u64> = self.pending.iter().map(|wanted| wanted.attempt.number).collect();
+        pending.extend(&self.unsure);
+        BlockStatus {
+            block: self.id.clone(),
+            seal: self.seal,
+            grant_version: self.grant_version,
+            last_work: self.last_work,
+            pending,
+            revision: self.places_version,
+            wants_new_seal: self.blocked_since.is_some_and(|at| since(now, at) > RENEW_AFTER),
+            machines: machines.collect(),
+        }
+    }
+
+    /// Notes whether a launch of unknown outcome keeps an unwanted task from being proven gone.
+    fn note_blocked(&mut self, now: Now, view: &View) {
+        let blocked = self.places.attempts().any(|(machine, attempt)| {
+            !wanted_alive(view, attempt.task.job)
+                && self.workers.get(machine).is_some_and(|worker| {
+                    worker.reported
+                        && worker.tainted.contains(&attempt)
+                        && !worker.tasks.contains_key(&attempt.task)
+                })
+        });
+        match (blocked, self.blocked_since) {
+            (true, None) => self.blocked_since = Some(now.steady),
+            (false, Some(_)) => self.blocked_since = None,
+            _ => {}
+        }
+    }
+}
+
+impl Fleet {
+    /// Housekeeping by the clock.
+    pub fn tick(&mut self, now: Now, view: &View) {
+        for block in self.blocks.values_mut() {
+            block.note_blocked(now, view);
+            let placed: HashSet<Attempt> = block.places.attempts().map(|(_, attempt)| attempt).collect();
+            for worker in block.workers.values_mut() {
+                worker.launches.retain(|attempt, _| placed.contains(attempt));
+                let overdue = worker
+                    .launches
+                    .values()
+                    .any(|launch| matches!(launch, Launch::Lost { at } if since(now, *at) >= RELAUNCH));
+                if overdue && !worker.busy && since(now, worker.heard) < QUIET {
+                    worker.due = true;
+                }
+            }
+        }
+    }
+}
+
+fn still_there(places: &Places, machine: &MachineId, attempt: &Attempt) -> bool {
+    places.on.get(machine).is_some_and(|list| list.iter().any(|placed| placed.0 == *attempt))
+}
+
+/// Forgets finished tasks that are recorded elsewhere: their job has ended, or its progress holds them.
+fn prune(places: &mut Places, view: &View) {
+    places.done.retain(|job, done| {
+        if view.ended.contains_key(job) {
+            return false;
+        }
+        let mut left = Ranges::default();
+        for index in done.0.iter().flat_map(Clone::clone) {
+            let chunk = index / crate::store::records::CHUNK;
+            let folded = view.progress.get(&(*job, chunk)).is_some_and(|p| p.value.done.contains(index));
+            if !folded {
+                left.insert(index);
+            }
+        }
+        *done = left;
+        !done.is_empty()
+    });
+}
--- /dev/null
+++ b/src/fleet/wire.rs
@@ -0,0 +1,166 @@
+//! What workers and controllers say to each other, as PROTOCOL spells it.
+
+use serde::{Deserialize, Serialize};
+
+use crate::domain::{MachineId, TaskId, TypeName, Zone};
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    #[serde(rename = "berth")]
+    pub machine: MachineId,
+    #[serde(rename = "endpoint")]
+    pub addr: String,
+    #[serde(rename = "berthKind")]
+    pub type_name: TypeName,
+    #[serde(rename = "wing")]
+    pub zone: Zone,
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    #[serde(rename = "shift")]
+    pub session: u64,
+    #[serde(rename = "folio")]
+    pub seq: u64,
+    #[serde(rename = "seal")]
+    pub seal: u64,
+    #[serde(rename = "recallS", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "entries")]
+    pub tasks: Vec<ReportedTask>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReportedTask {
+    #[serde(rename = "entry")]
+    pub task: TaskId,
+    #[serde(rename = "try")]
+    pub number: u64,
+    #[serde(rename = "status")]
+    pub state: TaskState,
+    #[serde(rename = "cause", default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<Cause>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskState {
+    #[serde(rename = "pulling")]
+    Fetching,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "flushing")]
+    Saving,
+    #[serde(rename = "exited")]
+    Exited,
+    /// A state this version does not know: the task is there, that is all.
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Cause {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "halted")]
+    Stopped,
+    #[serde(rename = "error")]
+    Error,
+    #[serde(rename = "no_room")]
+    NoRoom,
+    #[serde(rename = "in_use")]
+    Busy,
+    #[serde(rename = "unknown")]
+    Unknown,
+    #[serde(other)]
+    Other,
+}
+
+/// The answer to a report, and the body of a direct command.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Orders {
+    #[serde(rename = "seal")]
+    pub seal: u64,
+    /// Only in direct commands.
+    #[serde(rename = "shift", skip_serializing_if = "Option::is_none")]
+    pub session: Option<u64>,
+    #[serde(rename = "orders")]
+    pub orders: Vec<Order>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "order")]
+pub enum Order {
+    #[serde(rename = "launch")]
+    Launch {
+        #[serde(rename = "entry")]
+        task: TaskId,
+        #[serde(rename = "try")]
+        number: u64,
+    },
+    #[serde(rename = "stop")]
+    Stop {
+        #[serde(rename = "entry")]
+        task: TaskId,
+        #[serde(rename = "try")]
+        number: u64,
+        #[serde(rename = "leaveS")]
+        grace_s: f64,
+    },
+    #[serde(rename = "reap")]
+    Reap {
+        #[serde(rename = "entry")]
+        task: TaskId,
+        #[serde(rename = "try")]
+        number: u64,
+    },
+}
+
+/// 421: reports of this machine belong elsewhere.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Redirect {
+    #[serde(rename = "clerk", skip_serializing_if = "Option::is_none")]
+    pub holder: Option<crate::domain::NodeName>,
+}
+
+
+#[cfg(test)]
+mod tests {
+    use ciborium::cbor;
+
+    use super::*;
+
+    fn bytes_of<T: Serialize>(value: &T) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(value, &mut bytes).expect("to memory");
+        bytes
+    }
+
+    #[test]
+    fn reports_with_more_or_fewer_fields_are_read() {
+        let value = cbor!({
+            "berth" => "m-000231", "endpoint" => "10.1.0.232:9000", "berthKind" => "g8", "wing" => "a",
+            "loaner" => true, "shift" => 1, "folio" => 88, "seal" => 41, "later" => [1, 2],
+            "entries" => [
+                {"entry" => "j-000412/3", "try" => 2, "status" => "running"},
+                {"entry" => "j-000398/0", "try" => 1, "status" => "exited", "cause" => "done"},
+                {"entry" => "j-000398/1", "try" => 1, "status" => "dozing", "cause" => "whim"}
+            ]
+        })
+        .expect("valid");
+        let report: Report = ciborium::from_reader(bytes_of(&value).as_slice()).expect("readable");
+        assert_eq!(report.notice_s, None);
+        assert_eq!(report.tasks[1].cause, Some(Cause::Done));
+        assert_eq!(report.tasks[2].state, TaskState::Other);
+        assert_eq!(report.tasks[2].cause, Some(Cause::Other));
+    }
+
+    #[test]
+    fn orders_have_the_form_of_the_protocol() {
+        let task = "j-000377/1".parse().expect("valid");
+        let orders = Orders { seal: 41, session: Some(1), orders: vec![Order::Stop { task, number: 1, grace_s: 10.0 }] };
+        let value: ciborium::Value = ciborium::from_reader(bytes_of(&orders).as_slice()).expect("readable");
+        let expected = cbor!({
+            "seal" => 41, "shift" => 1,
+            "orders" => [{"order" => "stop", "entry" => "j-000377/1", "try" => 1, "leaveS" => 10.0}]
+        });
+        assert_eq!(value, expected.expect("valid"));
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,99 @@
+//! HTTP at the edge: one client for all we call, with CBOR bodies.
+
+pub mod server;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client as HyperClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub post: bool,
+    pub path: String,
+    pub body: Vec<u8>,
+    pub timeout: Duration,
+}
+
+impl Request {
+    pub fn get(path: String, timeout: Duration) -> Self {
+        Request { post: false, path, body: Vec::new(), timeout }
+    }
+
+    pub fn post(path: String, body: Vec<u8>, timeout: Duration) -> Self {
+        Request { post: true, path, body, timeout }
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Bytes,
+}
+
+pub fn write(value: &impl Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    // Writing our own types to memory can't fail.
+    let _ = ciborium::into_writer(value, &mut bytes);
+    bytes
+}
+
+pub fn read<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    ciborium::from_reader(body).ok()
+}
+
+/// No answer that we ask for is larger: a watch has no limit, but this much is more than it can hold.
+const LARGEST_REPLY: usize = 16 << 20;
+const CONNECT_WITHIN: Duration = Duration::from_millis(1000);
+const IDLE: Duration = Duration::from_secs(20);
+
+#[derive(Clone)]
+pub struct Client {
+    inner: HyperClient<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_WITHIN));
+        let inner = HyperClient::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE)
+            .pool_max_idle_per_host(4)
+            // A request is sent once: what to do about a lost answer is for the slices to decide.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Client { inner }
+    }
+
+    /// None: no answer. The request may have been executed, or may still be.
+    pub async fn send(&self, addr: SocketAddr, request: Request) -> Option<Reply> {
+        let method = if request.post { hyper::Method::POST } else { hyper::Method::GET };
+        let built = hyper::Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{}", request.path))
+            .header(hyper::header::CONTENT_TYPE, "application/cbor")
+            .body(Full::new(Bytes::from(request.body)))
+            .ok()?;
+        let exchange = async {
+            let response = self.inner.request(built).await.ok()?;
+            let status = response.status().as_u16();
+            let body = Limited::new(response.into_body(), LARGEST_REPLY).collect().await.ok()?.to_bytes();
+            Some(Reply { status, body })
+        };
+        tokio::time::timeout(request.timeout, exchange).await.ok().flatten()
+    }
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Client::new()
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,215 @@
+//! The two listeners: users, workers and health checks on one address, other controllers on the other.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tracing::{debug, warn};
+use warp::http::StatusCode;
+use warp::reply::Response as HttpResponse;
+use warp::{Filter, Rejection, Reply};
+
+use super::{read, write};
+use crate::fleet::Answer;
+use crate::fleet::wire::{Redirect, Report};
+use crate::intake::Response;
+use crate::peer::Message;
+
+/// A request with the place its answer goes to.
+#[derive(Debug)]
+pub enum Incoming {
+    Submit(Bytes, oneshot::Sender<Response>),
+    Poll(String, oneshot::Sender<Response>),
+    Cancel(String, oneshot::Sender<Response>),
+    Health(oneshot::Sender<bool>),
+    Report(Report, oneshot::Sender<Answer>),
+    Peer(Message),
+}
+
+/// The protocol's limit for request bodies.
+const LARGEST_BODY: u64 = 64 * 1024;
+/// Work messages list everything that is wanted of a block.
+const LARGEST_PEER_BODY: u64 = 1 << 20;
+/// A request must arrive within this; a connection that dawdles is closed.
+const HEADER_WITHIN: Duration = Duration::from_secs(20);
+/// Answers that the state machine owes; more waiting than this are refused at once.
+pub const MOST_WAITING: usize = 1024;
+
+#[derive(Serialize)]
+struct Problem {
+    error: &'static str,
+}
+
+fn reply_cbor(status: u16, value: &impl Serialize) -> HttpResponse {
+    let mut response = HttpResponse::new(write(value).into());
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let cbor = warp::http::HeaderValue::from_static("application/cbor");
+    response.headers_mut().insert(warp::http::header::CONTENT_TYPE, cbor);
+    response
+}
+
+fn busy() -> HttpResponse {
+    answer(Response::Problem { status: 503, problem: "busy", retry_after: Some(Duration::from_secs(1)) })
+}
+
+fn answer(response: Response) -> HttpResponse {
+    match response {
+        Response::State { status, state } => reply_cbor(status, &state),
+        Response::Problem { status, problem, retry_after } => {
+            let mut response = reply_cbor(status, &Problem { error: problem });
+            if let Some(after) = retry_after {
+                let seconds = after.as_secs().max(1).into();
+                response.headers_mut().insert(warp::http::header::RETRY_AFTER, seconds);
+            }
+            response
+        }
+    }
+}
+
+async fn ask<T>(
+    events: mpsc::Sender<Incoming>,
+    make: impl FnOnce(oneshot::Sender<T>) -> Incoming,
+    show: impl FnOnce(T) -> HttpResponse,
+) -> Result<HttpResponse, Infallible> {
+    let (sender, receiver) = oneshot::channel();
+    if events.try_send(make(sender)).is_err() {
+        return Ok(busy());
+    }
+    Ok(receiver.await.map_or_else(|_| busy(), show))
+}
+
+fn body(limit: u64) -> impl Filter<Extract = (Bytes,), Error = Rejection> + Clone {
+    warp::body::content_length_limit(limit).and(warp::body::bytes())
+}
+
+pub fn public(events: mpsc::Sender<Incoming>) -> impl Filter<Extract = (HttpResponse,), Error = Infallible> + Clone {
+    let with = warp::any().map(move || events.clone());
+    let submit = warp::path!("submissions")
+        .and(warp::post())
+        .and(body(LARGEST_BODY))
+        .and(with.clone())
+        .and_then(|body, events| ask(events, |reply| Incoming::Submit(body, reply), answer).into_rejection());
+    let poll = warp::path!("submissions" / String)
+        .and(warp::get())
+        .and(with.clone())
+        .and_then(|job, events| ask(events, |reply| Incoming::Poll(job, reply), answer).into_rejection());
+    let cancel = warp::path!("submissions" / String / "cancel")
+        .and(warp::post())
+        .and(with.clone())
+        .and_then(|job, events| ask(events, |reply| Incoming::Cancel(job, reply), answer).into_rejection());
+    let health = warp::path!("up").and(warp::get()).and(with.clone()).and_then(|events| {
+        let show = |healthy| if healthy { reply_cbor(200, &"up") } else { busy() };
+        ask(events, Incoming::Health, show).into_rejection()
+    });
+    let report = warp::path!("v1" / "report")
+        .and(warp::post())
+        .and(body(LARGEST_BODY))
+        .and(with)
+        .and_then(|body: Bytes, events| take_report(body, events).into_rejection());
+    report.or(poll).unify().or(submit).unify().or(health).unify().or(cancel).unify().recover(refused).unify()
+}
+
+async fn take_report(body: Bytes, events: mpsc::Sender<Incoming>) -> Result<HttpResponse, Infallible> {
+    match read::<Report>(&body) {
+        Some(report) => ask(events, |reply| Incoming::Report(report, reply), answer_worker).await,
+        None => Ok(reply_cbor(400, &Problem { error: "malformed report" })),
+    }
+}
+
+fn answer_worker(answer: Answer) -> HttpResponse {
+    match answer {
+        Answer::Orders(orders) => reply_cbor(200, &orders),
+        Answer::Elsewhere(holder) => reply_cbor(421, &Redirect { holder }),
+        Answer::Unavailable => busy(),
+    }
+}
+
+pub fn between_controllers(
+    events: mpsc::Sender<Incoming>,
+) -> impl Filter<Extract = (HttpResponse,), Error = Infallible> + Clone {
+    warp::path!("peer")
+        .and(warp::post())
+        .and(body(LARGEST_PEER_BODY))
+        .map(move |body: Bytes| match read::<Message>(&body) {
+            Some(message) => match events.try_send(Incoming::Peer(message)) {
+                Ok(()) => reply_cbor(200, &"taken"),
+                Err(_) => busy(),
+            },
+            None => reply_cbor(400, &Problem { error: "malformed message" }),
+        })
+        .recover(refused)
+        .unify()
+}
+
+/// Shortens the filters above: our handlers answer everything themselves.
+trait IntoRejection {
+    fn into_rejection(self) -> impl Future<Output = Result<HttpResponse, Rejection>> + Send;
+}
+
+impl<F: Future<Output = Result<HttpResponse, Infallible>> + Send> IntoRejection for F {
+    async fn into_rejection(self) -> Result<HttpResponse, Rejection> {
+        match self.await {
+            Ok(response) => Ok(response),
+            Err(never) => match never {},
+        }
+    }
+}
+
+async fn refused(rejection: Rejection) -> Result<HttpResponse, Infallible> {
+    use warp::reject::{LengthRequired, MethodNotAllowed, PayloadTooLarge};
+    let (status, error) = if rejection.is_not_found() {
+        (404, "no such path")
+    } else if rejection.find::<PayloadTooLarge>().is_some() {
+        (400, "the body is too large")
+    } else if rejection.find::<LengthRequired>().is_some() {
+        (400, "the body's length is missing")
+    } else if rejection.find::<MethodNotAllowed>().is_some() {
+        (405, "no such method")
+    } else {
+        (400, "malformed request")
+    };
+    Ok(reply_cbor(status, &Problem { error }))
+}
+
+/// Accepts connections until the process ends. More than `limit` at a time are closed at once.
+pub async fn serve<F>(addr: SocketAddr, limit: usize, routes: F) -> std::io::Result<()>
+where
+    F: Filter<Error = Infallible> + Clone + Send + Sync + 'static,
+    F::Extract: Reply,
+{
+    let listener = TcpListener::bind(addr).await?;
+    let service = warp::service(routes);
+    let open = std::sync::Arc::new(tokio::sync::Semaphore::new(limit));
+    loop {
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                // Out of sockets, most likely: some will be closed.
+                warn!(%error, "can't accept a connection");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let Ok(permit) = open.clone().try_acquire_owned() else {
+            debug!(%from, "too many connections");
+            continue;
+        };
+        // Small answers must not wait for the last one's acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let service = TowerToHyperService::new(service.clone());
+        tokio::spawn(async move {
+            let mut builder = hyper::server::conn::http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(HEADER_WITHIN).max_buf_size(32 * 1024);
+            if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+                debug!(%from, %error, "connection ended");
+            }
+            drop(permit);
+        });
+    }
+}
--- /dev/null
+++ b/src/intake/mod.rs
@@ -0,0 +1,292 @@
+//! The users' API: submit, poll, cancel.
+//!
+//! Accepted, cancelled and done are told only after their commit. Whatever is not final is answered from a
+//! copy that is at least as new as the question, so that no node tells less than another already has.
+
+pub mod wire;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::config::Config;
+use crate::domain::{Final, Job, JobId, Kind, Now, Room, since};
+use crate::provisioning::Flavors;
+use crate::store::budget::{Budget, Urgency};
+use crate::store::records::{JobRecord, job_key};
+use crate::store::{Op, Outcome, Txn, View};
+use wire::{JobState, Malformed};
+
+/// A question, told apart from all others of this process.
+pub type RequestId = u64;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Response {
+    State { status: u16, state: JobState },
+    /// `retry_after`: when to come back.
+    Problem { status: u16, problem: &'static str, retry_after: Option<Duration> },
+}
+
+#[derive(Debug, Clone)]
+enum Question {
+    Submit(JobId),
+    Poll(JobId),
+    Cancel(JobId),
+}
+
+#[derive(Debug, Clone)]
+enum State {
+    /// Until our copy is newer than the question.
+    Refreshing,
+    Committing,
+}
+
+#[derive(Debug)]
+struct Pending {
+    question: Question,
+    state: State,
+    /// The copy must be at least this new.
+    asked: Instant,
+    deadline: Instant,
+}
+
+/// Users wait 5 s for submissions and cancellations, and 2 s for polls.
+const SUBMIT_WITHIN: Duration = Duration::from_secs(4);
+const POLL_WITHIN: Duration = Duration::from_millis(1600);
+/// A write that would wait longer than this is refused at once.
+const LONGEST_QUEUE: Duration = Duration::from_millis(1500);
+/// More open questions than this are refused at once.
+const MOST_PENDING: usize = 500;
+
+#[derive(Debug, Default)]
+pub struct Intake {
+    pending: BTreeMap<RequestId, Pending>,
+}
+
+pub struct Context<'a, Tag> {
+    pub config: &'a Config,
+    pub flavors: &'a Flavors,
+    pub view: &'a mut View,
+    pub budget: &'a mut Budget<Tag>,
+    pub tag: fn(RequestId) -> Tag,
+}
+
+fn later(status: u16, problem: &'static str) -> Response {
+    Response::Problem { status, problem, retry_after: Some(Duration::from_secs(1)) }
+}
+
+fn refuse(status: u16, problem: &'static str) -> Response {
+    Response::Problem { status, problem, retry_after: None }
+}
+
+impl Intake {
+    pub fn new() -> Self {
+        Intake::default()
+    }
+
+    pub fn submit<Tag>(&mut self, now: Now, id: RequestId, body: &[u8], cx: &mut Context<'_, Tag>) -> Option<Response> {
+        let (job_id, job) = match wire::parse(body, now.unix_ms()) {
+            Ok(parsed) => parsed,
+            Err(Malformed(problem)) => return Some(refuse(400, problem)),
+        };
+        if let Some(response) = ended(cx.view, job_id) {
+            return Some(response);
+        }
+        if let Some(response) = self.unable(now, cx) {
+            return Some(response);
+        }
+        if cx.view.open.contains_key(&job_id) {
+            return self.wait(now, id, Question::Submit(job_id), SUBMIT_WITHIN, cx);
+        }
+        if !cx.flavors.known() {
+            return Some(later(503, "the machine types are not known yet"));
+        }
+        if let Some(problem) = never_runs(cx.config, cx.flavors, &job) {
+            return Some(refuse(422, problem));
+        }
+        let delay = cx.budget.user_delay();
+        if delay > LONGEST_QUEUE {
+            let retry_after = Some(Duration::from_secs(delay.as_secs().clamp(1, 20)));
+            return Some(Response::Problem { status: 429, problem: "too many submissions", retry_after });
+        }
+        let record = JobRecord::Open(job);
+        let txn = Txn::default().when(job_key(job_id), 0).put(job_key(job_id), &record);
+        if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn)).is_err() {
+            return Some(later(429, "too many requests"));
+        }
+        let question = Question::Submit(job_id);
+        self.pending.insert(
+            id,
+            Pending { question, state: State::Committing, asked: now.steady, deadline: now.steady + SUBMIT_WITHIN },
+        );
+        None
+    }
+
+    pub fn poll<Tag>(&mut self, now: Now, id: RequestId, job: &str, cx: &mut Context<'_, Tag>) -> Option<Response> {
+        let Ok(job) = job.parse() else { return Some(refuse(404, "no such job")) };
+        self.ask(now, id, Question::Poll(job), job, POLL_WITHIN, cx)
+    }
+
+    pub fn cancel<Tag>(&mut self, now: Now, id: RequestId, job: &str, cx: &mut Context<'_, Tag>) -> Option<Response> {
+        let Ok(job) = job.parse() else { return Some(refuse(404, "no such job")) };
+        self.ask(now, id, Question::Cancel(job), job, SUBMIT_WITHIN, cx)
+    }
+
+    fn ask<Tag>(
+        &mut self,
+        now: Now,
+        id: RequestId,
+        question: Question,
+        job: JobId,
+        within: Duration,
+        cx: &mut Context<'_, Tag>,
+    ) -> Option<Response> {
+        if let Some(response) = ended(cx.view, job) {
+            return Some(response);
+        }
+        if let Some(response) = self.unable(now, cx) {
+            return Some(response);
+        }
+        self.wait(now, id, question, within, cx)
+    }
+
+    fn unable<Tag>(&self, now: Now, cx: &Context<'_, Tag>) -> Option<Response> {
+        if !cx.view.ready() || !cx.budget.available(now) {
+            return Some(later(503, "the state service can't be reached"));
+        }
+        (self.pending.len() >= MOST_PENDING).then(|| later(429, "too many requests"))
+    }
+
+    fn wait<Tag>(
+        &mut self,
+        now: Now,
+        id: RequestId,
+        question: Question,
+        within: Duration,
+        cx: &mut Context<'_, Tag>,
+    ) -> Option<Response> {
+        cx.view.want_fresh();
+        self.pending.insert(
+            id,
+            Pending { question, state: State::Refreshing, asked: now.steady, deadline: now.steady + within },
+        );
+        None
+    }
+
+    /// What became of a commit.
+    pub fn committed<Tag>(&mut self, now: Now, id: RequestId, outcome: &Outcome, cx: &mut Context<'_, Tag>) -> Option<Response> {
+        let pending = self.pending.get_mut(&id)?;
+        let response = match (&pending.question, outcome) {
+            (Question::Submit(job), Outcome::Committed { .. }) => Response::State {
+                status: 201,
+                state: JobState { id: *job, status: "queued", done: 0, running: 0 },
+            },
+            (Question::Cancel(job), Outcome::Committed { .. }) => Response::State {
+                status: 200,
+                state: JobState { id: *job, status: "cancelled", done: 0, running: 0 },
+            },
+            (_, Outcome::Conflict) => {
+                // Somebody was first: see what they did.
+                pending.state = State::Refreshing;
+                pending.asked = now.steady;
+                cx.view.want_fresh();
+                return None;
+            }
+            // It may or may not be committed. The user asks again, and either way gets the right answer then.
+            _ => later(503, "the state service can't be reached"),
+        };
+        self.pending.remove(&id);
+        Some(response)
+    }
+
+    /// Answers what can be answered by now.
+    pub fn advance<Tag>(&mut self, now: Now, cx: &mut Context<'_, Tag>) -> Vec<(RequestId, Response)> {
+        let mut answers = Vec::new();
+        let available = cx.budget.available(now) && cx.view.ready();
+        let due: Vec<RequestId> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| match pending.state {
+                State::Refreshing => !available || cx.view.covers(pending.asked) || now.steady >= pending.deadline,
+                State::Committing => now.steady >= pending.deadline,
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            let Some(pending) = self.pending.get_mut(&id) else { continue };
+            let covered = matches!(pending.state, State::Refreshing) && cx.view.covers(pending.asked);
+            if !covered {
+                answers.push((id, later(503, "the state service is slow")));
+                self.pending.remove(&id);
+                continue;
+            }
+            let (Question::Submit(job) | Question::Poll(job) | Question::Cancel(job)) = pending.question;
+            if let Some(response) = ended(cx.view, job) {
+                answers.push((id, response));
+                self.pending.remove(&id);
+                continue;
+            }
+            let Some(open) = cx.view.open.get(&job) else {
+                // A submission's conflict was with a job that we then don't see: never, but then not found.
+                answers.push((id, refuse(404, "no such job")));
+                self.pending.remove(&id);
+                continue;
+            };
+            if matches!(pending.question, Question::Cancel(_)) && !open.cancelled {
+                let record = JobRecord::Cancelled(open.job.clone());
+                let txn = Txn::default().when(job_key(job), open.version).put(job_key(job), &record);
+                pending.state = State::Committing;
+                if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn)).is_err() {
+                    answers.push((id, later(429, "too many requests")));
+                    self.pending.remove(&id);
+                }
+                continue;
+            }
+            let running = open.placed.len() as u64;
+            let status = match (open.cancelled, running) {
+                (true, _) => "cancelled",
+                (false, 0) => "queued",
+                (false, _) => "running",
+            };
+            let state = JobState { id: job, status, done: open.done.len(), running };
+            answers.push((id, Response::State { status: 200, state }));
+            self.pending.remove(&id);
+        }
+        answers
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// The oldest question that is still open.
+    pub fn oldest(&self, now: Now) -> Duration {
+        self.pending.values().map(|pending| since(now, pending.asked)).max().unwrap_or_default()
+    }
+}
+
+/// Final states are final: they can be told from any copy, however old.
+fn ended(view: &View, job: JobId) -> Option<Response> {
+    if !view.ready() {
+        return None;
+    }
+    let (end, tasks) = view.ended.get(&job)?;
+    let (status, done) = match end {
+        Final::Done => ("done", u64::from(*tasks)),
+        Final::Cancelled => ("cancelled", 0),
+    };
+    Some(Response::State { status: 200, state: JobState { id: job, status, done, running: 0 } })
+}
+
+/// Why a well-formed job can never run.
+fn never_runs(config: &Config, flavors: &Flavors, job: &Job) -> Option<&'static str> {
+    let Some(limits) = config.team(&job.team) else { return Some("unknown team") };
+    if !flavors.fit(job) {
+        return Some("a task fits no allowed machine type");
+    }
+    let at_once = if job.kind == Kind::Service { f64::from(job.tasks) } else { 1.0 };
+    let Room { cpus, gpus, .. } = job.need;
+    if cpus * at_once > limits.cpus_max + 1e-6 || gpus * at_once > limits.gpus_max + 1e-6 {
+        return Some("needs more than the team's limit");
+    }
+    None
+}
--- /dev/null
+++ b/src/intake/wire.rs
@@ -0,0 +1,197 @@
+//! The users' protocol, as PROTOCOL spells it.
+
+use std::sync::Arc;
+
+use ciborium::Value;
+use serde::{Deserialize, Serialize};
+
+use crate::domain::{Image, Job, JobId, Kind, Priority, Room, Team, TypeName, Zone};
+
+#[derive(Debug, Clone, Deserialize)]
+struct Submission {
+    id: JobId,
+    docket: String,
+    desk: String,
+    shape: Kind,
+    precedence: Priority,
+    entries: u64,
+    cpus: f64,
+    cards: f64,
+    #[serde(rename = "ramGb")]
+    ram_gb: f64,
+    bundle: String,
+    #[serde(rename = "imageGb")]
+    image_gb: f64,
+    #[serde(rename = "berthKinds", default)]
+    berth_kinds: Option<Vec<String>>,
+    #[serde(default)]
+    wing: Option<String>,
+    #[serde(rename = "samePlace")]
+    same_place: bool,
+    scatter: bool,
+    loaner: bool,
+    #[serde(rename = "expectS")]
+    expect_s: f64,
+    #[serde(rename = "stampEveryS")]
+    stamp_every_s: f64,
+    #[serde(rename = "stampS")]
+    stamp_s: f64,
+    #[serde(rename = "dueS", default)]
+    due_s: Option<f64>,
+}
+
+/// The most tasks that a job may have.
+const MOST_TASKS: u64 = 100_000;
+/// Names longer than this are refused: a job is one value in the state service.
+const LONGEST_NAME: usize = 200;
+const MOST_TYPES: usize = 32;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct Malformed(pub &'static str);
+
+/// Reads a submission. Everything about it that can be wrong by itself is found here.
+pub fn parse(body: &[u8], now_ms: u64) -> Result<(JobId, Job), Malformed> {
+    let mut rest = body;
+    let value: Value = ciborium::from_reader(&mut rest).map_err(|_| Malformed("not CBOR"))?;
+    if !rest.is_empty() {
+        return Err(Malformed("more than one CBOR item"));
+    }
+    if !value.is_map() {
+        return Err(Malformed("not a map"));
+    }
+    let submission: Submission = value.deserialized().map_err(|_| Malformed("a field is missing or invalid"))?;
+    check(submission, now_ms)
+}
+
+fn check(s: Submission, now_ms: u64) -> Result<(JobId, Job), Malformed> {
+    let amounts = [s.cpus, s.cards, s.ram_gb, s.image_gb, s.expect_s, s.stamp_every_s, s.stamp_s, s.due_s.unwrap_or(0.0)];
+    if !amounts.iter().all(|amount| amount.is_finite() && *amount >= 0.0) {
+        return Err(Malformed("an amount is negative or not a number"));
+    }
+    if s.entries == 0 || s.entries > MOST_TASKS {
+        return Err(Malformed("entries must be 1 to 100000"));
+    }
+    let types = s.berth_kinds.unwrap_or_default();
+    let names = [&s.docket, &s.desk, &s.bundle].into_iter().chain(&s.wing).chain(&types);
+    if names.clone().any(|name| name.len() > LONGEST_NAME) || types.len() > MOST_TYPES {
+        return Err(Malformed("a name is too long"));
+    }
+    if [&s.docket, &s.desk, &s.bundle].into_iter().any(|name| name.is_empty()) {
+        return Err(Malformed("a name is empty"));
+    }
+    let job = Job {
+        class: Arc::from(s.docket.as_str()),
+        team: Team::from(s.desk.as_str()),
+        kind: s.shape,
+        priority: s.precedence,
+        tasks: u32::try_from(s.entries).map_err(|_| Malformed("entries must be 1 to 100000"))?,
+        need: Room { cpus: s.cpus, gpus: s.cards, memory_gb: s.ram_gb },
+        types: if types.is_empty() { None } else { Some(types.iter().map(|t| TypeName::from(t.as_str())).collect()) },
+        zone: s.wing.as_deref().map(Zone::from),
+        one_zone: s.same_place,
+        spread: s.scatter,
+        spot: s.loaner,
+        image: Image::from(s.bundle.as_str()),
+        image_gb: s.image_gb,
+        estimate_s: s.expect_s,
+        checkpoint_every_s: s.stamp_every_s,
+        checkpoint_s: s.stamp_s,
+        deadline_s: s.due_s,
+        accepted_ms: now_ms,
+    };
+    Ok((s.id, job))
+}
+
+/// What a user is told of a job.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct JobState {
+    pub id: JobId,
+    pub status: &'static str,
+    pub done: u64,
+    pub running: u64,
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub fn sample() -> Vec<(&'static str, Value)> {
+        vec![
+            ("id", "j-000412".into()),
+            ("docket", "train".into()),
+            ("desk", "red".into()),
+            ("shape", "sweep".into()),
+            ("precedence", "high".into()),
+            ("entries", 16.into()),
+            ("cpus", 8.into()),
+            ("cards", 0.0.into()),
+            ("ramGb", 64.0.into()),
+            ("bundle", "img-07".into()),
+            ("imageGb", 6.2.into()),
+            ("berthKinds", Value::Array(vec!["g8".into()])),
+            ("wing", Value::Null),
+            ("samePlace", true.into()),
+            ("scatter", false.into()),
+            ("loaner", true.into()),
+            ("expectS", 240.0.into()),
+            ("stampEveryS", 30.0.into()),
+            ("stampS", 4.0.into()),
+            ("dueS", 900.0.into()),
+        ]
+    }
+
+    pub fn body(fields: &[(&str, Value)]) -> Vec<u8> {
+        let map = fields.iter().map(|(key, value)| ((*key).into(), value.clone())).collect();
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&Value::Map(map), &mut bytes).expect("to memory");
+        bytes
+    }
+
+    #[test]
+    fn a_submission_is_read_with_integers_for_decimals() {
+        let (id, job) = parse(&body(&sample()), 7).expect("valid");
+        assert_eq!(id, JobId(412));
+        assert!((job.need.cpus - 8.0).abs() < 1e-9);
+        assert_eq!(job.deadline_s, Some(900.0));
+        let optional: Vec<_> =
+            sample().into_iter().filter(|(k, _)| !["dueS", "wing", "berthKinds"].contains(k)).collect();
+        let (_, job) = parse(&body(&optional), 7).expect("null fields may be omitted");
+        assert_eq!((job.types, job.zone, job.deadline_s), (None, None, None));
+    }
+
+    #[test]
+    fn every_wrong_field_is_refused() {
+        let wrong: [(&str, Value); 14] = [
+            ("id", "j-412".into()),
+            ("id", 412.into()),
+            ("shape", "gang".into()),
+            ("precedence", "urgent".into()),
+            ("entries", 0.into()),
+            ("entries", 100_001.into()),
+            ("entries", 1.5.into()),
+            ("entries", (-1).into()),
+            ("cpus", (-1.0).into()),
+            ("cpus", f64::NAN.into()),
+            ("ramGb", f64::INFINITY.into()),
+            ("loaner", "yes".into()),
+            ("berthKinds", "g8".into()),
+            ("bundle", "x".repeat(201).as_str().into()),
+        ];
+        for (key, value) in wrong {
+            let mut fields = sample();
+            fields.iter_mut().filter(|(k, _)| *k == key).for_each(|(_, v)| *v = value.clone());
+            assert!(parse(&body(&fields), 0).is_err(), "{key}: {value:?}");
+        }
+        for key in ["id", "desk", "cpus", "scatter", "stampS", "bundle"] {
+            let fields: Vec<_> = sample().into_iter().filter(|(k, _)| *k != key).collect();
+            assert!(parse(&body(&fields), 0).is_err(), "{key} missing");
+        }
+        assert!(parse(b"", 0).is_err());
+        assert!(parse(b"\xa1", 0).is_err());
+        assert!(parse(&[0x80], 0).is_err());
+        let mut trailing = body(&sample());
+        trailing.push(0);
+        assert!(parse(&trailing, 0).is_err());
+    }
+}
--- /dev/null
+++ b/src/leadership/mod.rs
@@ -0,0 +1,245 @@
+//! Membership and leadership: two holds in the state service.
+//!
+//! The member record tells the others that this process is up. The leader record is the leader's authority:
+//! every write that a leader makes is conditioned on its version, so that a leader that was replaced without
+//! knowing it can change nothing.
+
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use tracing::info;
+
+use crate::domain::{NodeName, Now, since};
+use crate::store::records::{LEADER, Leader, Member, SEAL, Seal, member_key};
+use crate::store::{Op, Outcome, Txn, View};
+
+/// Long enough that a slow process is not taken for dead, short enough that a dead one is noticed.
+const MEMBER_LIFE: Duration = Duration::from_secs(10);
+/// How long the service can be without a leader after one has died.
+const LEADER_LIFE: Duration = Duration::from_secs(5);
+const RETRY: Duration = Duration::from_millis(500);
+
+/// A hold and the record attached to it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Hold {
+    None,
+    Opening,
+    /// Open, and the record's transaction is on its way.
+    Attaching { id: u64 },
+    Held { id: u64, renewed: Instant, renewing: bool },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Which {
+    Member,
+    Leader,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Tag {
+    Open(Which),
+    Attach(Which, u64),
+    Extend(Which, u64),
+}
+
+#[derive(Debug)]
+pub struct Leadership {
+    node: NodeName,
+    boot: u64,
+    member: Hold,
+    leader: Hold,
+    member_retry: Option<Instant>,
+    leader_retry: Option<Instant>,
+    vacant_since: Option<Instant>,
+    patience: Duration,
+    was_leading: Option<u64>,
+}
+
+impl Leadership {
+    pub fn new(node: NodeName, boot: u64) -> Self {
+        Leadership {
+            node,
+            boot,
+            member: Hold::None,
+            leader: Hold::None,
+            member_retry: None,
+            leader_retry: None,
+            vacant_since: None,
+            patience: Duration::ZERO,
+            was_leading: None,
+        }
+    }
+
+    /// The term and the version of the leader record if this process leads, by our copy of the records.
+    ///
+    /// The copy may be old. That is harmless: a write conditioned on that version then fails.
+    pub fn leading(&self, view: &View) -> Option<(u64, u64)> {
+        let leader = view.leader.as_ref()?;
+        let ours = view.ready() && leader.value.node == self.node && leader.value.boot == self.boot;
+        ours.then_some((leader.value.term, leader.version))
+    }
+
+    pub fn poll(&mut self, now: Now, view: &View, rng: &mut SmallRng) -> Vec<(Tag, Op)> {
+        let term = self.leading(view).map(|(term, _)| term);
+        if term != self.was_leading {
+            match term {
+                Some(term) => info!(term, "leading"),
+                None => info!("no longer leading"),
+            }
+            self.was_leading = term;
+        }
+        let mut ops = Vec::new();
+        self.poll_member(now, view, &mut ops);
+        self.poll_leader(now, view, rng, &mut ops);
+        ops
+    }
+
+    fn poll_member(&mut self, now: Now, view: &View, ops: &mut Vec<(Tag, Op)>) {
+        match &mut self.member {
+            Hold::None => {
+                if self.member_retry.is_none_or(|at| now.steady >= at) {
+                    self.member = Hold::Opening;
+                    ops.push((Tag::Open(Which::Member), Op::OpenHold { life: MEMBER_LIFE }));
+                }
+            }
+            Hold::Held { id, renewed, renewing } => {
+                let id = *id;
+                // The record can be lost without the hold: removed with an older process's hold, say.
+                let listed = view.members.get(&self.node).is_some_and(|m| m.value.boot == self.boot);
+                if view.covers(*renewed) && !listed && !*renewing {
+                    self.member = Hold::Attaching { id };
+                    ops.push((Tag::Attach(Which::Member, id), self.join(id)));
+                } else if !*renewing && since(now, *renewed) >= MEMBER_LIFE / 4 {
+                    *renewing = true;
+                    ops.push((Tag::Extend(Which::Member, id), Op::ExtendHold { id }));
+                }
+            }
+            Hold::Opening | Hold::Attaching { .. } => {}
+        }
+    }
+
+    fn join(&self, hold: u64) -> Op {
+        let record = Member { boot: self.boot };
+        Op::Commit(Txn::default().put_held(member_key(&self.node), &record, Some(hold)))
+    }
+
+    fn poll_leader(&mut self, now: Now, view: &View, rng: &mut SmallRng, ops: &mut Vec<(Tag, Op)>) {
+        if let Hold::Held { id, renewed, renewing } = &mut self.leader {
+            if !*renewing && since(now, *renewed) >= LEADER_LIFE / 4 {
+                *renewing = true;
+                ops.push((Tag::Extend(Which::Leader, *id), Op::ExtendHold { id: *id }));
+            }
+            let kept = self.leading(view).is_some();
+            if let Hold::Held { id, renewed, .. } = self.leader
+                && !kept
+                && view.covers(renewed)
+            {
+                // The hold is ours but the record is not: the election was lost, or its outcome unknown.
+                if self.vacant(view) {
+                    self.run_for_leader(id, view, ops);
+                } else {
+                    self.leader = Hold::None;
+                }
+            }
+            return;
+        }
+        if self.leader != Hold::None || !view.ready() || !self.vacant(view) {
+            self.vacant_since = None;
+            return;
+        }
+        let began = *self.vacant_since.get_or_insert_with(|| {
+            // Not everyone at once: the first to ask usually wins.
+            self.patience = Duration::from_millis(rng.random_range(0..200));
+            now.steady
+        });
+        if since(now, began) >= self.patience && self.leader_retry.is_none_or(|at| now.steady >= at) {
+            self.leader = Hold::Opening;
+            ops.push((Tag::Open(Which::Leader), Op::OpenHold { life: LEADER_LIFE }));
+        }
+    }
+
+    /// Whether the leader's place is free. That of an earlier process of this node is: only after a process
+    /// has ended is the next one started.
+    fn vacant(&self, view: &View) -> bool {
+        view.leader.as_ref().is_none_or(|leader| leader.value.node == self.node && leader.value.boot != self.boot)
+    }
+
+    fn run_for_leader(&mut self, hold: u64, view: &View, ops: &mut Vec<(Tag, Op)>) {
+        let term = view.max_seal() + 1;
+        let record = Leader { node: self.node.clone(), boot: self.boot, term };
+        let txn = Txn::default()
+            .when(LEADER, view.leader.as_ref().map_or(0, |leader| leader.version))
+            .when(SEAL, view.seal.as_ref().map_or(0, |seal| seal.version))
+            .put_held(LEADER, &record, Some(hold))
+            .put(SEAL, &Seal { last: term });
+        self.leader = Hold::Attaching { id: hold };
+        ops.push((Tag::Attach(Which::Leader, hold), Op::Commit(txn)));
+    }
+
+    /// The one place where the holds change.
+    pub fn handle(&mut self, now: Now, sent: Instant, tag: Tag, outcome: &Outcome, view: &View) -> Vec<(Tag, Op)> {
+        let mut ops = Vec::new();
+        let retry = Some(now.steady + RETRY);
+        match (tag, outcome) {
+            (Tag::Open(Which::Member), Outcome::Hold { id }) => {
+                self.member = Hold::Attaching { id: *id };
+                ops.push((Tag::Attach(Which::Member, *id), self.join(*id)));
+            }
+            (Tag::Open(Which::Member), _) => {
+                self.member = Hold::None;
+                self.member_retry = retry;
+            }
+            (Tag::Open(Which::Leader), Outcome::Hold { id }) => {
+                if self.vacant(view) && view.ready() {
+                    self.run_for_leader(*id, view, &mut ops);
+                } else {
+                    // Left to run out: nothing is attached to it.
+                    self.leader = Hold::None;
+                }
+            }
+            (Tag::Open(Which::Leader), _) => {
+                self.leader = Hold::None;
+                self.leader_retry = retry;
+            }
+            (Tag::Attach(which, id), outcome) => {
+                let next = match outcome {
+                    // Unknown may mean committed: keep the hold and see what our copy says.
+                    Outcome::Committed { .. } | Outcome::Unknown => {
+                        Hold::Held { id, renewed: now.steady, renewing: false }
+                    }
+                    _ => Hold::None,
+                };
+                if next == Hold::None {
+                    match which {
+                        Which::Member => self.member_retry = retry,
+                        Which::Leader => self.leader_retry = retry,
+                    }
+                }
+                *self.slot(which) = next;
+            }
+            (Tag::Extend(which, id), outcome) => {
+                let slot = self.slot(which);
+                if let Hold::Held { id: held, renewed, renewing } = slot
+                    && *held == id
+                {
+                    *renewing = false;
+                    match outcome {
+                        Outcome::HoldGone | Outcome::Invalid => *slot = Hold::None,
+                        Outcome::Hold { .. } => *renewed = sent,
+                        // Asked again soon, not at once.
+                        _ => *renewed = (*renewed).max(now.steady - LEADER_LIFE / 4 + RETRY / 2),
+                    }
+                }
+            }
+        }
+        ops
+    }
+
+    fn slot(&mut self, which: Which) -> &mut Hold {
+        match which {
+            Which::Member => &mut self.member,
+            Which::Leader => &mut self.leader,
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,18 @@
+//! dappleshore, a cluster scheduler: controllers take users' jobs, rent and return cloud machines, and run
+//! tasks on workers. The binary only parses its command line; everything else is here, one module for each duty.
+
+pub mod blocks;
+pub mod config;
+pub mod domain;
+pub mod fleet;
+pub mod http;
+pub mod intake;
+pub mod leadership;
+pub mod node;
+pub mod peer;
+pub mod placement;
+pub mod policy;
+pub mod provisioning;
+pub mod queueing;
+pub mod service;
+pub mod store;
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,400 @@
+//! One controller: all slices together, as one state machine. Events come in, effects go out; it reads no clock
+//! and does no I/O, so the tests drive whole services of it through simulated time.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tracing::warn;
+
+use crate::blocks::Granting;
+use crate::config::Config;
+use crate::domain::{BlockId, MachineId, NodeName, Now, since};
+use crate::fleet::wire::{Orders, Report};
+use crate::fleet::{Answer, Command, CommandOutcome, Fleet};
+use crate::intake::{self, Intake, RequestId, Response};
+use crate::leadership::{self, Leadership};
+use crate::peer::{Message, Status};
+use crate::policy::Policy;
+use crate::provisioning::{self, Call, CallOutcome, Demand, Flavors, Provisioner};
+use crate::queueing::Queues;
+use crate::store::budget::{Budget, Urgency};
+use crate::store::{Op, Outcome, View, view};
+
+/// Which slice a request to the state service belongs to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreTag {
+    View(view::Tag),
+    Leadership(leadership::Tag),
+    Intake(RequestId),
+    Granting(u64),
+    Provisioning(u64),
+    Queueing(u64),
+    Block { block: BlockId, grant_version: u64 },
+}
+
+#[derive(Debug)]
+pub enum Event {
+    Tick,
+    Submit { id: RequestId, body: Vec<u8> },
+    Poll { id: RequestId, job: String },
+    Cancel { id: RequestId, job: String },
+    Health { id: RequestId },
+    Report { id: RequestId, report: Report },
+    Store { tag: StoreTag, sent: Instant, outcome: Outcome },
+    Commanded { block: BlockId, machine: MachineId, body: Orders, outcome: CommandOutcome },
+    Called { tag: provisioning::Tag, outcome: CallOutcome },
+    Peer(Message),
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    Store { tag: StoreTag, op: Op },
+    Command(Command),
+    Call { tag: provisioning::Tag, call: Call },
+    Peer { to: NodeName, message: Message },
+    Answer { id: RequestId, response: Response },
+    AnswerWorker { id: RequestId, answer: Answer },
+    AnswerHealth { id: RequestId, healthy: bool },
+}
+
+struct Leading {
+    queues: Queues,
+    provisioner: Provisioner,
+    demand: Demand,
+    planned: Option<Instant>,
+}
+
+pub struct Node {
+    config: Config,
+    policy: Policy,
+    boot: u64,
+    rng: SmallRng,
+    view: View,
+    budget: Budget<StoreTag>,
+    leadership: Leadership,
+    granting: Granting,
+    flavors: Flavors,
+    fleet: Fleet,
+    intake: Intake,
+    leading: Option<Leading>,
+    /// Something changed that the leader's plan depends on.
+    stale_plan: bool,
+    told: Option<Instant>,
+    status_due: bool,
+    seen_revision: u64,
+}
+
+/// The plan is made anew at most this often.
+const PLAN_SPACING: Duration = Duration::from_millis(40);
+const PLAN_AT_LEAST: Duration = Duration::from_millis(500);
+const STATUS_EVERY: Duration = Duration::from_millis(1000);
+const STATUS_SPACING: Duration = Duration::from_millis(60);
+
+impl Node {
+    pub fn new(config: Config, policy: Policy, seed: u64, now: Now) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let boot = rng.random::<u64>() >> 12;
+        let budget = Budget::new(&config.state_limits, config.controllers(), now);
+        Node {
+            leadership: Leadership::new(config.name.clone(), boot),
+            config,
+            policy,
+            boot,
+            rng,
+            view: View::new(),
+            budget,
+            granting: Granting::new(),
+            flavors: Flavors::default(),
+            fleet: Fleet::new(),
+            intake: Intake::new(),
+            leading: None,
+            stale_plan: true,
+            told: None,
+            status_due: true,
+            seen_revision: 0,
+        }
+    }
+
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Whether what we know of the grants is recent enough to act on: counted from before it was asked for.
+    fn entitled(&self, now: Now) -> bool {
+        self.view.fresh_since().is_some_and(|fresh| since(now, fresh) < self.policy.grant_life)
+    }
+
+    /// Whether users should come here. During an outage for all, staying is better than being taken out.
+    fn healthy(&self) -> bool {
+        self.view.ready() && self.flavors.known()
+    }
+
+    pub fn handle(&mut self, now: Now, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Tick => self.fleet.tick(now, &self.view),
+            Event::Submit { id, body } => {
+                let (intake, mut cx) = self.intake();
+                let response = intake.submit(now, id, &body, &mut cx);
+                effects.extend(response.map(|response| Effect::Answer { id, response }));
+            }
+            Event::Poll { id, job } => {
+                let (intake, mut cx) = self.intake();
+                let response = intake.poll(now, id, &job, &mut cx);
+                effects.extend(response.map(|response| Effect::Answer { id, response }));
+            }
+            Event::Cancel { id, job } => {
+                let (intake, mut cx) = self.intake();
+                let response = intake.cancel(now, id, &job, &mut cx);
+                effects.extend(response.map(|response| Effect::Answer { id, response }));
+            }
+            Event::Health { id } => effects.push(Effect::AnswerHealth { id, healthy: self.healthy() }),
+            Event::Report { id, report } => {
+                let entitled = self.entitled(now);
+                if !self.view.machines.contains_key(&report.machine)
+                    && let Some(leading) = &mut self.leading
+                {
+                    leading.provisioner.unexpected(now, &report);
+                }
+                let answer = self.fleet.report(now, report, &self.config, &self.view, entitled);
+                self.status_due = true;
+                effects.push(Effect::AnswerWorker { id, answer });
+            }
+            Event::Store { tag, sent, outcome } => self.stored(now, tag, sent, outcome, &mut effects),
+            Event::Commanded { block, machine, body, outcome } => {
+                self.fleet.commanded(now, &block, &machine, &body, outcome, &self.view);
+                self.status_due = true;
+            }
+            Event::Called { tag, outcome } => self.called(now, tag, outcome),
+            Event::Peer(message) => self.peer(now, message),
+        }
+        self.advance(now, &mut effects);
+        effects
+    }
+
+    fn intake(&mut self) -> (&mut Intake, intake::Context<'_, StoreTag>) {
+        let cx = intake::Context {
+            config: &self.config,
+            flavors: &self.flavors,
+            view: &mut self.view,
+            budget: &mut self.budget,
+            tag: StoreTag::Intake,
+        };
+        (&mut self.intake, cx)
+    }
+
+    fn stored(&mut self, now: Now, tag: StoreTag, sent: Instant, outcome: Outcome, effects: &mut Vec<Effect>) {
+        self.budget.note(now, &outcome);
+        match tag {
+            StoreTag::View(tag) => {
+                for (tag, op) in self.view.handle(now, tag, outcome) {
+                    self.ask(Urgency::Authority, StoreTag::View(tag), op);
+                }
+            }
+            StoreTag::Leadership(tag) => {
+                for (tag, op) in self.leadership.handle(now, sent, tag, &outcome, &self.view) {
+                    self.ask(Urgency::Authority, StoreTag::Leadership(tag), op);
+                }
+            }
+            StoreTag::Intake(id) => {
+                let (intake, mut cx) = self.intake();
+                let response = intake.committed(now, id, &outcome, &mut cx);
+                effects.extend(response.map(|response| Effect::Answer { id, response }));
+            }
+            StoreTag::Granting(term) => {
+                if self.term() == Some(term) {
+                    self.granting.answered(now, &outcome);
+                }
+            }
+            StoreTag::Provisioning(term) => {
+                if let Some(leading) = self.leading.as_mut().filter(|l| l.provisioner.term() == term) {
+                    leading.provisioner.answered(now, &outcome);
+                }
+            }
+            StoreTag::Queueing(term) => {
+                if let Some(leading) = self.leading.as_mut().filter(|l| l.queues.term() == term) {
+                    leading.queues.answered(now, &outcome);
+                }
+            }
+            StoreTag::Block { block, grant_version } => {
+                self.fleet.written(now, &block, grant_version, &outcome);
+                self.status_due = true;
+            }
+        }
+    }
+
+    fn called(&mut self, now: Now, tag: provisioning::Tag, outcome: CallOutcome) {
+        if tag == provisioning::Tag::Flavors {
+            self.flavors.answered(match outcome {
+                CallOutcome::Flavors(list) => Some(list),
+                _ => None,
+            });
+        } else if let Some(leading) = &mut self.leading {
+            leading.provisioner.called(now, &self.policy, &self.config, &self.view, tag, outcome);
+        }
+        self.stale_plan = true;
+    }
+
+    fn peer(&mut self, now: Now, message: Message) {
+        match message {
+            Message::Status(status) => {
+                self.granting.heard_from(now, &status.node, status.boot);
+                for block in status.blocks {
+                    let granted = self.view.grants.get(&block.block);
+                    let current = granted.is_some_and(|grant| {
+                        grant.value.holder == status.node && grant.value.boot == status.boot && grant.value.seal == block.seal
+                    });
+                    if !current {
+                        continue;
+                    }
+                    if block.wants_new_seal {
+                        self.granting.wants_new_seal(&block.block, block.seal);
+                    }
+                    if let Some(leading) = &mut self.leading {
+                        leading.queues.status(now, block);
+                        self.stale_plan = true;
+                    }
+                }
+            }
+            Message::Work(work) => {
+                self.fleet.work(work);
+                self.status_due = true;
+            }
+        }
+    }
+
+    fn term(&self) -> Option<u64> {
+        self.leadership.leading(&self.view).map(|(term, _)| term)
+    }
+
+    fn ask(&mut self, urgency: Urgency, tag: StoreTag, op: Op) {
+        if let Err(tag) = self.budget.push(urgency, tag, op) {
+            // Only slices with one request at a time come here; their lane can't be full.
+            warn!(?tag, "no room for a request to the state service");
+        }
+    }
+
+    /// Whatever follows from the present state.
+    fn advance(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        if self.flavors.due(now) {
+            effects.push(Effect::Call { tag: provisioning::Tag::Flavors, call: Call::Flavors });
+        }
+        if self.view.revision != self.seen_revision {
+            self.seen_revision = self.view.revision;
+            self.stale_plan = true;
+            self.fleet.sync(now, &self.config, self.boot, &self.view);
+            self.fleet.jobs_ended(&self.view);
+            self.status_due = true;
+        }
+        for (tag, op) in self.leadership.poll(now, &self.view, &mut self.rng) {
+            self.ask(Urgency::Authority, StoreTag::Leadership(tag), op);
+        }
+        self.lead(now, effects);
+        for (block, op) in self.fleet.writes(now, &self.config, &mut self.view, &self.flavors) {
+            let grant_version = self.fleet.grant_version(&block);
+            self.ask(Urgency::Work, StoreTag::Block { block, grant_version }, op);
+        }
+        for command in self.fleet.commands(now, &self.view) {
+            effects.push(Effect::Command(command));
+        }
+        self.tell_leader(now, effects);
+        let (intake, mut cx) = self.intake();
+        for (id, response) in intake.advance(now, &mut cx) {
+            effects.push(Effect::Answer { id, response });
+        }
+        for (tag, op) in self.view.poll(now) {
+            self.ask(Urgency::Authority, StoreTag::View(tag), op);
+        }
+        for (tag, op) in self.budget.take(now) {
+            effects.push(Effect::Store { tag, op });
+        }
+    }
+
+    fn lead(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let Some((term, version)) = self.leadership.leading(&self.view) else {
+            self.leading = None;
+            return;
+        };
+        if self.leading.as_ref().is_none_or(|leading| leading.queues.term() != term) {
+            self.leading = Some(Leading {
+                queues: Queues::new(now, term),
+                provisioner: Provisioner::new(now, term),
+                demand: Demand::default(),
+                planned: None,
+            });
+            self.status_due = true;
+        }
+        let zones = self.flavors.zones(&self.config);
+        let mut ops = Vec::new();
+        if self.flavors.known() {
+            let op = self.granting.poll(now, &self.config, &self.policy, &zones, term, version, &mut self.view);
+            ops.extend(op.map(|op| (Urgency::Authority, StoreTag::Granting(term), op)));
+        }
+        let Some(leading) = &mut self.leading else { return };
+        let rested = |pause| leading.planned.is_none_or(|at| since(now, at) >= pause);
+        if !self.flavors.known() || !(rested(PLAN_AT_LEAST) || (self.stale_plan && rested(PLAN_SPACING))) {
+            for (urgency, tag, op) in ops {
+                self.ask(urgency, tag, op);
+            }
+            return;
+        }
+        leading.planned = Some(now.steady);
+        self.stale_plan = false;
+        let health = leading.queues.health(now);
+        leading.provisioner.observe(now, &self.policy, &self.flavors, &self.view, &health);
+        leading.demand = leading.queues.plan(now, &self.config, &self.view, &self.flavors, &leading.provisioner);
+        for (tag, call) in leading.provisioner.calls(now, &self.config, &self.view, &leading.demand) {
+            effects.push(Effect::Call { tag, call });
+        }
+        let op = leading.queues.write(now, &self.config, version, &mut self.view);
+        ops.extend(op.map(|op| (Urgency::Work, StoreTag::Queueing(term), op)));
+        let op = leading.provisioner.write(
+            now,
+            &self.config,
+            &self.policy,
+            &self.flavors,
+            version,
+            &mut self.view,
+            &leading.demand,
+        );
+        ops.extend(op.map(|op| (Urgency::Work, StoreTag::Provisioning(term), op)));
+        let messages = leading.queues.messages(now);
+        for (urgency, tag, op) in ops {
+            self.ask(urgency, tag, op);
+        }
+        for work in messages {
+            let Some(holder) = self.view.grants.get(&work.block).map(|grant| grant.value.holder.clone()) else {
+                continue;
+            };
+            if holder == self.config.name {
+                self.peer(now, Message::Work(work));
+            } else {
+                effects.push(Effect::Peer { to: holder, message: Message::Work(work) });
+            }
+        }
+    }
+
+    fn tell_leader(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let pause = if self.status_due { STATUS_SPACING } else { STATUS_EVERY };
+        if self.told.is_some_and(|told| since(now, told) < pause) {
+            return;
+        }
+        let Some(leader) = self.view.leader.as_ref().map(|leader| leader.value.node.clone()) else { return };
+        self.told = Some(now.steady);
+        self.status_due = false;
+        let status = Status { node: self.config.name.clone(), boot: self.boot, blocks: self.fleet.status(now) };
+        if leader == self.config.name {
+            self.peer(now, Message::Status(status));
+        } else {
+            effects.push(Effect::Peer { to: leader, message: Message::Status(status) });
+        }
+    }
+
+    /// Open work by team, for logs.
+    pub fn waiting(&self) -> BTreeMap<String, u64> {
+        let Some(leading) = &self.leading else { return BTreeMap::new() };
+        leading.queues.waiting.iter().map(|(team, count)| (team.to_string(), *count)).collect()
+    }
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,72 @@
+//! What controllers say to each other. None of it is trusted beyond what the state service's conditions allow:
+//! a message that is late, lost or repeated costs time, not a rule.
+
+use serde::{Deserialize, Serialize};
+
+use crate::domain::{Attempt, BlockId, Image, MachineId, NodeName};
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Holder to leader: how its blocks are.
+    Status(Status),
+    /// Leader to holder: all the tasks it wants placed in a block.
+    Work(Work),
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    pub node: NodeName,
+    pub boot: u64,
+    pub blocks: Vec<BlockStatus>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BlockStatus {
+    pub block: BlockId,
+    pub seal: u64,
+    pub grant_version: u64,
+    /// The last work message seen under this grant.
+    pub last_work: u64,
+    /// Attempts that may still be recorded as placed. What the leader wanted by `last_work` and is neither
+    /// here nor in the block's places of `revision` never will be.
+    pub pending: Vec<u64>,
+    pub revision: u64,
+    /// The seal must be renewed: a command of unknown outcome stands in the way.
+    pub wants_new_seal: bool,
+    pub machines: Vec<MachineStatus>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineStatus {
+    pub machine: MachineId,
+    /// Has shown our seal, reports, and is not being taken away.
+    pub usable: bool,
+    /// Has reported to this holder at all.
+    pub seen: bool,
+    pub silent_ms: u64,
+    pub notice: bool,
+    /// Tasks that failed here one after the other, as far as this holder knows.
+    pub errors: u32,
+    pub images: Vec<Image>,
+    /// Attempts that are running (their image has arrived).
+    pub running: Vec<u64>,
+}
+
+/// The whole of what the leader wants of a block, so that a lost message needs no repeat of its own.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    pub block: BlockId,
+    pub grant_version: u64,
+    /// Rises with every message of a term.
+    pub number: u64,
+    pub want: Vec<Wanted>,
+    /// Tasks to be stopped, to make room or to drain a machine.
+    pub stop: Vec<Attempt>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Wanted {
+    pub attempt: Attempt,
+    /// Where the leader found room. The holder takes it unless it knows better.
+    pub machine: MachineId,
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,107 @@
+//! Which machine a task goes to: one that holds its image, then the one with the least room left over.
+
+use crate::domain::{Image, Job, MachineId, Room, Tenure, TypeName, Zone};
+
+/// A machine that takes tasks, as the leader or its holder knows it.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    pub machine: MachineId,
+    pub type_name: TypeName,
+    pub zone: Zone,
+    pub tenure: Tenure,
+    pub size: Room,
+    pub free: Room,
+    pub images: Vec<Image>,
+    /// How long a fetch of a gigabyte takes here.
+    pub fetch_s_per_gb: f64,
+}
+
+impl Candidate {
+    pub fn allows(&self, job: &Job) -> bool {
+        job.allows_type(&self.type_name) && job.allows_zone(&self.zone) && job.allows_tenure(self.tenure)
+    }
+}
+
+/// The best of the machines that have room. `zone_open` says whether one more task of the job may go to a zone.
+pub fn choose<'c>(
+    candidates: impl Iterator<Item = &'c Candidate>,
+    job: &Job,
+    zone_open: impl Fn(&Zone) -> bool,
+) -> Option<&'c Candidate> {
+    candidates
+        .filter(|c| c.allows(job) && c.free.fits(&job.need) && zone_open(&c.zone))
+        .min_by(|a, b| rank(a, job).partial_cmp(&rank(b, job)).unwrap_or(std::cmp::Ordering::Equal))
+}
+
+/// Lower is better: no fetch, the kind of machine meant for such work, little left over.
+fn rank(candidate: &Candidate, job: &Job) -> (f64, bool, f64) {
+    let fetch_s =
+        if candidate.images.contains(&job.image) { 0.0 } else { job.image_gb * candidate.fetch_s_per_gb };
+    let mut left = candidate.free;
+    left.take(&job.need);
+    // Work that may run on spot machines leaves the ordinary ones to work that may not.
+    let misplaced = job.spot && !candidate.tenure.is_spot();
+    (fetch_s, misplaced, candidate.size.share_of(&left))
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+    use crate::domain::{Kind, Priority};
+
+    pub fn job(tasks: u32, cpus: f64) -> Job {
+        Job {
+            class: "c".into(),
+            team: "red".into(),
+            kind: Kind::Array,
+            priority: Priority::Standard,
+            tasks,
+            need: Room { cpus, gpus: 0.0, memory_gb: 1.0 },
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            image: "img".into(),
+            image_gb: 1.0,
+            estimate_s: 10.0,
+            checkpoint_every_s: 0.0,
+            checkpoint_s: 0.0,
+            deadline_s: None,
+            accepted_ms: 0,
+        }
+    }
+
+    fn machine(name: &str, tenure: Tenure, free: f64, images: &[&str]) -> Candidate {
+        Candidate {
+            machine: name.into(),
+            type_name: "small".into(),
+            zone: "a".into(),
+            tenure,
+            size: Room { cpus: 8.0, gpus: 0.0, memory_gb: 32.0 },
+            free: Room { cpus: free, gpus: 0.0, memory_gb: 32.0 },
+            images: images.iter().map(|image| Image::from(*image)).collect(),
+            fetch_s_per_gb: 2.0,
+        }
+    }
+
+    #[test]
+    fn images_first_then_the_tightest_fit_and_never_a_forbidden_machine() {
+        let mut list = vec![
+            machine("m-1", Tenure::Ordinary, 8.0, &[]),
+            machine("m-2", Tenure::Ordinary, 4.0, &[]),
+            machine("m-3", Tenure::Ordinary, 1.0, &["img"]),
+            machine("m-4", Tenure::Spot, 4.0, &["img"]),
+        ];
+        let chosen = |list: &[Candidate], job: &Job| choose(list.iter(), job, |_| true).map(|c| c.machine.clone());
+        let mut work = job(1, 2.0);
+        assert_eq!(chosen(&list, &work), Some("m-2".into()));
+        list.push(machine("m-5", Tenure::Ordinary, 8.0, &["img"]));
+        assert_eq!(chosen(&list, &work), Some("m-5".into()));
+        work.spot = true;
+        assert_eq!(chosen(&list, &work), Some("m-4".into()));
+        work.zone = Some("b".into());
+        assert_eq!(chosen(&list, &work), None);
+        assert!(choose(list.iter(), &job(1, 2.0), |_| false).is_none());
+    }
+}
--- /dev/null
+++ b/src/provisioning/mod.rs
@@ -0,0 +1,611 @@
+//! Renting and returning machines: the leader's duty.
+//!
+//! Orders and machines are records in the state service. What is to be done follows from them alone, so a new
+//! leader goes on where the old one stopped: an order that is recorded is (again) sent under its name, and a
+//! draining machine without tasks is (again) deleted.
+
+pub mod rule;
+pub mod wire;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use tracing::{debug, info, warn};
+
+use crate::blocks;
+use crate::config::Config;
+use crate::domain::{BlockId, Job, MachineId, Now, Tenure, TypeName, Zone, since};
+use crate::fleet::wire::Report;
+use crate::policy::Policy;
+use crate::store::records::{LEADER, Machine, Order, machine_key, order_key};
+use crate::store::{Op, Outcome, Txn, View, Writer};
+use wire::{Flavor, FlavorList, ListedMachine, ListedState, MachineList, MachineNames, RentRequest};
+
+/// The machine types, once the cloud has told them.
+#[derive(Debug, Default)]
+pub struct Flavors {
+    types: BTreeMap<TypeName, Flavor>,
+    asked: Option<Instant>,
+    busy: bool,
+}
+
+const FLAVORS_RETRY: Duration = Duration::from_secs(1);
+const FLAVORS_REFRESH: Duration = Duration::from_secs(30);
+
+impl Flavors {
+    pub fn known(&self) -> bool {
+        !self.types.is_empty()
+    }
+
+    pub fn get(&self, name: &TypeName) -> Option<&Flavor> {
+        self.types.get(name)
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &Flavor> {
+        self.types.values()
+    }
+
+    /// Whether an empty machine of some allowed type holds a task.
+    pub fn fit(&self, job: &Job) -> bool {
+        self.all().any(|flavor| {
+            job.allows_type(&flavor.name)
+                && flavor.room().fits(&job.need)
+                && flavor.zones.iter().any(|zone| job.allows_zone(zone))
+        })
+    }
+
+    pub fn zones(&self, config: &Config) -> Vec<Zone> {
+        let mut zones: BTreeSet<Zone> = config.zones.iter().cloned().collect();
+        zones.extend(self.all().flat_map(|flavor| flavor.zones.iter().cloned()));
+        zones.into_iter().collect()
+    }
+
+    pub fn due(&mut self, now: Now) -> bool {
+        let pause = if self.known() { FLAVORS_REFRESH } else { FLAVORS_RETRY };
+        let due = !self.busy && self.asked.is_none_or(|asked| since(now, asked) >= pause);
+        if due {
+            self.busy = true;
+            self.asked = Some(now.steady);
+        }
+        due
+    }
+
+    pub fn answered(&mut self, list: Option<FlavorList>) {
+        self.busy = false;
+        let Some(list) = list else { return };
+        let sane = |f: &Flavor| {
+            [f.cpus, f.gpus, f.memory_gb, f.price, f.spot_price, f.boot_s, f.fetch_gb_per_s]
+                .iter()
+                .all(|value| value.is_finite() && *value >= 0.0)
+        };
+        for flavor in list.types.into_iter().filter(sane) {
+            self.types.insert(flavor.name.clone(), flavor);
+        }
+    }
+}
+
+/// A request to the cloud.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Call {
+    Flavors,
+    Rent(RentRequest),
+    Delete(MachineNames),
+    List { after: Option<MachineId> },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CallOutcome {
+    Flavors(FlavorList),
+    Rented(MachineNames),
+    NoCapacity,
+    Deleted,
+    Listed(MachineList),
+    /// Rate limit, outage or an answer that makes no sense.
+    Refused,
+    Unknown,
+}
+
+/// What the leader's other slices tell about demand.
+#[derive(Debug, Default)]
+pub struct Demand {
+    /// Room taken and asked for, in machines of that type and tenure.
+    pub machines: BTreeMap<(TypeName, Tenure), f64>,
+    /// Machines that have tasks on them or on their way.
+    pub occupied: BTreeSet<MachineId>,
+    /// Mean run time of tasks, once measured.
+    pub mean_run: Option<Duration>,
+}
+
+/// What the holders tell about a machine.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Health {
+    pub seen: bool,
+    pub silent: Duration,
+    pub faulty: bool,
+}
+
+#[derive(Debug)]
+pub struct Provisioner {
+    writer: Writer,
+    round: Option<Instant>,
+    term: u64,
+    term_since: Instant,
+    next_request: u64,
+    stockouts: HashMap<(TypeName, Zone, Tenure), Instant>,
+    renting: BTreeMap<TypeName, Instant>,
+    rent_retry: BTreeMap<TypeName, Instant>,
+    /// Rented machines that are not yet recorded.
+    rented: BTreeMap<TypeName, (Order, u64, Vec<MachineId>)>,
+    deleting: Option<Vec<MachineId>>,
+    delete_retry: Option<Instant>,
+    deleted: BTreeSet<MachineId>,
+    /// Deleted machines, for the list shows them a while longer.
+    buried: HashMap<MachineId, Instant>,
+    lost: BTreeSet<MachineId>,
+    up: BTreeSet<MachineId>,
+    unexpected: BTreeMap<MachineId, (ListedMachine, Instant)>,
+    list_busy: bool,
+    listed: Option<Instant>,
+    list_after: Option<MachineId>,
+    boot_mean: Option<f64>,
+    calls: f64,
+    calls_filled: Instant,
+}
+
+const RETRY: Duration = Duration::from_secs(1);
+const LIST_EVERY: Duration = Duration::from_secs(10);
+/// A machine that takes this many times its usual boot time never comes up.
+const BOOT_PATIENCE: f64 = 3.0;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Tag {
+    Flavors,
+    Rent { type_name: TypeName, order: Order, version: u64 },
+    Delete(Vec<MachineId>),
+    List,
+}
+
+impl Provisioner {
+    pub fn new(now: Now, term: u64) -> Self {
+        Provisioner {
+            writer: Writer::Unsure { since: now.steady },
+            round: None,
+            term,
+            term_since: now.steady,
+            next_request: 0,
+            stockouts: HashMap::new(),
+            renting: BTreeMap::new(),
+            rent_retry: BTreeMap::new(),
+            rented: BTreeMap::new(),
+            deleting: None,
+            delete_retry: None,
+            deleted: BTreeSet::new(),
+            buried: HashMap::new(),
+            lost: BTreeSet::new(),
+            up: BTreeSet::new(),
+            unexpected: BTreeMap::new(),
+            list_busy: false,
+            listed: None,
+            list_after: None,
+            boot_mean: None,
+            calls: 1.0,
+            calls_filled: now.steady,
+        }
+    }
+
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Whether a machine of this type, zone and tenure can be had, as far as is known.
+    pub fn available(&self, now: Now, type_name: &TypeName, zone: &Zone, tenure: Tenure) -> bool {
+        let key = (type_name.clone(), zone.clone(), tenure);
+        self.stockouts.get(&key).is_none_or(|until| now.steady >= *until)
+    }
+
+    pub fn is_lost(&self, machine: &MachineId) -> bool {
+        self.lost.contains(machine)
+    }
+
+    /// A worker reports whose machine nobody has recorded: a rental request executed late, or a machine that
+    /// was there before us.
+    pub fn unexpected(&mut self, now: Now, report: &Report) {
+        let listed = ListedMachine {
+            id: report.machine.clone(),
+            type_name: report.type_name.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+            state: ListedState::Running,
+            age_s: 0.0,
+        };
+        if !self.buried.contains_key(&listed.id) {
+            self.unexpected.entry(listed.id.clone()).or_insert((listed, now.steady));
+        }
+    }
+
+    /// Takes in how the machines are.
+    pub fn observe(
+        &mut self,
+        now: Now,
+        policy: &Policy,
+        flavors: &Flavors,
+        view: &View,
+        health: &BTreeMap<MachineId, Health>,
+    ) {
+        self.lost.retain(|machine| view.machines.contains_key(machine));
+        self.up.retain(|machine| view.machines.contains_key(machine));
+        self.deleted.retain(|machine| view.machines.contains_key(machine));
+        self.buried.retain(|_, at| since(now, *at) < Duration::from_secs(120));
+        for (id, machine) in &view.machines {
+            let age = Duration::from_millis(now.unix_ms().saturating_sub(machine.value.rented_ms));
+            let Some(health) = health.get(id) else { continue };
+            let boot_s = flavors.get(&machine.value.type_name).map_or(30.0, |flavor| flavor.boot_s);
+            if health.seen && self.up.insert(id.clone()) && age.as_secs_f64() < boot_s * BOOT_PATIENCE {
+                let sample = age.as_secs_f64();
+                self.boot_mean = Some(self.boot_mean.map_or(sample, |mean| mean + 0.2 * (sample - mean)));
+            }
+            let occupied = view.places.get(&machine.value.block).is_some_and(|p| p.value.on.contains_key(id));
+            let never_up = age.as_secs_f64() > boot_s * BOOT_PATIENCE + 10.0;
+            let known_up = self.up.contains(id) || occupied;
+            let silent = health.silent >= policy.silent_after && (known_up || never_up);
+            if (silent || health.faulty) && self.lost.insert(id.clone()) {
+                let silent_s = health.silent.as_secs();
+                warn!(machine = %id, silent_s, faulty = health.faulty, known_up, "machine given up");
+            }
+        }
+    }
+
+    fn pass(&mut self, now: Now, rps: f64) -> bool {
+        self.calls = (self.calls + since(now, self.calls_filled).as_secs_f64() * rps * 0.8).min(rps);
+        self.calls_filled = now.steady;
+        if self.calls < 1.0 {
+            return false;
+        }
+        self.calls -= 1.0;
+        true
+    }
+
+    /// Calls that follow from the records.
+    pub fn calls(&mut self, now: Now, config: &Config, view: &View, demand: &Demand) -> Vec<(Tag, Call)> {
+        let mut calls = Vec::new();
+        if !view.covers(self.term_since) {
+            return calls;
+        }
+        for (type_name, order) in &view.orders {
+            let busy = self.renting.contains_key(type_name) || self.rented.contains_key(type_name);
+            let waiting = self.rent_retry.get(type_name).is_some_and(|at| now.steady < *at);
+            if busy || waiting || !self.pass(now, config.cloud_rps) {
+                continue;
+            }
+            self.renting.insert(type_name.clone(), now.steady);
+            let order = order.clone();
+            let request = RentRequest {
+                request: order.value.request.clone(),
+                type_name: type_name.clone(),
+                zone: order.value.zone.clone(),
+                spot: order.value.tenure.is_spot(),
+                count: order.value.count,
+            };
+            let tag = Tag::Rent { type_name: type_name.clone(), order: order.value, version: order.version };
+            calls.push((tag, Call::Rent(request)));
+        }
+        if self.deleting.is_none() && self.delete_retry.is_none_or(|at| now.steady >= at) {
+            let due: Vec<MachineId> = view
+                .machines
+                .iter()
+                .filter(|(id, _)| !self.deleted.contains(*id))
+                .filter(|(id, machine)| {
+                    self.lost.contains(*id) || (machine.value.draining && !demand.occupied.contains(*id))
+                })
+                .map(|(id, _)| id.clone())
+                .take(100)
+                .collect();
+            if !due.is_empty() && self.pass(now, config.cloud_rps) {
+                self.deleting = Some(due.clone());
+                calls.push((Tag::Delete(due.clone()), Call::Delete(MachineNames { machines: due })));
+            }
+        }
+        let list_due = self.listed.is_none_or(|at| since(now, at) >= LIST_EVERY) || self.list_after.is_some();
+        if !self.list_busy && list_due && self.pass(now, config.cloud_rps) {
+            self.list_busy = true;
+            self.listed = Some(now.steady);
+            calls.push((Tag::List, Call::List { after: self.list_after.clone() }));
+        }
+        calls
+    }
+
+    pub fn called(&mut self, now: Now, policy: &Policy, config: &Config, view: &View, tag: Tag, outcome: CallOutcome) {
+        match (tag, outcome) {
+            (Tag::Rent { type_name, order, version }, outcome) => {
+                self.renting.remove(&type_name);
+                match outcome {
+                    CallOutcome::Rented(names) => {
+                        let got = names.machines.len();
+                        info!(%type_name, zone = %order.zone, tenure = ?order.tenure, wanted = order.count, got, "rented");
+                        if got < order.count as usize {
+                            self.out_of_stock(now, policy, &type_name, &order);
+                        }
+                        self.rented.insert(type_name, (order, version, names.machines));
+                    }
+                    CallOutcome::NoCapacity => {
+                        debug!(%type_name, zone = %order.zone, tenure = ?order.tenure, "no capacity");
+                        self.out_of_stock(now, policy, &type_name, &order);
+                        self.rented.insert(type_name, (order, version, Vec::new()));
+                    }
+                    _ => {
+                        self.rent_retry.insert(type_name, now.steady + RETRY);
+                    }
+                }
+            }
+            (Tag::Delete(machines), CallOutcome::Deleted) => {
+                self.deleting = None;
+                for machine in machines {
+                    self.buried.insert(machine.clone(), now.steady);
+                    self.deleted.insert(machine);
+                }
+            }
+            (Tag::Delete(_), _) => {
+                self.deleting = None;
+                self.delete_retry = Some(now.steady + RETRY);
+            }
+            (Tag::List, CallOutcome::Listed(list)) => {
+                self.list_busy = false;
+                self.list_after = if list.more { list.machines.last().map(|m| m.id.clone()) } else { None };
+                self.take_list(now, config, view, list);
+            }
+            (Tag::List, _) => self.list_busy = false,
+            (Tag::Flavors, _) => {}
+        }
+    }
+
+    fn out_of_stock(&mut self, now: Now, policy: &Policy, type_name: &TypeName, order: &Order) {
+        let key = (type_name.clone(), order.zone.clone(), order.tenure);
+        self.stockouts.insert(key, now.steady + policy.stockout_memory);
+    }
+
+    fn take_list(&mut self, now: Now, config: &Config, view: &View, list: MachineList) {
+        for listed in list.machines {
+            if view.machines.contains_key(&listed.id) {
+                if listed.state == ListedState::Failed && self.lost.insert(listed.id.clone()) {
+                    info!(machine = %listed.id, "machine listed as failed");
+                }
+            } else if !self.buried.contains_key(&listed.id)
+                && since(now, self.term_since) > config.list_lag * 3
+                && listed.age_s > config.list_lag.as_secs_f64()
+            {
+                // What an earlier leader deleted is listed a while longer; only what stays is unexpected.
+                self.unexpected.entry(listed.id.clone()).or_insert((listed, now.steady));
+            }
+        }
+    }
+
+    /// The next write: machines that came or went, or what a round decides.
+    pub fn write(
+        &mut self,
+        now: Now,
+        config: &Config,
+        policy: &Policy,
+        flavors: &Flavors,
+        leader_version: u64,
+        view: &mut View,
+        demand: &Demand,
+    ) -> Option<Op> {
+        if !self.writer.ready(now, view) || !flavors.known() {
+            return None;
+        }
+        let txn = Txn::default().when(LEADER, leader_version);
+        let txn = self
+            .record_rented(now, config, flavors, view, txn.clone())
+            .or_else(|| self.record_deleted(config, view, txn.clone()))
+            .or_else(|| self.record_unexpected(now, config, flavors, view, txn.clone()))
+            .or_else(|| self.round(now, config, policy, flavors, view, demand, txn))?;
+        self.writer.sent();
+        Some(Op::Commit(txn))
+    }
+
+    pub fn answered(&mut self, now: Now, outcome: &Outcome) {
+        self.writer.answered(now, outcome);
+    }
+
+    fn block_for(&self, config: &Config, flavors: &Flavors, zone: &Zone, load: &mut BTreeMap<BlockId, usize>) -> Option<BlockId> {
+        let (block, _) = blocks::wanted(&flavors.zones(config), config.controllers())
+            .into_iter()
+            .filter(|(_, of)| of == zone)
+            .min_by_key(|(block, _)| load.get(block).copied().unwrap_or(0))?;
+        *load.entry(block.clone()).or_default() += 1;
+        Some(block)
+    }
+
+    fn load(view: &View) -> BTreeMap<BlockId, usize> {
+        let mut load = BTreeMap::new();
+        for machine in view.machines.values() {
+            *load.entry(machine.value.block.clone()).or_default() += 1;
+        }
+        load
+    }
+
+    fn record_rented(&mut self, now: Now, config: &Config, flavors: &Flavors, view: &View, mut txn: Txn) -> Option<Txn> {
+        // Recorded already, if our copy no longer has the order.
+        self.rented.retain(|name, (_, version, _)| view.orders.get(name).is_some_and(|o| o.version == *version));
+        let (name, (order, version, machines)) = self.rented.iter().next()?;
+        let mut load = Self::load(view);
+        txn = txn.when(order_key(name), *version).delete(order_key(name));
+        for machine in machines.iter().take(config.state_limits.txn_ops - 1) {
+            if view.machines.contains_key(machine) {
+                continue;
+            }
+            let record = Machine {
+                type_name: name.clone(),
+                zone: order.zone.clone(),
+                tenure: order.tenure,
+                block: self.block_for(config, flavors, &order.zone, &mut load)?,
+                draining: false,
+                rented_ms: now.unix_ms(),
+            };
+            txn = txn.when(machine_key(machine), 0).put(machine_key(machine), &record);
+        }
+        Some(txn)
+    }
+
+    fn record_deleted(&mut self, config: &Config, view: &View, mut txn: Txn) -> Option<Txn> {
+        let mut any = false;
+        for machine in self.deleted.iter().take(config.state_limits.txn_ops) {
+            if let Some(record) = view.machines.get(machine) {
+                any = true;
+                txn = txn.when(machine_key(machine), record.version).delete(machine_key(machine));
+            }
+        }
+        any.then_some(txn)
+    }
+
+    fn record_unexpected(&mut self, now: Now, config: &Config, flavors: &Flavors, view: &View, mut txn: Txn) -> Option<Txn> {
+        self.unexpected.retain(|id, _| !view.machines.contains_key(id));
+        // An order under way may explain it.
+        let known = |listed: &ListedMachine, at: Instant| {
+            !view.orders.contains_key(&listed.type_name) || since(now, at) > Duration::from_secs(5)
+        };
+        let take: Vec<ListedMachine> = self
+            .unexpected
+            .values()
+            .filter(|(listed, at)| known(listed, *at))
+            .take(config.state_limits.txn_ops)
+            .map(|(listed, _)| listed.clone())
+            .collect();
+        if take.is_empty() {
+            return None;
+        }
+        let mut load = Self::load(view);
+        let mut any = false;
+        for listed in take {
+            self.unexpected.remove(&listed.id);
+            let Some(block) = self.block_for(config, flavors, &listed.zone, &mut load) else { continue };
+            info!(machine = %listed.id, type_name = %listed.type_name, "unexpected machine taken up");
+            let record = Machine {
+                type_name: listed.type_name,
+                zone: listed.zone,
+                tenure: Tenure::spot(listed.spot),
+                block,
+                draining: false,
+                rented_ms: now.unix_ms().saturating_sub((listed.age_s.clamp(0.0, 1e9) * 1000.0) as u64),
+            };
+            any = true;
+            txn = txn.when(machine_key(&listed.id), 0).put(machine_key(&listed.id), &record);
+        }
+        any.then_some(txn)
+    }
+
+    /// One round of the rule.
+    #[allow(clippy::too_many_arguments)]
+    fn round(
+        &mut self,
+        now: Now,
+        config: &Config,
+        policy: &Policy,
+        flavors: &Flavors,
+        view: &View,
+        demand: &Demand,
+        mut txn: Txn,
+    ) -> Option<Txn> {
+        if !view.covers(self.term_since) || self.round.is_some_and(|at| since(now, at) < policy.round) {
+            return None;
+        }
+        self.round = Some(now.steady);
+        let mut ops = 0;
+        for flavor in flavors.all() {
+            if view.orders.contains_key(&flavor.name) {
+                continue;
+            }
+            let eta = self.eta(flavor, demand);
+            let mut best: Option<(i64, Tenure)> = None;
+            for tenure in [Tenure::Ordinary, Tenure::Spot] {
+                let n = demand.machines.get(&(flavor.name.clone(), tenure)).copied().unwrap_or(0.0);
+                let m = view
+                    .machines
+                    .iter()
+                    .filter(|(id, machine)| {
+                        machine.value.type_name == flavor.name
+                            && machine.value.tenure == tenure
+                            && !machine.value.draining
+                            && !self.lost.contains(*id)
+                    })
+                    .count();
+                let change = rule::change(n, u32::try_from(m).unwrap_or(u32::MAX), eta);
+                if change < 0 {
+                    let count = usize::try_from(-change).unwrap_or(0);
+                    for (id, machine) in self.returnable(now, policy, flavor, tenure, view, demand, count) {
+                        if ops + 2 < config.state_limits.txn_ops {
+                            info!(machine = %id, type_name = %flavor.name, ?tenure, n, m, "returning");
+                            ops += 1;
+                            let record = Machine { draining: true, ..machine.value.clone() };
+                            txn = txn.when(machine_key(&id), machine.version).put(machine_key(&id), &record);
+                        }
+                    }
+                } else if change > 0 && best.is_none_or(|(most, _)| change > most) {
+                    best = Some((change, tenure));
+                }
+            }
+            let Some((count, tenure)) = best else { continue };
+            let Some(zone) = self.zone_for(now, flavor, tenure, view) else { continue };
+            let most = i64::try_from(config.state_limits.txn_ops - 1).unwrap_or(1).min(50);
+            self.next_request += 1;
+            let order = Order {
+                request: format!("r-{}-{}", self.term, self.next_request),
+                zone,
+                tenure,
+                count: u32::try_from(count.min(most)).unwrap_or(1),
+            };
+            info!(request = %order.request, type_name = %flavor.name, zone = %order.zone, ?tenure, count, eta, "order");
+            ops += 1;
+            txn = txn.when(order_key(&flavor.name), 0).put(order_key(&flavor.name), &order);
+        }
+        (ops > 0).then_some(txn)
+    }
+
+    fn eta(&self, flavor: &Flavor, demand: &Demand) -> f64 {
+        match demand.mean_run {
+            Some(run) => self.boot_mean.unwrap_or(flavor.boot_s) / run.as_secs_f64().max(1.0),
+            None => 1.0,
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn returnable<'v>(
+        &self,
+        now: Now,
+        policy: &Policy,
+        flavor: &Flavor,
+        tenure: Tenure,
+        view: &'v View,
+        demand: &Demand,
+        count: usize,
+    ) -> Vec<(MachineId, &'v crate::store::Versioned<Machine>)> {
+        let least_ms = u64::try_from(policy.least_rental.as_millis()).unwrap_or(u64::MAX);
+        let mut idle: Vec<_> = view
+            .machines
+            .iter()
+            .filter(|(id, machine)| {
+                machine.value.type_name == flavor.name
+                    && machine.value.tenure == tenure
+                    && !machine.value.draining
+                    && !demand.occupied.contains(*id)
+                    && !self.lost.contains(*id)
+                    && now.unix_ms().saturating_sub(machine.value.rented_ms) >= least_ms
+            })
+            .collect();
+        // The newest have the least in their caches.
+        idle.sort_by_key(|(_, machine)| std::cmp::Reverse(machine.value.rented_ms));
+        idle.truncate(count);
+        idle.into_iter().map(|(id, machine)| (id.clone(), machine)).collect()
+    }
+
+    /// The zone with the fewest machines among those that may have some to give.
+    fn zone_for(&self, now: Now, flavor: &Flavor, tenure: Tenure, view: &View) -> Option<Zone> {
+        let count = |zone: &Zone| view.machines.values().filter(|m| m.value.zone == *zone).count();
+        flavor
+            .zones
+            .iter()
+            .filter(|zone| self.available(now, &flavor.name, zone, tenure))
+            .min_by_key(|zone| count(zone))
+            .cloned()
+    }
+}
--- /dev/null
+++ b/src/provisioning/wire.rs
@@ -0,0 +1,166 @@
+//! The cloud's protocol, as PROTOCOL spells it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Call, CallOutcome};
+use crate::domain::{MachineId, Room, TypeName, Zone};
+use crate::http::{Reply, Request, read, write};
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FlavorList {
+    #[serde(rename = "berthKinds")]
+    pub types: Vec<Flavor>,
+}
+
+/// A machine type.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Flavor {
+    pub name: TypeName,
+    pub cpus: f64,
+    #[serde(rename = "cards", default)]
+    pub gpus: f64,
+    #[serde(rename = "ramGb")]
+    pub memory_gb: f64,
+    #[serde(rename = "cacheGb", default)]
+    pub cache_gb: f64,
+    #[serde(rename = "pullGbPerS")]
+    pub fetch_gb_per_s: f64,
+    #[serde(rename = "rate")]
+    pub price: f64,
+    #[serde(rename = "spotPrice")]
+    pub spot_price: f64,
+    #[serde(rename = "readyS")]
+    pub boot_s: f64,
+    #[serde(rename = "wings")]
+    pub zones: Vec<Zone>,
+}
+
+impl Flavor {
+    pub fn room(&self) -> Room {
+        Room { cpus: self.cpus, gpus: self.gpus, memory_gb: self.memory_gb }
+    }
+
+    pub fn fetch_s_per_gb(&self) -> f64 {
+        1.0 / self.fetch_gb_per_s.max(1e-3)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RentRequest {
+    #[serde(rename = "requisition")]
+    pub request: String,
+    #[serde(rename = "berthKind")]
+    pub type_name: TypeName,
+    #[serde(rename = "wing")]
+    pub zone: Zone,
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    #[serde(rename = "howMany")]
+    pub count: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineNames {
+    #[serde(rename = "berths")]
+    pub machines: Vec<MachineId>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineList {
+    #[serde(rename = "berths")]
+    pub machines: Vec<ListedMachine>,
+    #[serde(default)]
+    pub more: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ListedMachine {
+    pub id: MachineId,
+    #[serde(rename = "berthKind")]
+    pub type_name: TypeName,
+    #[serde(rename = "wing")]
+    pub zone: Zone,
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    #[serde(rename = "status")]
+    pub state: ListedState,
+    #[serde(rename = "heldS", default)]
+    pub age_s: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListedState {
+    #[serde(rename = "booting")]
+    Booting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "failed")]
+    Failed,
+    #[serde(other)]
+    Other,
+}
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const PAGE: u32 = 500;
+
+pub fn request(call: &Call) -> Request {
+    match call {
+        Call::Flavors => Request::get("/flavors".to_owned(), TIMEOUT),
+        Call::Rent(rent) => Request::post("/machines".to_owned(), write(rent), TIMEOUT),
+        Call::Delete(names) => Request::post("/machines/delete".to_owned(), write(names), TIMEOUT),
+        Call::List { after } => {
+            let after = after.as_ref().map(|id| format!("after={id}&")).unwrap_or_default();
+            Request::get(format!("/machines?{after}most={PAGE}"), TIMEOUT)
+        }
+    }
+}
+
+pub fn outcome(call: &Call, reply: Option<&Reply>) -> CallOutcome {
+    let Some(reply) = reply else { return CallOutcome::Unknown };
+    match (reply.status, call) {
+        (200, Call::Flavors) => read(&reply.body).map_or(CallOutcome::Refused, CallOutcome::Flavors),
+        (200, Call::Rent(_)) => read(&reply.body).map_or(CallOutcome::Unknown, CallOutcome::Rented),
+        (200, Call::Delete(_)) => CallOutcome::Deleted,
+        (200, Call::List { .. }) => read(&reply.body).map_or(CallOutcome::Refused, CallOutcome::Listed),
+        // An outage is a 503 too, but says so.
+        (503, Call::Rent(_)) => match read::<Problem>(&reply.body) {
+            Some(problem) if problem.error == "no capacity" => CallOutcome::NoCapacity,
+            _ => CallOutcome::Refused,
+        },
+        // A request that the cloud calls malformed would be so for ever.
+        (400, Call::Rent(_)) => CallOutcome::NoCapacity,
+        _ => CallOutcome::Refused,
+    }
+}
+
+#[derive(Deserialize)]
+struct Problem {
+    error: String,
+}
+
+#[cfg(test)]
+mod tests {
+    use ciborium::cbor;
+
+    use super::*;
+
+    #[test]
+    fn no_capacity_is_told_from_an_outage() {
+        let rent = Call::Rent(RentRequest {
+            request: "r-1-1".into(),
+            type_name: "g8".into(),
+            zone: "a".into(),
+            spot: false,
+            count: 2,
+        });
+        let reply = |error: &str| Reply {
+            status: 503,
+            body: write(&cbor!({"error" => error}).expect("valid")).into(),
+        };
+        assert_eq!(outcome(&rent, Some(&reply("no capacity"))), CallOutcome::NoCapacity);
+        assert_eq!(outcome(&rent, Some(&reply("trouble"))), CallOutcome::Refused);
+        assert_eq!(outcome(&rent, None), CallOutcome::Unknown);
+    }
+}
--- /dev/null
+++ b/src/queueing/mod.rs
@@ -0,0 +1,579 @@
+//! The leader's queues: one for each team, served in turn by shares. Only the leader releases tasks to the
+//! holders of blocks, so only it has to keep the teams' limits.
+//!
+//! A released task counts as placed until its holder has said that it never will be: see `settle`.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use tracing::{debug, info};
+
+use crate::config::Config;
+use crate::domain::{Attempt, BlockId, Final, JobId, Kind, MachineId, Now, Priority, Room, TaskId, Team, Tenure, TypeName, Zone, since};
+use crate::peer::{BlockStatus, MachineStatus, Wanted, Work};
+use crate::placement::{self, Candidate};
+use crate::provisioning::{Demand, Flavors, Health, Provisioner};
+use crate::store::records::{CHUNK, JobRecord, LEADER, Progress, job_key, progress_key};
+use crate::store::view::OpenJob;
+use crate::store::{Op, Outcome, Txn, View, Writer};
+
+/// An unanswered work message is repeated after this long.
+const RESEND: Duration = Duration::from_millis(400);
+/// A holder's word on its machines is believed this long.
+const STATUS_LIFE: Duration = Duration::from_secs(5);
+/// A release that its holder can't place is taken back after this long.
+const WITHDRAW: Duration = Duration::from_secs(3);
+/// Releases decided in one go, so that a large job can't hold up everything else.
+const RELEASES: usize = 150;
+/// Failures in a row after which a machine is taken for faulty.
+const FAULTY: u32 = 3;
+/// Done tasks of a block are folded into their job's progress when the block's value is this full.
+const FOLD_AT: f64 = 0.4;
+const LONGEST_BACKOFF: Duration = Duration::from_secs(20);
+
+#[derive(Debug, Clone)]
+struct Release {
+    attempt: Attempt,
+    machine: MachineId,
+    since: Instant,
+    withdrawn: bool,
+    /// The first message that says so.
+    message: u64,
+}
+
+#[derive(Debug)]
+struct Desk {
+    grant_version: u64,
+    releases: BTreeMap<u64, Release>,
+    stops: BTreeMap<Attempt, Instant>,
+    status: Option<(BlockStatus, Instant)>,
+    sent: Option<Instant>,
+    last_message: u64,
+    dirty: bool,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Strikes {
+    count: u32,
+    until: Option<Instant>,
+}
+
+#[derive(Debug)]
+pub struct Queues {
+    term: u64,
+    next_attempt: u64,
+    next_message: u64,
+    desks: BTreeMap<BlockId, Desk>,
+    writer: Writer,
+    /// Where each attempt was when last looked, to notice those that vanish without being done.
+    placed: HashMap<u64, (TaskId, MachineId, Instant)>,
+    started: HashMap<u64, Instant>,
+    strikes: HashMap<JobId, Strikes>,
+    run_mean: Option<f64>,
+    pub waiting: BTreeMap<Team, u64>,
+}
+
+/// What a task may have and what it takes, in the order in which it is served.
+struct Waiting<'v> {
+    id: JobId,
+    open: &'v OpenJob,
+    /// Tasks that are neither done, placed nor released.
+    left: u64,
+    taken: crate::store::records::Ranges,
+    zones: BTreeMap<Zone, u32>,
+    blocked: bool,
+}
+
+impl Queues {
+    pub fn new(now: Now, term: u64) -> Self {
+        Queues {
+            term,
+            // Attempts of different leaders never meet: each has a range of its own.
+            next_attempt: term << 20,
+            next_message: 0,
+            desks: BTreeMap::new(),
+            writer: Writer::Unsure { since: now.steady },
+            placed: HashMap::new(),
+            started: HashMap::new(),
+            strikes: HashMap::new(),
+            run_mean: None,
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// A holder's word on one of its blocks.
+    pub fn status(&mut self, now: Now, status: BlockStatus) {
+        let Some(desk) = self.desks.get_mut(&status.block) else { return };
+        if desk.grant_version == status.grant_version {
+            desk.status = Some((status, now.steady));
+        }
+    }
+
+    fn machines(&self, now: Now) -> impl Iterator<Item = &MachineStatus> {
+        self.desks
+            .values()
+            .filter_map(|desk| desk.status.as_ref())
+            .filter(move |(_, at)| since(now, *at) < STATUS_LIFE)
+            .flat_map(|(status, _)| status.machines.iter())
+    }
+
+    pub fn health(&self, now: Now) -> BTreeMap<MachineId, Health> {
+        self.machines(now)
+            .map(|machine| {
+                let health = Health {
+                    seen: machine.seen,
+                    silent: Duration::from_millis(machine.silent_ms),
+                    faulty: machine.errors >= FAULTY,
+                };
+                (machine.machine.clone(), health)
+            })
+            .collect()
+    }
+
+    /// Blocks under grants of this term, and what became of the releases to them.
+    fn settle(&mut self, now: Now, view: &View) {
+        let term = self.term;
+        self.desks.retain(|block, _| view.grants.contains_key(block));
+        for (block, grant) in &view.grants {
+            if grant.value.term != term {
+                // Its holder may still place what an earlier leader wanted.
+                self.desks.remove(block);
+                continue;
+            }
+            let known = self.desks.get(block).is_some_and(|desk| desk.grant_version == grant.version);
+            if !known {
+                // Under a new grant nothing that was released under the old one can be placed any more.
+                let desk = Desk {
+                    grant_version: grant.version,
+                    releases: BTreeMap::new(),
+                    stops: BTreeMap::new(),
+                    status: None,
+                    sent: None,
+                    last_message: 0,
+                    dirty: false,
+                };
+                self.desks.insert(block.clone(), desk);
+            }
+        }
+        let running: BTreeSet<u64> = self.machines(now).flat_map(|machine| machine.running.iter().copied()).collect();
+        for number in running {
+            self.started.entry(number).or_insert(now.steady);
+        }
+        let mut live: HashMap<u64, (TaskId, MachineId, Instant)> = HashMap::new();
+        for (_, machine, attempt) in view.live_places() {
+            let at = self.placed.get(&attempt.number).map_or(now.steady, |(_, _, at)| *at);
+            live.insert(attempt.number, (attempt.task, machine.clone(), at));
+        }
+        self.note_ends(now, view, &live);
+        for (block, desk) in &mut self.desks {
+            let places = view.places.get(block).map_or(0, |places| places.version);
+            let status = desk.status.as_ref().map(|(status, _)| status);
+            desk.releases.retain(|number, release| {
+                if live.contains_key(number) {
+                    return false;
+                }
+                // Its holder has heard of it, does not hold it any more, and our copy shows all it recorded.
+                let settled = status.is_some_and(|status| {
+                    status.last_work >= release.message
+                        && places >= status.revision
+                        && !status.pending.contains(number)
+                });
+                !settled
+            });
+            desk.stops.retain(|attempt, _| live.contains_key(&attempt.number));
+            for release in desk.releases.values_mut() {
+                let alive = view.open.get(&release.attempt.task.job).is_some_and(|open| !open.cancelled);
+                let stuck = since(now, release.since) > WITHDRAW;
+                if !release.withdrawn && (!alive || stuck) {
+                    release.withdrawn = true;
+                    release.message = u64::MAX;
+                    desk.dirty = true;
+                }
+            }
+        }
+        self.placed = live;
+        let placed = &self.placed;
+        self.started.retain(|number, _| placed.contains_key(number));
+    }
+
+    /// Measures run times, and lets jobs wait whose tasks end again and again without being done.
+    fn note_ends(&mut self, now: Now, view: &View, live: &HashMap<u64, (TaskId, MachineId, Instant)>) {
+        let stopped: BTreeSet<u64> =
+            self.desks.values().flat_map(|desk| desk.stops.keys().map(|attempt| attempt.number)).collect();
+        for (number, (task, machine, at)) in &self.placed {
+            if live.contains_key(number) {
+                continue;
+            }
+            let Some(open) = view.open.get(&task.job).filter(|open| !open.cancelled) else {
+                continue;
+            };
+            if open.done.contains(task.index) {
+                self.strikes.remove(&task.job);
+                let ran = since(now, self.started.get(number).copied().unwrap_or(*at)).as_secs_f64();
+                self.run_mean = Some(self.run_mean.map_or(ran, |mean| mean + 0.05 * (ran - mean)));
+            } else if view.machines.contains_key(machine) && !stopped.contains(number) {
+                let strikes = self.strikes.entry(task.job).or_default();
+                strikes.count += 1;
+                if strikes.count > 2 {
+                    let backoff = Duration::from_millis(500) * 2u32.saturating_pow(strikes.count.min(10) - 2);
+                    strikes.until = Some(now.steady + backoff.min(LONGEST_BACKOFF));
+                    info!(%task, %machine, failures = strikes.count, "tasks of this job keep failing");
+                }
+            }
+        }
+        self.strikes.retain(|job, _| view.open.contains_key(job));
+    }
+
+    fn candidates(&self, now: Now, view: &View, flavors: &Flavors, provisioner: &Provisioner) -> Vec<Candidate> {
+        let mut taken: HashMap<&MachineId, Room> = HashMap::new();
+        for (_, machine, attempt) in view.live_places() {
+            if let Some(open) = view.open.get(&attempt.task.job) {
+                taken.entry(machine).or_default().add(&open.job.need);
+            }
+        }
+        for release in self.desks.values().flat_map(|desk| desk.releases.values()) {
+            if let Some(open) = view.open.get(&release.attempt.task.job) {
+                taken.entry(&release.machine).or_default().add(&open.job.need);
+            }
+        }
+        let mut candidates = Vec::new();
+        for status in self.machines(now).filter(|status| status.usable && status.errors < FAULTY) {
+            let Some(machine) = view.machines.get(&status.machine) else { continue };
+            let Some(flavor) = flavors.get(&machine.value.type_name) else { continue };
+            if machine.value.draining || provisioner.is_lost(&status.machine) {
+                continue;
+            }
+            let mut free = flavor.room();
+            if let Some(taken) = taken.get(&status.machine) {
+                free.take(taken);
+            }
+            candidates.push(Candidate {
+                machine: status.machine.clone(),
+                type_name: machine.value.type_name.clone(),
+                zone: machine.value.zone.clone(),
+                tenure: machine.value.tenure,
+                size: flavor.room(),
+                free,
+                images: status.images.clone(),
+                fetch_s_per_gb: flavor.fetch_s_per_gb(),
+            });
+        }
+        candidates
+    }
+
+    /// Releases what may run and has room. Returns the demand that provisioning has to meet.
+    pub fn plan(&mut self, now: Now, config: &Config, view: &View, flavors: &Flavors, provisioner: &Provisioner) -> Demand {
+        self.settle(now, view);
+        let mut usage: BTreeMap<Team, Room> = BTreeMap::new();
+        let mut demand = Demand {
+            mean_run: self.run_mean.map(|mean| Duration::from_secs_f64(mean.clamp(0.1, 1e6))),
+            ..Demand::default()
+        };
+        let mut count = |demand: &mut Demand, machine: &MachineId, open: &OpenJob| {
+            usage.entry(open.job.team.clone()).or_default().add(&open.job.need);
+            if let Some(record) = view.machines.get(machine)
+                && let Some(flavor) = flavors.get(&record.value.type_name)
+            {
+                let each = f64::from(flavor.room().count_of(&open.job.need).max(1));
+                let key = (record.value.type_name.clone(), record.value.tenure);
+                *demand.machines.entry(key).or_default() += 1.0 / each;
+            }
+            demand.occupied.insert(machine.clone());
+        };
+        for (_, machine, attempt) in view.live_places() {
+            if let Some(open) = view.open.get(&attempt.task.job) {
+                count(&mut demand, machine, open);
+            }
+        }
+        for release in self.desks.values().flat_map(|desk| desk.releases.values()) {
+            if let Some(open) = view.open.get(&release.attempt.task.job) {
+                count(&mut demand, &release.machine, open);
+            }
+        }
+        let mut queue = self.queue(now, view);
+        self.waiting.clear();
+        for waiting in &queue {
+            *self.waiting.entry(waiting.open.job.team.clone()).or_default() += waiting.left;
+        }
+        let mut candidates = self.candidates(now, view, flavors, provisioner);
+        // Releases only where all that is placed is known: every block under a grant of this term.
+        let complete = !view.grants.is_empty() && view.grants.values().all(|grant| grant.value.term == self.term);
+        let mut released = 0;
+        while complete && released < RELEASES {
+            let Some(next) = next_in_turn(&queue, &usage, config) else { break };
+            let Some(waiting) = queue.get_mut(next) else { break };
+            let fits = within_limit(config, &waiting.open.job, &usage);
+            let zones = &waiting.zones;
+            let job = &waiting.open.job;
+            let open_zone = |zone: &Zone| zone_open(job, zones, zone);
+            let chosen = if fits { placement::choose(candidates.iter(), job, open_zone).cloned() } else { None };
+            let (Some(chosen), Some(index)) = (chosen, waiting.taken.first_gap(job.tasks)) else {
+                waiting.blocked = true;
+                continue;
+            };
+            let Some(block) = view.machines.get(&chosen.machine).map(|machine| machine.value.block.clone()) else {
+                waiting.blocked = true;
+                continue;
+            };
+            let Some(desk) = self.desks.get_mut(&block) else {
+                candidates.retain(|candidate| candidate.machine != chosen.machine);
+                continue;
+            };
+            let attempt = Attempt { task: TaskId { job: waiting.id, index }, number: self.next_attempt };
+            self.next_attempt += 1;
+            released += 1;
+            debug!(%attempt, machine = %chosen.machine, "released");
+            let release = Release {
+                attempt,
+                machine: chosen.machine.clone(),
+                since: now.steady,
+                withdrawn: false,
+                message: u64::MAX,
+            };
+            desk.releases.insert(attempt.number, release);
+            desk.dirty = true;
+            if let Some(candidate) = candidates.iter_mut().find(|candidate| candidate.machine == chosen.machine) {
+                candidate.free.take(&job.need);
+            }
+            *waiting.zones.entry(chosen.zone.clone()).or_default() += 1;
+            waiting.taken.insert(index);
+            waiting.left -= 1;
+            let open = waiting.open;
+            usage.entry(open.job.team.clone()).or_default().add(&open.job.need);
+            let each = f64::from(chosen.size.count_of(&open.job.need).max(1));
+            *demand.machines.entry((chosen.type_name, chosen.tenure)).or_default() += 1.0 / each;
+            demand.occupied.insert(chosen.machine);
+        }
+        self.count_waiting(now, config, flavors, provisioner, &queue, &mut usage, &mut demand);
+        demand
+    }
+
+    /// Adds the waiting tasks that their team's limit allows, each in the cheapest type that can be had.
+    #[allow(clippy::too_many_arguments)]
+    fn count_waiting(
+        &self,
+        now: Now,
+        config: &Config,
+        flavors: &Flavors,
+        provisioner: &Provisioner,
+        queue: &[Waiting<'_>],
+        usage: &mut BTreeMap<Team, Room>,
+        demand: &mut Demand,
+    ) {
+        for waiting in queue {
+            let job = &waiting.open.job;
+            let mut allowed = 0u64;
+            while allowed < waiting.left && within_limit(config, job, usage) {
+                usage.entry(job.team.clone()).or_default().add(&job.need);
+                allowed += 1;
+            }
+            if allowed == 0 {
+                continue;
+            }
+            let mut best: Option<(f64, (TypeName, Tenure), f64)> = None;
+            for flavor in flavors.all().filter(|flavor| job.allows_type(&flavor.name)) {
+                let each = flavor.room().count_of(&job.need);
+                if each == 0 {
+                    continue;
+                }
+                for tenure in [Tenure::Ordinary, Tenure::Spot] {
+                    let can_be_had = flavor
+                        .zones
+                        .iter()
+                        .any(|zone| job.allows_zone(zone) && provisioner.available(now, &flavor.name, zone, tenure));
+                    if !job.allows_tenure(tenure) || !can_be_had {
+                        continue;
+                    }
+                    let price = if tenure.is_spot() { flavor.spot_price } else { flavor.price };
+                    let cost = price / f64::from(each);
+                    if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+                        best = Some((cost, (flavor.name.clone(), tenure), 1.0 / f64::from(each)));
+                    }
+                }
+            }
+            if let Some((_, key, share)) = best {
+                *demand.machines.entry(key).or_default() += allowed as f64 * share;
+            }
+        }
+    }
+
+    fn queue<'v>(&self, now: Now, view: &'v View) -> Vec<Waiting<'v>> {
+        let mut released: HashMap<JobId, Vec<(u32, Zone)>> = HashMap::new();
+        for release in self.desks.values().flat_map(|desk| desk.releases.values()) {
+            let Some(machine) = view.machines.get(&release.machine) else { continue };
+            let task = release.attempt.task;
+            released.entry(task.job).or_default().push((task.index, machine.value.zone.clone()));
+        }
+        let mut queue = Vec::new();
+        for (id, open) in &view.open {
+            let backed_off =
+                self.strikes.get(id).and_then(|strikes| strikes.until).is_some_and(|until| now.steady < until);
+            if open.cancelled || backed_off {
+                continue;
+            }
+            let mut taken = open.done.clone();
+            let mut zones: BTreeMap<Zone, u32> = BTreeMap::new();
+            for (index, place) in &open.placed {
+                // Places on a machine whose record is gone are void.
+                if let Some(machine) = view.machines.get(&place.machine) {
+                    taken.insert(*index);
+                    *zones.entry(machine.value.zone.clone()).or_default() += 1;
+                }
+            }
+            for (index, zone) in released.remove(id).unwrap_or_default() {
+                taken.insert(index);
+                *zones.entry(zone).or_default() += 1;
+            }
+            let left = u64::from(open.job.tasks).saturating_sub(taken.len());
+            if left > 0 {
+                queue.push(Waiting { id: *id, open, left, taken, zones, blocked: false });
+            }
+        }
+        queue.sort_by_key(|waiting| (waiting.open.job.priority, waiting.open.job.accepted_ms, waiting.id));
+        queue
+    }
+
+    /// Messages that are due to holders.
+    pub fn messages(&mut self, now: Now) -> Vec<Work> {
+        let mut messages = Vec::new();
+        for (block, desk) in &mut self.desks {
+            let acked = desk.status.as_ref().is_some_and(|(status, _)| status.last_work >= desk.last_message);
+            let overdue = !acked && desk.sent.is_some_and(|sent| since(now, sent) >= RESEND);
+            if !desk.dirty && !overdue {
+                continue;
+            }
+            self.next_message += 1;
+            let number = self.next_message;
+            desk.dirty = false;
+            desk.sent = Some(now.steady);
+            desk.last_message = number;
+            for release in desk.releases.values_mut().filter(|release| release.message == u64::MAX) {
+                release.message = number;
+            }
+            let want = desk
+                .releases
+                .values()
+                .filter(|release| !release.withdrawn)
+                .map(|release| Wanted { attempt: release.attempt, machine: release.machine.clone() })
+                .collect();
+            let stop = desk.stops.keys().copied().collect();
+            messages.push(Work { block: block.clone(), grant_version: desk.grant_version, number, want, stop });
+        }
+        messages
+    }
+
+    /// The next write: jobs that are over, and progress to be folded.
+    pub fn write(&mut self, now: Now, config: &Config, leader_version: u64, view: &mut View) -> Option<Op> {
+        if !self.writer.ready(now, view) {
+            return None;
+        }
+        let most = config.state_limits.txn_ops;
+        let mut txn = Txn::default().when(LEADER, leader_version);
+        for (id, open) in &view.open {
+            if txn.changes.len() >= most {
+                break;
+            }
+            let tasks = open.job.tasks;
+            let end = if open.cancelled {
+                let clear = open.placed.is_empty() && !self.released(*id);
+                clear.then_some(Final::Cancelled)
+            } else {
+                (open.done.len() >= u64::from(tasks)).then_some(Final::Done)
+            };
+            let Some(end) = end else { continue };
+            info!(job = %id, ?end, tasks, "job over");
+            txn = txn.when(job_key(*id), open.version).put(job_key(*id), &JobRecord::Ended(end, tasks));
+        }
+        for ((job, chunk), progress) in &view.progress {
+            if txn.changes.len() >= most {
+                break;
+            }
+            if view.ended.contains_key(job) {
+                txn = txn.when(progress_key(*job, *chunk), progress.version).delete(progress_key(*job, *chunk));
+            }
+        }
+        if txn.changes.is_empty() {
+            txn = self.fold(config, view, txn);
+        }
+        if txn.changes.is_empty() {
+            return None;
+        }
+        self.writer.sent();
+        Some(Op::Commit(txn))
+    }
+
+    fn released(&self, job: JobId) -> bool {
+        self.desks.values().flat_map(|desk| desk.releases.values()).any(|release| release.attempt.task.job == job)
+    }
+
+    fn fold(&self, config: &Config, view: &View, mut txn: Txn) -> Txn {
+        let full = |size: usize| size as f64 > config.state_limits.value_bytes as f64 * FOLD_AT;
+        for places in view.places.values().filter(|places| full(places.value.size())) {
+            for (job, done) in &places.value.done {
+                let Some(open) = view.open.get(job) else { continue };
+                let chunks: BTreeSet<u32> = done.0.iter().flat_map(|r| (r.start() / CHUNK)..=(r.end() / CHUNK)).collect();
+                for chunk in chunks {
+                    if txn.changes.len() >= config.state_limits.txn_ops {
+                        return txn;
+                    }
+                    let mut progress = Progress::default();
+                    for range in open.done.0.overlapping(&(chunk * CHUNK..=chunk * CHUNK + CHUNK - 1)) {
+                        let start = (*range.start()).max(chunk * CHUNK);
+                        let end = (*range.end()).min(chunk * CHUNK + CHUNK - 1);
+                        progress.done.0.insert(start..=end);
+                    }
+                    let old = view.progress.get(&(*job, chunk));
+                    if old.is_some_and(|old| old.value == progress) {
+                        continue;
+                    }
+                    let key = progress_key(*job, chunk);
+                    if !txn.conditions.iter().any(|(known, _)| *known == key) {
+                        txn = txn.when(key.clone(), old.map_or(0, |old| old.version)).put(key, &progress);
+                    }
+                }
+            }
+        }
+        txn
+    }
+
+    pub fn answered(&mut self, now: Now, outcome: &Outcome) {
+        self.writer.answered(now, outcome);
+    }
+
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+}
+
+/// Whether one more task of the job may go to a zone, given where its others are.
+fn zone_open(job: &crate::domain::Job, zones: &BTreeMap<Zone, u32>, zone: &Zone) -> bool {
+    let others_elsewhere = zones.iter().any(|(other, count)| other != zone && *count > 0);
+    let here = zones.get(zone).copied().unwrap_or(0);
+    !(job.one_zone && others_elsewhere) && here < job.zone_limit()
+}
+
+fn within_limit(config: &Config, job: &crate::domain::Job, usage: &BTreeMap<Team, Room>) -> bool {
+    let Some(limits) = config.team(&job.team) else { return false };
+    let used = usage.get(&job.team).copied().unwrap_or_default();
+    let slack = 1e-6;
+    used.cpus + job.need.cpus <= limits.cpus_max + slack && used.gpus + job.need.gpus <= limits.gpus_max + slack
+}
+
+/// The job whose task is served next: replicas first, then teams within their guarantee, then by priority, then
+/// the team that has the least for its share.
+fn next_in_turn(queue: &[Waiting<'_>], usage: &BTreeMap<Team, Room>, config: &Config) -> Option<usize> {
+    let mut best: Option<(usize, (bool, bool, Priority, f64))> = None;
+    for (index, waiting) in queue.iter().enumerate().filter(|(_, waiting)| !waiting.blocked && waiting.left > 0) {
+        let job = &waiting.open.job;
+        let Some(limits) = config.team(&job.team) else { continue };
+        let used = usage.get(&job.team).copied().unwrap_or_default();
+        let beyond = used.cpus + job.need.cpus > limits.cpus + 1e-6 || used.gpus + job.need.gpus > limits.gpus + 1e-6;
+        let share = used.cpus / limits.cpus.max(1.0) + used.gpus / limits.gpus.max(1.0);
+        let replica = job.kind == Kind::Service && job.priority == Priority::Production;
+        let rank = (!replica, beyond, job.priority, share);
+        if best.as_ref().is_none_or(|(_, least)| rank < *least) {
+            best = Some((index, rank));
+        }
+    }
+    best.map(|(index, _)| index)
+}
--- /dev/null
+++ b/src/store/budget.rs
@@ -0,0 +1,194 @@
+//! The state service's rates, kept on our side: requests wait here in order of importance.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use super::{Op, Outcome};
+use crate::config::StateLimits;
+use crate::domain::{Now, since};
+
+/// What goes first when the rate does not suffice for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// Holds and leadership: late means lost.
+    Authority,
+    /// What a user waits for.
+    User,
+    /// Placements and their ends.
+    Work,
+    /// Whatever can wait.
+    Upkeep,
+}
+
+const LANES: usize = 4;
+/// A lane longer than this refuses more: whoever asked tries again later.
+const LANE_LIMIT: usize = 400;
+
+struct Bucket {
+    tokens: f64,
+    rate: f64,
+    burst: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    fn new(rate: f64, now: Now) -> Self {
+        Bucket { tokens: rate, rate, burst: rate, filled: now.steady }
+    }
+
+    fn fill(&mut self, now: Now) {
+        self.tokens = (self.tokens + since(now, self.filled).as_secs_f64() * self.rate).min(self.burst);
+        self.filled = now.steady;
+    }
+}
+
+/// Requests that wait for their turn.
+pub struct Budget<Tag> {
+    lanes: [VecDeque<(Tag, Op)>; LANES],
+    requests: Bucket,
+    writes: Bucket,
+    /// After a refusal the service is asked less often, so that its recovery is not a stampede.
+    hold_off_until: Option<Instant>,
+    last_answer: Option<Instant>,
+    last_refusal: Option<Instant>,
+}
+
+/// The share of a limit that one node takes: together a little more than all, since nodes are seldom busy at
+/// the same time and a refusal only delays.
+fn share(limit: f64, nodes: usize) -> f64 {
+    (limit * 1.4 / nodes.max(1) as f64).min(limit * 0.9).max(1.0)
+}
+
+/// How long to hold off after the service refused.
+const HOLD_OFF: Duration = Duration::from_millis(150);
+
+impl<Tag> Budget<Tag> {
+    pub fn new(limits: &StateLimits, nodes: usize, now: Now) -> Self {
+        Budget {
+            lanes: Default::default(),
+            requests: Bucket::new(share(limits.rps, nodes), now),
+            writes: Bucket::new(share(limits.write_rps, nodes), now),
+            hold_off_until: None,
+            last_answer: None,
+            last_refusal: None,
+        }
+    }
+
+    /// Queues a request; gives the tag back when the lane is full.
+    pub fn push(&mut self, urgency: Urgency, tag: Tag, op: Op) -> Result<(), Tag> {
+        let lane = &mut self.lanes[urgency as usize];
+        if lane.len() >= LANE_LIMIT {
+            return Err(tag);
+        }
+        lane.push_back((tag, op));
+        Ok(())
+    }
+
+    /// Takes what may be sent now.
+    pub fn take(&mut self, now: Now) -> Vec<(Tag, Op)> {
+        self.requests.fill(now);
+        self.writes.fill(now);
+        let mut ready = Vec::new();
+        let holding_off = self.hold_off_until.is_some_and(|until| now.steady < until);
+        for (lane, queue) in self.lanes.iter_mut().enumerate() {
+            if holding_off && lane != Urgency::Authority as usize {
+                break;
+            }
+            while let Some((_, op)) = queue.front() {
+                let writes = cost(op);
+                // A transaction may cost more than a second's worth: it goes when the bucket is full.
+                let affordable = self.writes.tokens >= writes.min(self.writes.burst);
+                if self.requests.tokens < 1.0 || (writes > 0.0 && !affordable) {
+                    break;
+                }
+                self.requests.tokens -= 1.0;
+                self.writes.tokens -= writes;
+                ready.extend(queue.pop_front());
+            }
+        }
+        ready
+    }
+
+    pub fn note(&mut self, now: Now, outcome: &Outcome) {
+        match outcome {
+            Outcome::Refused | Outcome::Unknown => {
+                self.last_refusal = Some(now.steady);
+                self.hold_off_until = Some(now.steady + HOLD_OFF);
+            }
+            _ => {
+                self.last_answer = Some(now.steady);
+            }
+        }
+    }
+
+    /// Whether the service answered since it last refused, or only just began to refuse.
+    pub fn available(&self, now: Now) -> bool {
+        match (self.last_answer, self.last_refusal) {
+            (Some(answer), Some(refusal)) => answer >= refusal || since(now, answer) < Duration::from_secs(1),
+            (Some(_), None) => true,
+            (None, _) => false,
+        }
+    }
+
+    /// How long a new request of a user would wait for a write.
+    pub fn user_delay(&self) -> Duration {
+        let ahead: f64 = self.lanes[..=Urgency::User as usize].iter().flatten().map(|(_, op)| cost(op)).sum();
+        let lacking = (ahead + 1.0 - self.writes.tokens).max(0.0);
+        Duration::from_secs_f64(lacking / self.writes.rate)
+    }
+
+    /// How long ago the service last answered.
+    pub fn silent_for(&self, now: Now) -> Option<Duration> {
+        self.last_answer.map(|answer| since(now, answer))
+    }
+}
+
+fn cost(op: &Op) -> f64 {
+    match op {
+        Op::Commit(txn) => txn.changes.len() as f64,
+        _ => 0.0,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::store::Txn;
+
+    const LIMITS: StateLimits = StateLimits { rps: 10.0, write_rps: 2.0, value_bytes: 8192, txn_ops: 16 };
+
+    fn write() -> Op {
+        Op::Commit(Txn::default().delete("k"))
+    }
+
+    #[test]
+    fn writes_wait_for_their_rate_and_the_urgent_go_first() {
+        let start = Now::read();
+        let later = |ms| Now { steady: start.steady + Duration::from_millis(ms), ..start };
+        let mut budget = Budget::new(&LIMITS, 1, start);
+        for n in 0..4 {
+            assert!(budget.push(Urgency::Work, n, write()).is_ok());
+        }
+        assert!(budget.push(Urgency::User, 9, write()).is_ok());
+        let sent = |budget: &mut Budget<i32>, now| budget.take(now).iter().map(|(tag, _)| *tag).collect::<Vec<_>>();
+        assert_eq!(sent(&mut budget, start), [9]);
+        assert_eq!(sent(&mut budget, later(700)), [0]);
+        assert_eq!(sent(&mut budget, later(800)), [] as [i32; 0]);
+        assert_eq!(sent(&mut budget, later(1300)), [1]);
+    }
+
+    #[test]
+    fn an_outage_is_told_from_a_single_refusal() {
+        let start = Now::read();
+        let later = |ms| Now { steady: start.steady + Duration::from_millis(ms), ..start };
+        let mut budget: Budget<()> = Budget::new(&LIMITS, 1, start);
+        assert!(!budget.available(start));
+        budget.note(start, &Outcome::Conflict);
+        budget.note(later(100), &Outcome::Refused);
+        assert!(budget.available(later(200)));
+        budget.note(later(1500), &Outcome::Unknown);
+        assert!(!budget.available(later(1600)));
+        budget.note(later(1700), &Outcome::Conflict);
+        assert!(budget.available(later(1700)));
+    }
+}
