--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,81 @@
+//! The state service: the only truth. Its records, our copy of them, its budget and its protocol.
+
+pub mod budget;
+pub mod records;
+pub mod view;
+pub mod wire;
+pub mod writer;
+
+use std::time::Duration;
+
+pub use records::{Change, Record, Records};
+pub use view::{Versioned, View};
+pub use writer::Writer;
+
+/// A request to the state service.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Op {
+    Get { key: String },
+    List { prefix: String, after: Option<String> },
+    Commit(Txn),
+    Follow { prefix: String, after: u64, wait: Duration },
+    OpenHold { life: Duration },
+    ExtendHold { id: u64 },
+}
+
+/// A transaction: applied as a whole if every key still has the version that its writer saw.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Txn {
+    /// 0: the key does not exist.
+    pub conditions: Vec<(String, u64)>,
+    pub changes: Vec<TxnChange>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum TxnChange {
+    Put { key: String, value: ciborium::Value, hold: Option<u64> },
+    Delete { key: String },
+}
+
+impl Txn {
+    pub fn when(mut self, key: impl Into<String>, version: u64) -> Self {
+        self.conditions.push((key.into(), version));
+        self
+    }
+
+    pub fn put(self, key: impl Into<String>, record: &impl Record) -> Self {
+        self.put_held(key, record, None)
+    }
+
+    pub fn put_held(mut self, key: impl Into<String>, record: &impl Record, hold: Option<u64>) -> Self {
+        self.changes.push(TxnChange::Put { key: key.into(), value: records::encode(record), hold });
+        self
+    }
+
+    pub fn delete(mut self, key: impl Into<String>) -> Self {
+        self.changes.push(TxnChange::Delete { key: key.into() });
+        self
+    }
+}
+
+/// What became of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    Value { value: ciborium::Value, version: u64 },
+    Missing { revision: u64 },
+    Rows { rows: Vec<(String, ciborium::Value, u64)>, more: bool, revision: u64 },
+    Committed { revision: u64 },
+    /// A condition failed: nothing was changed.
+    Conflict,
+    News { revision: u64, changes: Vec<Change> },
+    /// The changes asked for are no longer kept: read everything again.
+    TooOld,
+    Hold { id: u64 },
+    HoldGone,
+    /// Not executed: rate limit or outage.
+    Refused,
+    /// Malformed, or attached to a hold that has ended. Not executed.
+    Invalid,
+    /// No answer: may have been executed, or may still be.
+    Unknown,
+}
--- /dev/null
+++ b/src/store/records.rs
@@ -0,0 +1,387 @@
+//! The records this service keeps in the state service. One key prefix for each.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use rangemap::RangeInclusiveSet;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::domain::{Attempt, BlockId, Final, Job, JobId, MachineId, NodeName, TaskId, Tenure, TypeName, Zone};
+
+/// Everything of ours lies under this prefix, so that one watch sees all of it.
+pub const ROOT: &str = "dappleshore/";
+pub const LEADER: &str = "dappleshore/leader";
+pub const SEAL: &str = "dappleshore/seal";
+/// Never written: reading it tells the current revision.
+pub const NOWHERE: &str = "dappleshore/nowhere";
+
+pub fn member_key(node: &NodeName) -> String {
+    format!("{ROOT}node/{node}")
+}
+pub fn grant_key(block: &BlockId) -> String {
+    format!("{ROOT}grant/{block}")
+}
+pub fn places_key(block: &BlockId) -> String {
+    format!("{ROOT}places/{block}")
+}
+pub fn machine_key(machine: &MachineId) -> String {
+    format!("{ROOT}machine/{machine}")
+}
+pub fn order_key(name: &TypeName) -> String {
+    format!("{ROOT}order/{name}")
+}
+pub fn job_key(job: JobId) -> String {
+    format!("{ROOT}job/{job}")
+}
+pub fn progress_key(job: JobId, chunk: u32) -> String {
+    format!("{ROOT}progress/{job}/{chunk:05}")
+}
+
+/// Something that is stored as one value.
+pub trait Record: Serialize + DeserializeOwned {}
+
+/// Records are maps of text and numbers, which always have a CBOR form.
+pub fn encode(record: &impl Record) -> ciborium::Value {
+    ciborium::Value::serialized(record).unwrap_or(ciborium::Value::Null)
+}
+
+/// Who leads, attached to a hold. `term` comes from the same rising counter as seals.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Leader {
+    pub node: NodeName,
+    pub boot: u64,
+    pub term: u64,
+}
+
+/// The rising counter that seals and terms are taken from.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Seal {
+    pub last: u64,
+}
+
+/// A controller that is up, attached to its hold. `boot` tells a restarted process from the one before.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    pub boot: u64,
+}
+
+/// The lease of a block to a controller. Each new leader writes it again, which makes every write that an
+/// older leader asked for fail.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    pub zone: Zone,
+    pub holder: NodeName,
+    pub boot: u64,
+    pub seal: u64,
+    pub term: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Machine {
+    #[serde(rename = "ty")]
+    pub type_name: TypeName,
+    #[serde(rename = "z")]
+    pub zone: Zone,
+    #[serde(rename = "t")]
+    pub tenure: Tenure,
+    #[serde(rename = "b")]
+    pub block: BlockId,
+    /// Takes no new tasks: it is to be returned.
+    #[serde(rename = "d")]
+    pub draining: bool,
+    #[serde(rename = "at")]
+    pub rented_ms: u64,
+}
+
+/// A rental request that may have been sent. Written before it is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    pub request: String,
+    pub zone: Zone,
+    pub tenure: Tenure,
+    pub count: u32,
+}
+
+/// The tasks of a block, machine by machine, and the tasks it has finished that are not yet folded into
+/// their job's progress. One value for each block, so that a batch of starts and ends is one change.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Places {
+    #[serde(rename = "on")]
+    pub on: BTreeMap<MachineId, Vec<PlacedText>>,
+    #[serde(rename = "done")]
+    pub done: BTreeMap<JobId, Ranges>,
+}
+
+impl Places {
+    pub fn attempts(&self) -> impl Iterator<Item = (&MachineId, Attempt)> {
+        self.on.iter().flat_map(|(machine, list)| list.iter().map(move |placed| (machine, placed.0)))
+    }
+
+    pub fn add(&mut self, machine: &MachineId, attempt: Attempt) {
+        self.on.entry(machine.clone()).or_default().push(PlacedText(attempt));
+    }
+
+    pub fn remove(&mut self, machine: &MachineId, attempt: Attempt) -> bool {
+        let Some(list) = self.on.get_mut(machine) else { return false };
+        let before = list.len();
+        list.retain(|placed| placed.0 != attempt);
+        let removed = list.len() != before;
+        if list.is_empty() {
+            self.on.remove(machine);
+        }
+        removed
+    }
+
+    /// The most that this value can measure in the form that the state service counts: quotes, commas and
+    /// names included.
+    pub fn size(&self) -> usize {
+        let on: usize =
+            self.on.iter().map(|(m, list)| m.0.len() + 8 + list.iter().map(PlacedText::size).sum::<usize>()).sum();
+        let done: usize = self.done.values().map(|ranges| 24 + ranges.size()).sum();
+        32 + on + done
+    }
+}
+
+/// An attempt as `412/3:17`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlacedText(pub Attempt);
+
+impl PlacedText {
+    fn size(&self) -> usize {
+        digits(self.0.task.job.0) + digits(u64::from(self.0.task.index)) + digits(self.0.number) + 5
+    }
+}
+
+fn digits(number: u64) -> usize {
+    number.checked_ilog10().map_or(1, |log| log as usize + 1)
+}
+
+impl Serialize for PlacedText {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&format_args!("{}/{}:{}", self.0.task.job.0, self.0.task.index, self.0.number))
+    }
+}
+
+impl<'de> Deserialize<'de> for PlacedText {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        parse_placed(&text).ok_or_else(|| serde::de::Error::custom("malformed attempt"))
+    }
+}
+
+fn parse_placed(text: &str) -> Option<PlacedText> {
+    let (task, number) = text.split_once(':')?;
+    let (job, index) = task.split_once('/')?;
+    let task = TaskId { job: JobId(job.parse().ok()?), index: index.parse().ok()? };
+    Some(PlacedText(Attempt { task, number: number.parse().ok()? }))
+}
+
+/// A set of task numbers, stored as `0-4,7`.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Ranges(pub RangeInclusiveSet<u32>);
+
+impl Ranges {
+    pub fn insert(&mut self, index: u32) {
+        self.0.insert(index..=index);
+    }
+
+    pub fn contains(&self, index: u32) -> bool {
+        self.0.contains(&index)
+    }
+
+    pub fn len(&self) -> u64 {
+        self.0.iter().map(|range| u64::from(range.end() - range.start()) + 1).sum()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub fn pieces(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn merge(&mut self, other: &Ranges) {
+        for range in other.0.iter() {
+            self.0.insert(range.clone());
+        }
+    }
+
+    /// The first number below `end` that is not in the set.
+    pub fn first_gap(&self, end: u32) -> Option<u32> {
+        let last = end.checked_sub(1)?;
+        self.0.gaps(&(0..=last)).next().map(|gap| *gap.start())
+    }
+
+    fn size(&self) -> usize {
+        self.0.iter().map(|r| digits(u64::from(*r.start())) + digits(u64::from(*r.end())) + 2).sum()
+    }
+}
+
+impl Serialize for Ranges {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut text = String::new();
+        for range in self.0.iter() {
+            let comma = if text.is_empty() { "" } else { "," };
+            // Writing to a String can't fail.
+            let _ = match (range.start(), range.end()) {
+                (start, end) if start == end => write!(text, "{comma}{start}"),
+                (start, end) => write!(text, "{comma}{start}-{end}"),
+            };
+        }
+        serializer.serialize_str(&text)
+    }
+}
+
+impl<'de> Deserialize<'de> for Ranges {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        parse_ranges(&text).ok_or_else(|| serde::de::Error::custom("malformed ranges"))
+    }
+}
+
+fn parse_ranges(text: &str) -> Option<Ranges> {
+    let mut ranges = Ranges::default();
+    for piece in text.split(',').filter(|piece| !piece.is_empty()) {
+        let (start, end) = piece.split_once('-').unwrap_or((piece, piece));
+        let (start, end) = (start.parse().ok()?, end.parse().ok()?);
+        if start > end {
+            return None;
+        }
+        ranges.0.insert(start..=end);
+    }
+    Some(ranges)
+}
+
+/// A job: what was asked for while tasks of it may be somewhere, only its end afterwards.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum JobRecord {
+    #[serde(rename = "o")]
+    Open(Job),
+    /// Cancelled, but its tasks still take room until they are proven gone.
+    #[serde(rename = "c")]
+    Cancelled(Job),
+    #[serde(rename = "e")]
+    Ended(Final, u32),
+}
+
+/// The finished tasks of one chunk of a large job, so that no value grows with the job.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Progress {
+    pub done: Ranges,
+}
+
+/// Tasks in one chunk of a job's progress: even with every second task done, `0,2,4,...` stays below the
+/// smallest value size.
+pub const CHUNK: u32 = 512;
+
+macro_rules! records {
+    ($($name:ident),*) => { $(impl Record for $name {})* };
+}
+records!(Leader, Seal, Member, Grant, Machine, Order, Places, JobRecord, Progress);
+
+/// A changed key.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Change {
+    pub key: String,
+    pub version: u64,
+    /// None: the key was removed.
+    pub value: Option<ciborium::Value>,
+}
+
+/// A key of ours, told apart by its prefix.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Records {
+    Leader,
+    Seal,
+    Member(NodeName),
+    Grant(BlockId),
+    Places(BlockId),
+    Machine(MachineId),
+    Order(TypeName),
+    Job(JobId),
+    Progress(JobId, u32),
+}
+
+impl Records {
+    pub fn of(key: &str) -> Option<Self> {
+        let name = key.strip_prefix(ROOT)?;
+        match name.split_once('/') {
+            None if key == LEADER => Some(Records::Leader),
+            None if key == SEAL => Some(Records::Seal),
+            None => None,
+            Some(("node", rest)) => Some(Records::Member(rest.into())),
+            Some(("grant", rest)) => Some(Records::Grant(rest.into())),
+            Some(("places", rest)) => Some(Records::Places(rest.into())),
+            Some(("machine", rest)) => Some(Records::Machine(rest.into())),
+            Some(("order", rest)) => Some(Records::Order(rest.into())),
+            Some(("job", rest)) => rest.parse().ok().map(Records::Job),
+            Some(("progress", rest)) => {
+                let (job, chunk) = rest.split_once('/')?;
+                Some(Records::Progress(job.parse().ok()?, chunk.parse().ok()?))
+            }
+            Some(_) => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ranges_keep_what_was_put_in() {
+        let mut ranges = Ranges::default();
+        for index in [0, 1, 2, 7, 9] {
+            ranges.insert(index);
+        }
+        let text = encode_text(&ranges);
+        assert_eq!(text, "0-2,7,9");
+        assert_eq!(parse_ranges(&text), Some(ranges.clone()));
+        assert_eq!(ranges.len(), 5);
+        assert_eq!(ranges.first_gap(10), Some(3));
+        assert_eq!(ranges.first_gap(3), None);
+        assert_eq!(parse_ranges("4-2"), None);
+    }
+
+    fn encode_text(ranges: &Ranges) -> String {
+        match ciborium::Value::serialized(ranges) {
+            Ok(ciborium::Value::Text(text)) => text,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn a_full_chunk_of_progress_fits_the_smallest_value() {
+        let mut worst = Ranges::default();
+        for index in (99_488..100_000).step_by(2) {
+            worst.insert(index);
+        }
+        assert!(encode_text(&worst).len() < 2000);
+    }
+
+    #[test]
+    fn the_size_of_places_is_never_underestimated() {
+        let mut places = Places::default();
+        for n in 0..50u32 {
+            let machine = MachineId::from(format!("m-{n:06}").as_str());
+            for index in 0..n {
+                let task = TaskId { job: JobId(u64::from(n) * 977), index };
+                places.add(&machine, Attempt { task, number: u64::from(index) << 20 });
+                places.done.entry(JobId(u64::from(n))).or_default().insert(index * 2);
+            }
+        }
+        let json = json_size(&encode(&places));
+        assert!(json <= places.size(), "{json} > {}", places.size());
+    }
+
+    fn json_size(value: &ciborium::Value) -> usize {
+        match value {
+            ciborium::Value::Text(text) => text.len() + 2,
+            ciborium::Value::Array(list) => 2 + list.iter().map(|v| json_size(v) + 1).sum::<usize>(),
+            ciborium::Value::Map(map) => 2 + map.iter().map(|(k, v)| json_size(k) + json_size(v) + 2).sum::<usize>(),
+            _ => 24,
+        }
+    }
+}
--- /dev/null
+++ b/src/store/wire.rs
@@ -0,0 +1,213 @@
+//! The state service's protocol, as PROTOCOL spells it.
+
+use std::time::Duration;
+
+use ciborium::Value;
+use serde::{Deserialize, Serialize};
+
+use super::{Change, Op, Outcome, Txn, TxnChange};
+use crate::http::{Reply, Request, read, write};
+
+#[derive(Serialize)]
+struct Condition<'a> {
+    k: &'a str,
+    amended: u64,
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+enum Apply<'a> {
+    Put {
+        put: &'a str,
+        value: &'a Value,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        tenure: Option<u64>,
+    },
+    Remove {
+        remove: &'a str,
+    },
+}
+
+#[derive(Serialize)]
+struct Multi<'a> {
+    when: Vec<Condition<'a>>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    apply: Vec<Apply<'a>>,
+}
+
+#[derive(Serialize)]
+struct NewHold {
+    #[serde(rename = "lifeMs")]
+    life_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Row {
+    k: String,
+    value: Value,
+    amended: u64,
+}
+
+#[derive(Deserialize)]
+struct Rows {
+    rows: Vec<Row>,
+    #[serde(default)]
+    more: bool,
+    #[serde(rename = "ledgerLine")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Revision {
+    #[serde(rename = "ledgerLine")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct News {
+    #[serde(rename = "ledgerLine")]
+    revision: u64,
+    news: Vec<NewsItem>,
+}
+
+#[derive(Deserialize)]
+struct NewsItem {
+    #[serde(default)]
+    put: Option<String>,
+    #[serde(default)]
+    remove: Option<String>,
+    #[serde(default)]
+    value: Option<Value>,
+    amended: u64,
+}
+
+#[derive(Deserialize)]
+struct HoldId {
+    tenure: u64,
+}
+
+/// Rows in a page: the service's own limit.
+const PAGE: u32 = 1000;
+const TIMEOUT: Duration = Duration::from_millis(1500);
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn multi(txn: &Txn) -> Vec<u8> {
+    let when = txn.conditions.iter().map(|(k, amended)| Condition { k, amended: *amended }).collect();
+    let apply = txn.changes.iter().map(|change| match change {
+        TxnChange::Put { key, value, hold } => Apply::Put { put: key, value, tenure: *hold },
+        TxnChange::Delete { key } => Apply::Remove { remove: key },
+    });
+    write(&Multi { when, apply: apply.collect() })
+}
+
+pub fn request(op: &Op) -> Request {
+    match op {
+        Op::Get { key } => Request::get(format!("/keys/{key}"), TIMEOUT),
+        Op::List { prefix, after } => {
+            let after = after.as_ref().map(|key| format!("&after={key}")).unwrap_or_default();
+            Request::get(format!("/keys?prefix={prefix}{after}&most={PAGE}"), TIMEOUT * 2)
+        }
+        Op::Commit(txn) => Request::post("/multi".to_owned(), multi(txn), TIMEOUT),
+        Op::Follow { prefix, after, wait } => {
+            let path = format!("/follow?prefix={prefix}&after={after}&holdMs={}", millis(*wait));
+            Request::get(path, *wait + TIMEOUT)
+        }
+        Op::OpenHold { life } => {
+            Request::post("/holds".to_owned(), write(&NewHold { life_ms: millis(*life) }), TIMEOUT)
+        }
+        Op::ExtendHold { id } => Request::post(format!("/holds/{id}/extend"), Vec::new(), TIMEOUT),
+    }
+}
+
+pub fn outcome(op: &Op, reply: Option<&Reply>) -> Outcome {
+    let Some(reply) = reply else { return Outcome::Unknown };
+    match (reply.status, op) {
+        (429 | 503, _) => Outcome::Refused,
+        (200, Op::Get { .. }) => read(&reply.body)
+            .map_or(Outcome::Unknown, |row: Row| Outcome::Value { value: row.value, version: row.amended }),
+        (404, Op::Get { .. }) => {
+            read(&reply.body).map_or(Outcome::Unknown, |r: Revision| Outcome::Missing { revision: r.revision })
+        }
+        (200, Op::List { .. }) => read(&reply.body).map_or(Outcome::Unknown, |list: Rows| Outcome::Rows {
+            rows: list.rows.into_iter().map(|row| (row.k, row.value, row.amended)).collect(),
+            more: list.more,
+            revision: list.revision,
+        }),
+        (200, Op::Commit(_)) => {
+            read(&reply.body).map_or(Outcome::Unknown, |r: Revision| Outcome::Committed { revision: r.revision })
+        }
+        (409, Op::Commit(_)) => Outcome::Conflict,
+        (200, Op::Follow { .. }) => read(&reply.body).map_or(Outcome::Unknown, news),
+        (410, Op::Follow { .. }) => Outcome::TooOld,
+        (200, Op::OpenHold { .. }) => {
+            read(&reply.body).map_or(Outcome::Unknown, |hold: HoldId| Outcome::Hold { id: hold.tenure })
+        }
+        (200, Op::ExtendHold { id }) => Outcome::Hold { id: *id },
+        (404, Op::ExtendHold { .. }) => Outcome::HoldGone,
+        (400 | 404, _) => Outcome::Invalid,
+        _ => Outcome::Unknown,
+    }
+}
+
+fn news(news: News) -> Outcome {
+    let changes = news.news.into_iter().filter_map(|item| match (item.put, item.remove) {
+        (Some(key), _) => Some(Change { key, version: item.amended, value: item.value }),
+        (None, Some(key)) => Some(Change { key, version: item.amended, value: None }),
+        (None, None) => None,
+    });
+    Outcome::News { revision: news.revision, changes: changes.collect() }
+}
+
+#[cfg(test)]
+mod tests {
+    use ciborium::cbor;
+
+    use super::*;
+
+    fn reply(status: u16, value: ciborium::Value) -> Reply {
+        Reply { status, body: write(&value).into() }
+    }
+
+    #[test]
+    fn transactions_have_the_form_of_the_protocol() {
+        let txn = Txn {
+            conditions: vec![("a/b".into(), 0)],
+            changes: vec![
+                TxnChange::Put { key: "a/b".into(), value: 3.into(), hold: Some(7) },
+                TxnChange::Delete { key: "c/d".into() },
+            ],
+        };
+        let request = request(&Op::Commit(txn));
+        let sent: Value = read(&request.body).expect("CBOR");
+        let expected = cbor!({
+            "when" => [{"k" => "a/b", "amended" => 0}],
+            "apply" => [{"put" => "a/b", "value" => 3, "tenure" => 7}, {"remove" => "c/d"}]
+        });
+        assert_eq!(sent, expected.expect("valid"));
+    }
+
+    #[test]
+    fn answers_are_told_apart() {
+        let commit = Op::Commit(Txn::default());
+        assert_eq!(outcome(&commit, None), Outcome::Unknown);
+        assert_eq!(outcome(&commit, Some(&reply(503, Value::Null))), Outcome::Refused);
+        assert_eq!(outcome(&commit, Some(&reply(200, Value::Null))), Outcome::Unknown);
+        let revision = cbor!({"ledgerLine" => 9}).expect("valid");
+        assert_eq!(outcome(&commit, Some(&reply(200, revision.clone()))), Outcome::Committed { revision: 9 });
+        assert_eq!(outcome(&commit, Some(&reply(409, revision.clone()))), Outcome::Conflict);
+        let get = Op::Get { key: "k".into() };
+        assert_eq!(outcome(&get, Some(&reply(404, revision))), Outcome::Missing { revision: 9 });
+        let follow = Op::Follow { prefix: "c/".into(), after: 3, wait: Duration::ZERO };
+        let news = cbor!({"ledgerLine" => 9, "news" => [
+            {"put" => "c/9", "value" => {"x" => 1}, "amended" => 9}, {"remove" => "c/d", "amended" => 8}]});
+        let Outcome::News { revision: 9, changes } = outcome(&follow, Some(&reply(200, news.expect("valid")))) else {
+            panic!("not news");
+        };
+        assert_eq!(changes.len(), 2);
+        assert_eq!((changes[1].key.as_str(), changes[1].version, &changes[1].value), ("c/d", 8, &None));
+        assert_eq!(outcome(&follow, Some(&reply(410, Value::Null))), Outcome::TooOld);
+    }
+}
