--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -17,9 +17,9 @@
 /// The blocks that should exist: as many in each zone as give every controller one.
 pub fn wanted(zones: &[Zone], controllers: usize) -> Vec<(BlockId, Zone)> {
     let each = controllers.div_ceil(zones.len().max(1)).max(1);
-    let blocks = zones.iter().flat_map(|zone| {
-        (0..each).map(move |n| (BlockId::from(format!("{zone}.{n}").as_str()), zone.clone()))
-    });
+    let blocks = zones
+        .iter()
+        .flat_map(|zone| (0..each).map(move |n| (BlockId::from(format!("{zone}.{n}").as_str()), zone.clone())));
     blocks.collect()
 }
 
@@ -79,12 +79,8 @@
         if !self.writer.ready(now, view) {
             return None;
         }
-        let members: Vec<NodeName> = view
-            .members
-            .keys()
-            .filter(|node| self.trusted(now, node, config, policy, view))
-            .cloned()
-            .collect();
+        let members: Vec<NodeName> =
+            view.members.keys().filter(|node| self.trusted(now, node, config, policy, view)).cloned().collect();
         let boot_of = |node: &NodeName| view.members.get(node).map(|member| member.value.boot);
         let mut held: BTreeMap<&NodeName, usize> = members.iter().map(|node| (node, 0)).collect();
         for grant in view.grants.values() {
@@ -144,9 +140,7 @@
         changes.truncate(config.state_limits.txn_ops - 1);
         let mut txn = Txn::default().when(LEADER, leader_version);
         if last > view.max_seal() {
-            txn = txn
-                .when(SEAL, view.seal.as_ref().map_or(0, |seal| seal.version))
-                .put(SEAL, &Seal { last });
+            txn = txn.when(SEAL, view.seal.as_ref().map_or(0, |seal| seal.version)).put(SEAL, &Seal { last });
         }
         for (block, version, grant) in &changes {
             info!(%block, holder = %grant.holder, seal = grant.seal, term, "grant");
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -146,16 +146,14 @@
 impl Config {
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
         let shown = path.display().to_string();
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| ConfigError::Unreadable { path: shown.clone(), source })?;
+        let text =
+            std::fs::read_to_string(path).map_err(|source| ConfigError::Unreadable { path: shown.clone(), source })?;
         Self::parse(&shown, &text)
     }
 
     pub fn parse(path: &str, text: &str) -> Result<Self, ConfigError> {
-        let file: File = toml::from_str(text).map_err(|error| ConfigError::Malformed {
-            path: path.to_owned(),
-            message: one_line(&error.to_string()),
-        })?;
+        let file: File = toml::from_str(text)
+            .map_err(|error| ConfigError::Malformed { path: path.to_owned(), message: one_line(&error.to_string()) })?;
         let check = Check { path };
         let mut teams = Vec::new();
         for team in &file.params.teams {
@@ -311,9 +309,17 @@
     #[test]
     fn nonsense_is_refused_by_the_name_of_its_field() {
         let cases = [
-            ("lease_s = 20.0", "lease_s = -1.0", "s.toml: `params.workers.lease_s` must be seconds above 0, a day at most"),
+            (
+                "lease_s = 20.0",
+                "lease_s = -1.0",
+                "s.toml: `params.workers.lease_s` must be seconds above 0, a day at most",
+            ),
             ("cancel_s = 50.0", "cancel_s = 19.0", "s.toml: `params.workers.cancel_s` must exceed `lease_s`"),
-            ("back = \"10.0.0.1:8081\"", "back = \"nowhere\"", "s.toml: `back` must be an IP address and port, not `nowhere`"),
+            (
+                "back = \"10.0.0.1:8081\"",
+                "back = \"nowhere\"",
+                "s.toml: `back` must be an IP address and port, not `nowhere`",
+            ),
             ("cpus = 16.0", "cpus = 999.0", "s.toml: `params.teams.red.cpus` must not exceed `cpus_max`"),
             ("txn_ops = 16", "txn_ops = 0", "s.toml: `params.state.txn_ops` must be at least 4"),
             ("domain = \"a\"", "", "s.toml: TOML parse error at line 1, column 1: missing field `domain`"),
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -170,6 +170,34 @@
     BlockId
 );
 
+/// Decimal amounts on the wire. CBOR tells 8 from 8.0, and senders may write either.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default, Serialize)]
+#[serde(transparent)]
+pub struct Amount(pub f64);
+
+impl<'de> Deserialize<'de> for Amount {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        struct Visitor;
+        impl serde::de::Visitor<'_> for Visitor {
+            type Value = Amount;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("a number")
+            }
+            fn visit_f64<E>(self, value: f64) -> Result<Amount, E> {
+                Ok(Amount(value))
+            }
+            fn visit_u64<E>(self, value: u64) -> Result<Amount, E> {
+                Ok(Amount(value as f64))
+            }
+            fn visit_i64<E>(self, value: i64) -> Result<Amount, E> {
+                Ok(Amount(value as f64))
+            }
+        }
+        deserializer.deserialize_any(Visitor)
+    }
+}
+
 /// What a task takes of a machine, or what a machine has.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Room {
@@ -206,10 +234,10 @@
         count.floor().clamp(0.0, f64::from(u32::MAX)) as u32
     }
 
-    /// The share of this machine that `need` takes, by the scarcest resource.
-    pub fn share_of(&self, need: &Room) -> f64 {
-        let of = |have: f64, need: f64| if need <= SLACK { 0.0 } else { need / have.max(SLACK) };
-        of(self.cpus, need.cpus).max(of(self.gpus, need.gpus)).max(of(self.memory_gb, need.memory_gb))
+    /// What is left of a machine of size `self`, summed over its resources: each counts 1 when all of it is.
+    pub fn left_over(&self, left: &Room) -> f64 {
+        let of = |have: f64, left: f64| if have <= SLACK { 0.0 } else { left / have };
+        of(self.cpus, left.cpus) + of(self.gpus, left.gpus) + of(self.memory_gb, left.memory_gb)
     }
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -234,14 +234,7 @@
     }
 
     /// A worker's report. `entitled`: our copy of the grants is recent enough to act on.
-    pub fn report(
-        &mut self,
-        now: Now,
-        report: Report,
-        config: &Config,
-        view: &View,
-        entitled: bool,
-    ) -> Answer {
+    pub fn report(&mut self, now: Now, report: Report, config: &Config, view: &View, entitled: bool) -> Answer {
         if !view.ready() || !entitled {
             return Answer::Unavailable;
         }
@@ -780,9 +773,7 @@
         let blocked = self.places.attempts().any(|(machine, attempt)| {
             !wanted_alive(view, attempt.task.job)
                 && self.workers.get(machine).is_some_and(|worker| {
-                    worker.reported
-                        && worker.tainted.contains(&attempt)
-                        && !worker.tasks.contains_key(&attempt.task)
+                    worker.reported && worker.tainted.contains(&attempt) && !worker.tasks.contains_key(&attempt.task)
                 })
         });
         match (blocked, self.blocked_since) {
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::domain::{MachineId, TaskId, TypeName, Zone};
+use crate::domain::{Amount, MachineId, TaskId, TypeName, Zone};
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -23,7 +23,7 @@
     #[serde(rename = "seal")]
     pub seal: u64,
     #[serde(rename = "recallS", default)]
-    pub notice_s: Option<f64>,
+    pub notice_s: Option<Amount>,
     #[serde(rename = "entries")]
     pub tasks: Vec<ReportedTask>,
 }
@@ -120,7 +120,6 @@
     pub holder: Option<crate::domain::NodeName>,
 }
 
-
 #[cfg(test)]
 mod tests {
     use ciborium::cbor;
@@ -155,7 +154,8 @@
     #[test]
     fn orders_have_the_form_of_the_protocol() {
         let task = "j-000377/1".parse().expect("valid");
-        let orders = Orders { seal: 41, session: Some(1), orders: vec![Order::Stop { task, number: 1, grace_s: 10.0 }] };
+        let orders =
+            Orders { seal: 41, session: Some(1), orders: vec![Order::Stop { task, number: 1, grace_s: 10.0 }] };
         let value: ciborium::Value = ciborium::from_reader(bytes_of(&orders).as_slice()).expect("readable");
         let expected = cbor!({
             "seal" => 41, "shift" => 1,
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -21,9 +21,16 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Response {
-    State { status: u16, state: JobState },
+    State {
+        status: u16,
+        state: JobState,
+    },
     /// `retry_after`: when to come back.
-    Problem { status: u16, problem: &'static str, retry_after: Option<Duration> },
+    Problem {
+        status: u16,
+        problem: &'static str,
+        retry_after: Option<Duration>,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -173,17 +180,21 @@
     }
 
     /// What became of a commit.
-    pub fn committed<Tag>(&mut self, now: Now, id: RequestId, outcome: &Outcome, cx: &mut Context<'_, Tag>) -> Option<Response> {
+    pub fn committed<Tag>(
+        &mut self,
+        now: Now,
+        id: RequestId,
+        outcome: &Outcome,
+        cx: &mut Context<'_, Tag>,
+    ) -> Option<Response> {
         let pending = self.pending.get_mut(&id)?;
         let response = match (&pending.question, outcome) {
-            (Question::Submit(job), Outcome::Committed { .. }) => Response::State {
-                status: 201,
-                state: JobState { id: *job, status: "queued", done: 0, running: 0 },
-            },
-            (Question::Cancel(job), Outcome::Committed { .. }) => Response::State {
-                status: 200,
-                state: JobState { id: *job, status: "cancelled", done: 0, running: 0 },
-            },
+            (Question::Submit(job), Outcome::Committed { .. }) => {
+                Response::State { status: 201, state: JobState { id: *job, status: "queued", done: 0, running: 0 } }
+            }
+            (Question::Cancel(job), Outcome::Committed { .. }) => {
+                Response::State { status: 200, state: JobState { id: *job, status: "cancelled", done: 0, running: 0 } }
+            }
             (_, Outcome::Conflict) => {
                 // Somebody was first: see what they did.
                 pending.state = State::Refreshing;
--- a/src/intake/wire.rs
+++ b/src/intake/wire.rs
@@ -5,7 +5,7 @@
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
 
-use crate::domain::{Image, Job, JobId, Kind, Priority, Room, Team, TypeName, Zone};
+use crate::domain::{Amount, Image, Job, JobId, Kind, Priority, Room, Team, TypeName, Zone};
 
 #[derive(Debug, Clone, Deserialize)]
 struct Submission {
@@ -15,13 +15,13 @@
     shape: Kind,
     precedence: Priority,
     entries: u64,
-    cpus: f64,
-    cards: f64,
+    cpus: Amount,
+    cards: Amount,
     #[serde(rename = "ramGb")]
-    ram_gb: f64,
+    ram_gb: Amount,
     bundle: String,
     #[serde(rename = "imageGb")]
-    image_gb: f64,
+    image_gb: Amount,
     #[serde(rename = "berthKinds", default)]
     berth_kinds: Option<Vec<String>>,
     #[serde(default)]
@@ -31,13 +31,13 @@
     scatter: bool,
     loaner: bool,
     #[serde(rename = "expectS")]
-    expect_s: f64,
+    expect_s: Amount,
     #[serde(rename = "stampEveryS")]
-    stamp_every_s: f64,
+    stamp_every_s: Amount,
     #[serde(rename = "stampS")]
-    stamp_s: f64,
+    stamp_s: Amount,
     #[serde(rename = "dueS", default)]
-    due_s: Option<f64>,
+    due_s: Option<Amount>,
 }
 
 /// The most tasks that a job may have.
@@ -65,8 +65,9 @@
 }
 
 fn check(s: Submission, now_ms: u64) -> Result<(JobId, Job), Malformed> {
-    let amounts = [s.cpus, s.cards, s.ram_gb, s.image_gb, s.expect_s, s.stamp_every_s, s.stamp_s, s.due_s.unwrap_or(0.0)];
-    if !amounts.iter().all(|amount| amount.is_finite() && *amount >= 0.0) {
+    let due = s.due_s.unwrap_or_default();
+    let amounts = [s.cpus, s.cards, s.ram_gb, s.image_gb, s.expect_s, s.stamp_every_s, s.stamp_s, due];
+    if !amounts.iter().all(|amount| amount.0.is_finite() && amount.0 >= 0.0) {
         return Err(Malformed("an amount is negative or not a number"));
     }
     if s.entries == 0 || s.entries > MOST_TASKS {
@@ -86,18 +87,18 @@
         kind: s.shape,
         priority: s.precedence,
         tasks: u32::try_from(s.entries).map_err(|_| Malformed("entries must be 1 to 100000"))?,
-        need: Room { cpus: s.cpus, gpus: s.cards, memory_gb: s.ram_gb },
+        need: Room { cpus: s.cpus.0, gpus: s.cards.0, memory_gb: s.ram_gb.0 },
         types: if types.is_empty() { None } else { Some(types.iter().map(|t| TypeName::from(t.as_str())).collect()) },
         zone: s.wing.as_deref().map(Zone::from),
         one_zone: s.same_place,
         spread: s.scatter,
         spot: s.loaner,
         image: Image::from(s.bundle.as_str()),
-        image_gb: s.image_gb,
-        estimate_s: s.expect_s,
-        checkpoint_every_s: s.stamp_every_s,
-        checkpoint_s: s.stamp_s,
-        deadline_s: s.due_s,
+        image_gb: s.image_gb.0,
+        estimate_s: s.expect_s.0,
+        checkpoint_every_s: s.stamp_every_s.0,
+        checkpoint_s: s.stamp_s.0,
+        deadline_s: s.due_s.map(|due| due.0),
         accepted_ms: now_ms,
     };
     Ok((s.id, job))
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -26,8 +26,14 @@
     None,
     Opening,
     /// Open, and the record's transaction is on its way.
-    Attaching { id: u64 },
-    Held { id: u64, renewed: Instant, renewing: bool },
+    Attaching {
+        id: u64,
+    },
+    Held {
+        id: u64,
+        renewed: Instant,
+        renewing: bool,
+    },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,8 +9,11 @@
 
 /// A cluster scheduler: takes users' jobs, rents and returns cloud machines, runs tasks on workers.
 #[derive(Parser)]
-#[command(version, after_help = "Exit codes: 0 success, 1 the service could not run, 2 wrong settings or command line.\n\
-    Logs go to standard error at the level of the variable LOG_LEVEL: error, warn, info (default), debug or trace.")]
+#[command(
+    version,
+    after_help = "Exit codes: 0 success, 1 the service could not run, 2 wrong settings or command line.\n\
+    Logs go to standard error at the level of the variable LOG_LEVEL: error, warn, info (default), debug or trace."
+)]
 struct Cli {
     #[command(subcommand)]
     command: Command,
--- a/src/node.rs
+++ b/src/node.rs
@@ -244,7 +244,9 @@
                 for block in status.blocks {
                     let granted = self.view.grants.get(&block.block);
                     let current = granted.is_some_and(|grant| {
-                        grant.value.holder == status.node && grant.value.boot == status.boot && grant.value.seal == block.seal
+                        grant.value.holder == status.node
+                            && grant.value.boot == status.boot
+                            && grant.value.seal == block.seal
                     });
                     if !current {
                         continue;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -35,13 +35,12 @@
 
 /// Lower is better: no fetch, the kind of machine meant for such work, little left over.
 fn rank(candidate: &Candidate, job: &Job) -> (f64, bool, f64) {
-    let fetch_s =
-        if candidate.images.contains(&job.image) { 0.0 } else { job.image_gb * candidate.fetch_s_per_gb };
+    let fetch_s = if candidate.images.contains(&job.image) { 0.0 } else { job.image_gb * candidate.fetch_s_per_gb };
     let mut left = candidate.free;
     left.take(&job.need);
     // Work that may run on spot machines leaves the ordinary ones to work that may not.
     let misplaced = job.spot && !candidate.tenure.is_spot();
-    (fetch_s, misplaced, candidate.size.share_of(&left))
+    (fetch_s, misplaced, candidate.size.left_over(&left))
 }
 
 #[cfg(test)]
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -41,11 +41,7 @@
     /// A holder that is cut off renews leases for the life of its grant, and a worker keeps its tasks for a
     /// lease longer. Both together must be over when a cancelled task has to be gone.
     pub fn longest_grant(config: &Config) -> Duration {
-        config
-            .cancel_within
-            .saturating_sub(config.lease)
-            .saturating_sub(CANCEL_MARGIN)
-            .max(config.report_every)
+        config.cancel_within.saturating_sub(config.lease).saturating_sub(CANCEL_MARGIN).max(config.report_every)
     }
 }
 
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::blocks;
 use crate::config::Config;
-use crate::domain::{BlockId, Job, MachineId, Now, Tenure, TypeName, Zone, since};
+use crate::domain::{Amount, BlockId, Job, MachineId, Now, Tenure, TypeName, Zone, since};
 use crate::fleet::wire::Report;
 use crate::policy::Policy;
 use crate::store::records::{LEADER, Machine, Order, machine_key, order_key};
@@ -76,7 +76,7 @@
         let sane = |f: &Flavor| {
             [f.cpus, f.gpus, f.memory_gb, f.price, f.spot_price, f.boot_s, f.fetch_gb_per_s]
                 .iter()
-                .all(|value| value.is_finite() && *value >= 0.0)
+                .all(|value| value.0.is_finite() && value.0 >= 0.0)
         };
         for flavor in list.types.into_iter().filter(sane) {
             self.types.insert(flavor.name.clone(), flavor);
@@ -216,7 +216,7 @@
             zone: report.zone.clone(),
             spot: report.spot,
             state: ListedState::Running,
-            age_s: 0.0,
+            age_s: Amount(0.0),
         };
         if !self.buried.contains_key(&listed.id) {
             self.unexpected.entry(listed.id.clone()).or_insert((listed, now.steady));
@@ -239,7 +239,7 @@
         for (id, machine) in &view.machines {
             let age = Duration::from_millis(now.unix_ms().saturating_sub(machine.value.rented_ms));
             let Some(health) = health.get(id) else { continue };
-            let boot_s = flavors.get(&machine.value.type_name).map_or(30.0, |flavor| flavor.boot_s);
+            let boot_s = flavors.get(&machine.value.type_name).map_or(30.0, |flavor| flavor.boot_s.0);
             if health.seen && self.up.insert(id.clone()) && age.as_secs_f64() < boot_s * BOOT_PATIENCE {
                 let sample = age.as_secs_f64();
                 self.boot_mean = Some(self.boot_mean.map_or(sample, |mean| mean + 0.2 * (sample - mean)));
@@ -371,7 +371,7 @@
                 }
             } else if !self.buried.contains_key(&listed.id)
                 && since(now, self.term_since) > config.list_lag * 3
-                && listed.age_s > config.list_lag.as_secs_f64()
+                && listed.age_s.0 > config.list_lag.as_secs_f64()
             {
                 // What an earlier leader deleted is listed a while longer; only what stays is unexpected.
                 self.unexpected.entry(listed.id.clone()).or_insert((listed, now.steady));
@@ -407,7 +407,13 @@
         self.writer.answered(now, outcome);
     }
 
-    fn block_for(&self, config: &Config, flavors: &Flavors, zone: &Zone, load: &mut BTreeMap<BlockId, usize>) -> Option<BlockId> {
+    fn block_for(
+        &self,
+        config: &Config,
+        flavors: &Flavors,
+        zone: &Zone,
+        load: &mut BTreeMap<BlockId, usize>,
+    ) -> Option<BlockId> {
         let (block, _) = blocks::wanted(&flavors.zones(config), config.controllers())
             .into_iter()
             .filter(|(_, of)| of == zone)
@@ -424,7 +430,14 @@
         load
     }
 
-    fn record_rented(&mut self, now: Now, config: &Config, flavors: &Flavors, view: &View, mut txn: Txn) -> Option<Txn> {
+    fn record_rented(
+        &mut self,
+        now: Now,
+        config: &Config,
+        flavors: &Flavors,
+        view: &View,
+        mut txn: Txn,
+    ) -> Option<Txn> {
         // Recorded already, if our copy no longer has the order.
         self.rented.retain(|name, (_, version, _)| view.orders.get(name).is_some_and(|o| o.version == *version));
         let (name, (order, version, machines)) = self.rented.iter().next()?;
@@ -458,7 +471,14 @@
         any.then_some(txn)
     }
 
-    fn record_unexpected(&mut self, now: Now, config: &Config, flavors: &Flavors, view: &View, mut txn: Txn) -> Option<Txn> {
+    fn record_unexpected(
+        &mut self,
+        now: Now,
+        config: &Config,
+        flavors: &Flavors,
+        view: &View,
+        mut txn: Txn,
+    ) -> Option<Txn> {
         self.unexpected.retain(|id, _| !view.machines.contains_key(id));
         // An order under way may explain it.
         let known = |listed: &ListedMachine, at: Instant| {
@@ -486,7 +506,7 @@
                 tenure: Tenure::spot(listed.spot),
                 block,
                 draining: false,
-                rented_ms: now.unix_ms().saturating_sub((listed.age_s.clamp(0.0, 1e9) * 1000.0) as u64),
+                rented_ms: now.unix_ms().saturating_sub((listed.age_s.0.clamp(0.0, 1e9) * 1000.0) as u64),
             };
             any = true;
             txn = txn.when(machine_key(&listed.id), 0).put(machine_key(&listed.id), &record);
@@ -563,7 +583,7 @@
 
     fn eta(&self, flavor: &Flavor, demand: &Demand) -> f64 {
         match demand.mean_run {
-            Some(run) => self.boot_mean.unwrap_or(flavor.boot_s) / run.as_secs_f64().max(1.0),
+            Some(run) => self.boot_mean.unwrap_or(flavor.boot_s.0) / run.as_secs_f64().max(1.0),
             None => 1.0,
         }
     }
--- a/src/provisioning/wire.rs
+++ b/src/provisioning/wire.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Call, CallOutcome};
-use crate::domain::{MachineId, Room, TypeName, Zone};
+use crate::domain::{Amount, MachineId, Room, TypeName, Zone};
 use crate::http::{Reply, Request, read, write};
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -18,32 +18,32 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Flavor {
     pub name: TypeName,
-    pub cpus: f64,
+    pub cpus: Amount,
     #[serde(rename = "cards", default)]
-    pub gpus: f64,
+    pub gpus: Amount,
     #[serde(rename = "ramGb")]
-    pub memory_gb: f64,
+    pub memory_gb: Amount,
     #[serde(rename = "cacheGb", default)]
-    pub cache_gb: f64,
+    pub cache_gb: Amount,
     #[serde(rename = "pullGbPerS")]
-    pub fetch_gb_per_s: f64,
+    pub fetch_gb_per_s: Amount,
     #[serde(rename = "rate")]
-    pub price: f64,
+    pub price: Amount,
     #[serde(rename = "spotPrice")]
-    pub spot_price: f64,
+    pub spot_price: Amount,
     #[serde(rename = "readyS")]
-    pub boot_s: f64,
+    pub boot_s: Amount,
     #[serde(rename = "wings")]
     pub zones: Vec<Zone>,
 }
 
 impl Flavor {
     pub fn room(&self) -> Room {
-        Room { cpus: self.cpus, gpus: self.gpus, memory_gb: self.memory_gb }
+        Room { cpus: self.cpus.0, gpus: self.gpus.0, memory_gb: self.memory_gb.0 }
     }
 
     pub fn fetch_s_per_gb(&self) -> f64 {
-        1.0 / self.fetch_gb_per_s.max(1e-3)
+        1.0 / self.fetch_gb_per_s.0.max(1e-3)
     }
 }
 
@@ -87,7 +87,7 @@
     #[serde(rename = "status")]
     pub state: ListedState,
     #[serde(rename = "heldS", default)]
-    pub age_s: f64,
+    pub age_s: Amount,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -155,10 +155,7 @@
             spot: false,
             count: 2,
         });
-        let reply = |error: &str| Reply {
-            status: 503,
-            body: write(&cbor!({"error" => error}).expect("valid")).into(),
-        };
+        let reply = |error: &str| Reply { status: 503, body: write(&cbor!({"error" => error}).expect("valid")).into() };
         assert_eq!(outcome(&rent, Some(&reply("no capacity"))), CallOutcome::NoCapacity);
         assert_eq!(outcome(&rent, Some(&reply("trouble"))), CallOutcome::Refused);
         assert_eq!(outcome(&rent, None), CallOutcome::Unknown);
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -9,7 +9,9 @@
 use tracing::{debug, info};
 
 use crate::config::Config;
-use crate::domain::{Attempt, BlockId, Final, JobId, Kind, MachineId, Now, Priority, Room, TaskId, Team, Tenure, TypeName, Zone, since};
+use crate::domain::{
+    Attempt, BlockId, Final, JobId, Kind, MachineId, Now, Priority, Room, TaskId, Team, Tenure, TypeName, Zone, since,
+};
 use crate::peer::{BlockStatus, MachineStatus, Wanted, Work};
 use crate::placement::{self, Candidate};
 use crate::provisioning::{Demand, Flavors, Health, Provisioner};
@@ -174,9 +176,7 @@
                 }
                 // Its holder has heard of it, does not hold it any more, and our copy shows all it recorded.
                 let settled = status.is_some_and(|status| {
-                    status.last_work >= release.message
-                        && places >= status.revision
-                        && !status.pending.contains(number)
+                    status.last_work >= release.message && places >= status.revision && !status.pending.contains(number)
                 });
                 !settled
             });
@@ -262,7 +262,14 @@
     }
 
     /// Releases what may run and has room. Returns the demand that provisioning has to meet.
-    pub fn plan(&mut self, now: Now, config: &Config, view: &View, flavors: &Flavors, provisioner: &Provisioner) -> Demand {
+    pub fn plan(
+        &mut self,
+        now: Now,
+        config: &Config,
+        view: &View,
+        flavors: &Flavors,
+        provisioner: &Provisioner,
+    ) -> Demand {
         self.settle(now, view);
         let mut usage: BTreeMap<Team, Room> = BTreeMap::new();
         let mut demand = Demand {
@@ -384,7 +391,7 @@
                     if !job.allows_tenure(tenure) || !can_be_had {
                         continue;
                     }
-                    let price = if tenure.is_spot() { flavor.spot_price } else { flavor.price };
+                    let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
                     let cost = price / f64::from(each);
                     if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
                         best = Some((cost, (flavor.name.clone(), tenure), 1.0 / f64::from(each)));
@@ -511,7 +518,8 @@
         for places in view.places.values().filter(|places| full(places.value.size())) {
             for (job, done) in &places.value.done {
                 let Some(open) = view.open.get(job) else { continue };
-                let chunks: BTreeSet<u32> = done.0.iter().flat_map(|r| (r.start() / CHUNK)..=(r.end() / CHUNK)).collect();
+                let chunks: BTreeSet<u32> =
+                    done.0.iter().flat_map(|r| (r.start() / CHUNK)..=(r.end() / CHUNK)).collect();
                 for chunk in chunks {
                     if txn.changes.len() >= config.state_limits.txn_ops {
                         return txn;
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -61,16 +61,32 @@
 /// What became of a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Outcome {
-    Value { value: ciborium::Value, version: u64 },
-    Missing { revision: u64 },
-    Rows { rows: Vec<(String, ciborium::Value, u64)>, more: bool, revision: u64 },
-    Committed { revision: u64 },
+    Value {
+        value: ciborium::Value,
+        version: u64,
+    },
+    Missing {
+        revision: u64,
+    },
+    Rows {
+        rows: Vec<(String, ciborium::Value, u64)>,
+        more: bool,
+        revision: u64,
+    },
+    Committed {
+        revision: u64,
+    },
     /// A condition failed: nothing was changed.
     Conflict,
-    News { revision: u64, changes: Vec<Change> },
+    News {
+        revision: u64,
+        changes: Vec<Change>,
+    },
     /// The changes asked for are no longer kept: read everything again.
     TooOld,
-    Hold { id: u64 },
+    Hold {
+        id: u64,
+    },
     HoldGone,
     /// Not executed: rate limit or outage.
     Refused,
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -6,8 +6,8 @@
 use tracing::{info, warn};
 
 use super::records::{
-    Change, Grant, JobRecord, Leader, Machine, Member, NOWHERE, Order, Places, Progress, ROOT, Ranges, Record,
-    Records, Seal,
+    Change, Grant, JobRecord, Leader, Machine, Member, NOWHERE, Order, Places, Progress, ROOT, Ranges, Record, Records,
+    Seal,
 };
 use super::{Op, Outcome};
 use crate::domain::{Attempt, BlockId, Final, Job, JobId, MachineId, NodeName, Now, TypeName, since};
--- a/src/store/writer.rs
+++ b/src/store/writer.rs
@@ -10,9 +10,13 @@
     Idle,
     Sent,
     /// Committed; our copy may not show it yet.
-    Settling { revision: u64 },
+    Settling {
+        revision: u64,
+    },
     /// Failed or unknown: our copy must first be newer than this time.
-    Unsure { since: Instant },
+    Unsure {
+        since: Instant,
+    },
 }
 
 /// A refused write is tried again after this long.
