--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -479,14 +479,14 @@
                         continue;
                     }
                     let done = seen.cause == Some(Cause::Done);
-                    if !self.ended.contains_key(&key) {
+                    if let std::collections::btree_map::Entry::Vacant(entry) = self.ended.entry(key) {
                         debug!(%attempt, cause = ?seen.cause, "task ended");
                         match seen.cause {
                             Some(Cause::Done) => worker.errors = 0,
                             Some(Cause::Error) => worker.errors += 1,
                             _ => {}
                         }
-                        self.ended.insert(key, if done { End::Done } else { End::Gone });
+                        entry.insert(if done { End::Done } else { End::Gone });
                     }
                 }
                 None => {
