Measure eta for each pool, and count work that may use spot machines there

Ruled out: caches and fetches (seconds a task). eta is now boot time over (time run + one boot)/(ends + 1) in the pool; what may run on spot counts there if it can be had; ties go to the smaller type.

--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::config::Config;
 use crate::domain::{BlockId, NodeName, Now, Zone, since};
+use crate::leadership::Lead;
 use crate::policy::Policy;
 use crate::store::records::{Grant, LEADER, SEAL, Seal, grant_key};
 use crate::store::{Op, Outcome, Txn, View, Writer};
@@ -60,16 +61,9 @@
     }
 
     /// Grants what is not held, or held by a controller that is gone. One transaction at a time.
-    pub fn poll(
-        &mut self,
-        now: Now,
-        config: &Config,
-        policy: &Policy,
-        zones: &[Zone],
-        term: u64,
-        leader_version: u64,
-        view: &mut View,
-    ) -> Option<Op> {
+    pub fn poll(&mut self, now: Now, lead: &Lead<'_>, view: &mut View) -> Option<Op> {
+        let Lead { config, policy, term, version: leader_version, .. } = *lead;
+        let zones = &lead.flavors.zones(config);
         if self.leading_since.is_none_or(|(known, _)| known != term) {
             self.leading_since = Some((term, now.steady));
             self.heard.clear();
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -10,7 +10,10 @@
 use rand::rngs::SmallRng;
 use tracing::info;
 
+use crate::config::Config;
 use crate::domain::{NodeName, Now, since};
+use crate::policy::Policy;
+use crate::provisioning::Flavors;
 use crate::store::records::{LEADER, Leader, Member, SEAL, Seal, member_key};
 use crate::store::{Op, Outcome, Txn, View};
 
@@ -20,6 +23,17 @@
 const LEADER_LIFE: Duration = Duration::from_secs(5);
 const RETRY: Duration = Duration::from_millis(500);
 
+/// What the leader's slices need to know to act for this term.
+#[derive(Clone, Copy)]
+pub struct Lead<'a> {
+    pub config: &'a Config,
+    pub policy: &'a Policy,
+    pub flavors: &'a Flavors,
+    pub term: u64,
+    /// The leader record's version: the authority of every write.
+    pub version: u64,
+}
+
 /// A hold and the record attached to it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Hold {
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,7 +14,7 @@
 use crate::fleet::wire::{Orders, Report};
 use crate::fleet::{Answer, Command, CommandOutcome, Fleet};
 use crate::intake::{self, Intake, RequestId, Response};
-use crate::leadership::{self, Leadership};
+use crate::leadership::{self, Lead, Leadership};
 use crate::peer::{Message, Status};
 use crate::policy::Policy;
 use crate::provisioning::{self, Call, CallOutcome, Demand, Flavors, Provisioner};
@@ -328,10 +328,10 @@
             });
             self.status_due = true;
         }
-        let zones = self.flavors.zones(&self.config);
+        let lead = Lead { config: &self.config, policy: &self.policy, flavors: &self.flavors, term, version };
         let mut ops = Vec::new();
         if self.flavors.known() {
-            let op = self.granting.poll(now, &self.config, &self.policy, &zones, term, version, &mut self.view);
+            let op = self.granting.poll(now, &lead, &mut self.view);
             ops.extend(op.map(|op| (Urgency::Authority, StoreTag::Granting(term), op)));
         }
         let Some(leading) = &mut self.leading else { return };
@@ -346,21 +346,13 @@
         self.stale_plan = false;
         let health = leading.queues.health(now);
         leading.provisioner.observe(now, &self.policy, &self.flavors, &self.view, &health);
-        leading.demand = leading.queues.plan(now, &self.config, &self.view, &self.flavors, &leading.provisioner);
+        leading.demand = leading.queues.plan(now, &lead, &self.view, &leading.provisioner);
         for (tag, call) in leading.provisioner.calls(now, &self.config, &self.view, &leading.demand) {
             effects.push(Effect::Call { tag, call });
         }
         let op = leading.queues.write(now, &self.config, version, &mut self.view);
         ops.extend(op.map(|op| (Urgency::Work, StoreTag::Queueing(term), op)));
-        let op = leading.provisioner.write(
-            now,
-            &self.config,
-            &self.policy,
-            &self.flavors,
-            version,
-            &mut self.view,
-            &leading.demand,
-        );
+        let op = leading.provisioner.write(now, &lead, &mut self.view, &leading.demand);
         ops.extend(op.map(|op| (Urgency::Work, StoreTag::Provisioning(term), op)));
         let messages = leading.queues.messages(now);
         for (urgency, tag, op) in ops {
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -16,6 +16,7 @@
 use crate::config::Config;
 use crate::domain::{Amount, BlockId, Job, MachineId, Now, Tenure, TypeName, Zone, since};
 use crate::fleet::wire::Report;
+use crate::leadership::Lead;
 use crate::policy::Policy;
 use crate::store::records::{LEADER, Machine, Order, machine_key, order_key};
 use crate::store::{Op, Outcome, Txn, View, Writer};
@@ -105,15 +106,25 @@
     Unknown,
 }
 
+/// Machines that are rented, priced and run out alike: to the rule, a type.
+pub type Pool = (TypeName, Tenure);
+
+/// How long tasks have run in a pool, and how many of them have ended: time over ends is their mean run time,
+/// those that still run included.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Runs {
+    pub time: Duration,
+    pub ended: u32,
+}
+
 /// What the leader's other slices tell about demand.
 #[derive(Debug, Default)]
 pub struct Demand {
-    /// Room taken and asked for, in machines of that type and tenure.
-    pub machines: BTreeMap<(TypeName, Tenure), f64>,
+    /// Room taken and asked for, in machines.
+    pub machines: BTreeMap<Pool, f64>,
     /// Machines that have tasks on them or on their way.
     pub occupied: BTreeSet<MachineId>,
-    /// Mean run time of tasks, once measured.
-    pub mean_run: Option<Duration>,
+    pub runs: BTreeMap<Pool, Runs>,
 }
 
 /// What the holders tell about a machine.
@@ -147,7 +158,7 @@
     list_busy: bool,
     listed: Option<Instant>,
     list_after: Option<MachineId>,
-    boot_mean: Option<f64>,
+    boot_mean: BTreeMap<TypeName, f64>,
     calls: f64,
     calls_filled: Instant,
 }
@@ -187,7 +198,7 @@
             list_busy: false,
             listed: None,
             list_after: None,
-            boot_mean: None,
+            boot_mean: BTreeMap::new(),
             calls: 1.0,
             calls_filled: now.steady,
         }
@@ -242,7 +253,8 @@
             let boot_s = flavors.get(&machine.value.type_name).map_or(30.0, |flavor| flavor.boot_s.0);
             if health.seen && self.up.insert(id.clone()) && age.as_secs_f64() < boot_s * BOOT_PATIENCE {
                 let sample = age.as_secs_f64();
-                self.boot_mean = Some(self.boot_mean.map_or(sample, |mean| mean + 0.2 * (sample - mean)));
+                let mean = self.boot_mean.entry(machine.value.type_name.clone()).or_insert(boot_s);
+                *mean += 0.2 * (sample - *mean);
             }
             let occupied = view.places.get(&machine.value.block).is_some_and(|p| p.value.on.contains_key(id));
             let never_up = age.as_secs_f64() > boot_s * BOOT_PATIENCE + 10.0;
@@ -380,25 +392,17 @@
     }
 
     /// The next write: machines that came or went, or what a round decides.
-    pub fn write(
-        &mut self,
-        now: Now,
-        config: &Config,
-        policy: &Policy,
-        flavors: &Flavors,
-        leader_version: u64,
-        view: &mut View,
-        demand: &Demand,
-    ) -> Option<Op> {
+    pub fn write(&mut self, now: Now, lead: &Lead<'_>, view: &mut View, demand: &Demand) -> Option<Op> {
+        let Lead { config, flavors, .. } = *lead;
         if !self.writer.ready(now, view) || !flavors.known() {
             return None;
         }
-        let txn = Txn::default().when(LEADER, leader_version);
+        let txn = Txn::default().when(LEADER, lead.version);
         let txn = self
             .record_rented(now, config, flavors, view, txn.clone())
             .or_else(|| self.record_deleted(config, view, txn.clone()))
             .or_else(|| self.record_unexpected(now, config, flavors, view, txn.clone()))
-            .or_else(|| self.round(now, config, policy, flavors, view, demand, txn))?;
+            .or_else(|| self.round(now, lead, view, demand, txn))?;
         self.writer.sent();
         Some(Op::Commit(txn))
     }
@@ -515,17 +519,8 @@
     }
 
     /// One round of the rule.
-    #[allow(clippy::too_many_arguments)]
-    fn round(
-        &mut self,
-        now: Now,
-        config: &Config,
-        policy: &Policy,
-        flavors: &Flavors,
-        view: &View,
-        demand: &Demand,
-        mut txn: Txn,
-    ) -> Option<Txn> {
+    fn round(&mut self, now: Now, lead: &Lead<'_>, view: &View, demand: &Demand, mut txn: Txn) -> Option<Txn> {
+        let Lead { config, policy, flavors, .. } = *lead;
         if !view.covers(self.term_since) || self.round.is_some_and(|at| since(now, at) < policy.round) {
             return None;
         }
@@ -535,10 +530,11 @@
             if view.orders.contains_key(&flavor.name) {
                 continue;
             }
-            let eta = self.eta(flavor, demand);
-            let mut best: Option<(i64, Tenure)> = None;
+            let mut best: Option<(i64, Tenure, f64)> = None;
             for tenure in [Tenure::Ordinary, Tenure::Spot] {
-                let n = demand.machines.get(&(flavor.name.clone(), tenure)).copied().unwrap_or(0.0);
+                let pool = (flavor.name.clone(), tenure);
+                let n = demand.machines.get(&pool).copied().unwrap_or(0.0);
+                let eta = self.eta(flavor, demand.runs.get(&pool));
                 let m = view
                     .machines
                     .iter()
@@ -552,7 +548,7 @@
                 let change = rule::change(n, u32::try_from(m).unwrap_or(u32::MAX), eta);
                 if change < 0 {
                     let count = usize::try_from(-change).unwrap_or(0);
-                    for (id, machine) in self.returnable(now, policy, flavor, tenure, view, demand, count) {
+                    for (id, machine) in self.returnable(now, policy, &pool, view, demand, count) {
                         if ops + 2 < config.state_limits.txn_ops {
                             info!(machine = %id, type_name = %flavor.name, ?tenure, n, m, "returning");
                             ops += 1;
@@ -560,11 +556,11 @@
                             txn = txn.when(machine_key(&id), machine.version).put(machine_key(&id), &record);
                         }
                     }
-                } else if change > 0 && best.is_none_or(|(most, _)| change > most) {
-                    best = Some((change, tenure));
+                } else if change > 0 && best.is_none_or(|(most, _, _)| change > most) {
+                    best = Some((change, tenure, eta));
                 }
             }
-            let Some((count, tenure)) = best else { continue };
+            let Some((count, tenure, eta)) = best else { continue };
             let Some(zone) = self.zone_for(now, flavor, tenure, view) else { continue };
             let most = i64::try_from(config.state_limits.txn_ops - 1).unwrap_or(1).min(50);
             self.next_request += 1;
@@ -581,20 +577,20 @@
         (ops > 0).then_some(txn)
     }
 
-    fn eta(&self, flavor: &Flavor, demand: &Demand) -> f64 {
-        match demand.mean_run {
-            Some(run) => self.boot_mean.unwrap_or(flavor.boot_s.0) / run.as_secs_f64().max(1.0),
-            None => 1.0,
-        }
+    /// Boot time over mean run time. Both are measured; the run time starts as if one task had run for one
+    /// boot, which makes eta 1 until there is more to go by.
+    fn eta(&self, flavor: &Flavor, runs: Option<&Runs>) -> f64 {
+        let boot = self.boot_mean.get(&flavor.name).copied().unwrap_or(flavor.boot_s.0).max(0.1);
+        let Runs { time, ended } = runs.copied().unwrap_or_default();
+        let mean_run = (time.as_secs_f64() + boot) / (f64::from(ended) + 1.0);
+        boot / mean_run
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn returnable<'v>(
         &self,
         now: Now,
         policy: &Policy,
-        flavor: &Flavor,
-        tenure: Tenure,
+        pool: &Pool,
         view: &'v View,
         demand: &Demand,
         count: usize,
@@ -604,8 +600,8 @@
             .machines
             .iter()
             .filter(|(id, machine)| {
-                machine.value.type_name == flavor.name
-                    && machine.value.tenure == tenure
+                machine.value.type_name == pool.0
+                    && machine.value.tenure == pool.1
                     && !machine.value.draining
                     && !demand.occupied.contains(*id)
                     && !self.lost.contains(*id)
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -10,11 +10,12 @@
 
 use crate::config::Config;
 use crate::domain::{
-    Attempt, BlockId, Final, JobId, Kind, MachineId, Now, Priority, Room, TaskId, Team, Tenure, TypeName, Zone, since,
+    Attempt, BlockId, Final, Job, JobId, Kind, MachineId, Now, Priority, Room, TaskId, Team, Tenure, Zone, since,
 };
+use crate::leadership::Lead;
 use crate::peer::{BlockStatus, MachineStatus, Wanted, Work};
 use crate::placement::{self, Candidate};
-use crate::provisioning::{Demand, Flavors, Health, Provisioner};
+use crate::provisioning::{Demand, Flavors, Health, Pool, Provisioner, Runs};
 use crate::store::records::{CHUNK, JobRecord, LEADER, Progress, job_key, progress_key};
 use crate::store::view::OpenJob;
 use crate::store::{Op, Outcome, Txn, View, Writer};
@@ -68,10 +69,10 @@
     desks: BTreeMap<BlockId, Desk>,
     writer: Writer,
     /// Where each attempt was when last looked, to notice those that vanish without being done.
-    placed: HashMap<u64, (TaskId, MachineId, Instant)>,
-    started: HashMap<u64, Instant>,
+    placed: HashMap<u64, (TaskId, MachineId)>,
     strikes: HashMap<JobId, Strikes>,
-    run_mean: Option<f64>,
+    runs: BTreeMap<Pool, Runs>,
+    measured: Instant,
     pub waiting: BTreeMap<Team, u64>,
 }
 
@@ -96,9 +97,9 @@
             desks: BTreeMap::new(),
             writer: Writer::Unsure { since: now.steady },
             placed: HashMap::new(),
-            started: HashMap::new(),
             strikes: HashMap::new(),
-            run_mean: None,
+            runs: BTreeMap::new(),
+            measured: now.steady,
             waiting: BTreeMap::new(),
         }
     }
@@ -157,14 +158,9 @@
                 self.desks.insert(block.clone(), desk);
             }
         }
-        let running: BTreeSet<u64> = self.machines(now).flat_map(|machine| machine.running.iter().copied()).collect();
-        for number in running {
-            self.started.entry(number).or_insert(now.steady);
-        }
-        let mut live: HashMap<u64, (TaskId, MachineId, Instant)> = HashMap::new();
+        let mut live: HashMap<u64, (TaskId, MachineId)> = HashMap::new();
         for (_, machine, attempt) in view.live_places() {
-            let at = self.placed.get(&attempt.number).map_or(now.steady, |(_, _, at)| *at);
-            live.insert(attempt.number, (attempt.task, machine.clone(), at));
+            live.insert(attempt.number, (attempt.task, machine.clone()));
         }
         self.note_ends(now, view, &live);
         for (block, desk) in &mut self.desks {
@@ -192,25 +188,29 @@
             }
         }
         self.placed = live;
-        let placed = &self.placed;
-        self.started.retain(|number, _| placed.contains_key(number));
     }
 
     /// Measures run times, and lets jobs wait whose tasks end again and again without being done.
-    fn note_ends(&mut self, now: Now, view: &View, live: &HashMap<u64, (TaskId, MachineId, Instant)>) {
+    fn note_ends(&mut self, now: Now, view: &View, live: &HashMap<u64, (TaskId, MachineId)>) {
         let stopped: BTreeSet<u64> =
             self.desks.values().flat_map(|desk| desk.stops.keys().map(|attempt| attempt.number)).collect();
-        for (number, (task, machine, at)) in &self.placed {
+        let passed = since(now, self.measured);
+        self.measured = now.steady;
+        for (number, (task, machine)) in &self.placed {
+            let pool = view.machines.get(machine).map(|m| (m.value.type_name.clone(), m.value.tenure));
+            let mut unknown = Runs::default();
+            let runs = pool.map_or(&mut unknown, |pool| self.runs.entry(pool).or_default());
+            runs.time += passed;
             if live.contains_key(number) {
                 continue;
             }
             let Some(open) = view.open.get(&task.job).filter(|open| !open.cancelled) else {
+                runs.ended += 1;
                 continue;
             };
             if open.done.contains(task.index) {
                 self.strikes.remove(&task.job);
-                let ran = since(now, self.started.get(number).copied().unwrap_or(*at)).as_secs_f64();
-                self.run_mean = Some(self.run_mean.map_or(ran, |mean| mean + 0.05 * (ran - mean)));
+                runs.ended += 1;
             } else if view.machines.contains_key(machine) && !stopped.contains(number) {
                 let strikes = self.strikes.entry(task.job).or_default();
                 strikes.count += 1;
@@ -262,28 +262,23 @@
     }
 
     /// Releases what may run and has room. Returns the demand that provisioning has to meet.
-    pub fn plan(
-        &mut self,
-        now: Now,
-        config: &Config,
-        view: &View,
-        flavors: &Flavors,
-        provisioner: &Provisioner,
-    ) -> Demand {
+    pub fn plan(&mut self, now: Now, lead: &Lead<'_>, view: &View, provisioner: &Provisioner) -> Demand {
+        let Lead { config, flavors, .. } = *lead;
         self.settle(now, view);
         let mut usage: BTreeMap<Team, Room> = BTreeMap::new();
-        let mut demand = Demand {
-            mean_run: self.run_mean.map(|mean| Duration::from_secs_f64(mean.clamp(0.1, 1e6))),
-            ..Demand::default()
-        };
+        let mut demand = Demand { runs: self.runs.clone(), ..Demand::default() };
         let mut count = |demand: &mut Demand, machine: &MachineId, open: &OpenJob| {
             usage.entry(open.job.team.clone()).or_default().add(&open.job.need);
             if let Some(record) = view.machines.get(machine)
                 && let Some(flavor) = flavors.get(&record.value.type_name)
             {
                 let each = f64::from(flavor.room().count_of(&open.job.need).max(1));
-                let key = (record.value.type_name.clone(), record.value.tenure);
-                *demand.machines.entry(key).or_default() += 1.0 / each;
+                let here = ((record.value.type_name.clone(), record.value.tenure), 1.0 / each);
+                // What could run on spot machines is no reason to have ordinary ones.
+                let misplaced = open.job.spot && !record.value.tenure.is_spot();
+                let (pool, share) =
+                    if misplaced { cheapest(now, flavors, provisioner, &open.job).unwrap_or(here) } else { here };
+                *demand.machines.entry(pool).or_default() += share;
             }
             demand.occupied.insert(machine.clone());
         };
@@ -351,22 +346,20 @@
             *demand.machines.entry((chosen.type_name, chosen.tenure)).or_default() += 1.0 / each;
             demand.occupied.insert(chosen.machine);
         }
-        self.count_waiting(now, config, flavors, provisioner, &queue, &mut usage, &mut demand);
+        Self::count_waiting(now, lead, provisioner, &queue, &mut usage, &mut demand);
         demand
     }
 
     /// Adds the waiting tasks that their team's limit allows, each in the cheapest type that can be had.
-    #[allow(clippy::too_many_arguments)]
     fn count_waiting(
-        &self,
         now: Now,
-        config: &Config,
-        flavors: &Flavors,
+        lead: &Lead<'_>,
         provisioner: &Provisioner,
         queue: &[Waiting<'_>],
         usage: &mut BTreeMap<Team, Room>,
         demand: &mut Demand,
     ) {
+        let Lead { config, flavors, .. } = *lead;
         for waiting in queue {
             let job = &waiting.open.job;
             let mut allowed = 0u64;
@@ -377,29 +370,8 @@
             if allowed == 0 {
                 continue;
             }
-            let mut best: Option<(f64, (TypeName, Tenure), f64)> = None;
-            for flavor in flavors.all().filter(|flavor| job.allows_type(&flavor.name)) {
-                let each = flavor.room().count_of(&job.need);
-                if each == 0 {
-                    continue;
-                }
-                for tenure in [Tenure::Ordinary, Tenure::Spot] {
-                    let can_be_had = flavor
-                        .zones
-                        .iter()
-                        .any(|zone| job.allows_zone(zone) && provisioner.available(now, &flavor.name, zone, tenure));
-                    if !job.allows_tenure(tenure) || !can_be_had {
-                        continue;
-                    }
-                    let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
-                    let cost = price / f64::from(each);
-                    if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
-                        best = Some((cost, (flavor.name.clone(), tenure), 1.0 / f64::from(each)));
-                    }
-                }
-            }
-            if let Some((_, key, share)) = best {
-                *demand.machines.entry(key).or_default() += allowed as f64 * share;
+            if let Some((pool, share)) = cheapest(now, flavors, provisioner, job) {
+                *demand.machines.entry(pool).or_default() += allowed as f64 * share;
             }
         }
     }
@@ -553,14 +525,39 @@
     }
 }
 
+/// Where a task costs least among what can be had, and its share of a machine there. Of equals, the smaller
+/// machines: they follow the demand more closely.
+fn cheapest(now: Now, flavors: &Flavors, provisioner: &Provisioner, job: &Job) -> Option<(Pool, f64)> {
+    let mut best: Option<((f64, f64), (Pool, f64))> = None;
+    for flavor in flavors.all().filter(|flavor| job.allows_type(&flavor.name)) {
+        let each = flavor.room().count_of(&job.need);
+        if each == 0 {
+            continue;
+        }
+        for tenure in [Tenure::Ordinary, Tenure::Spot].into_iter().filter(|tenure| job.allows_tenure(*tenure)) {
+            let can_be_had = flavor
+                .zones
+                .iter()
+                .any(|zone| job.allows_zone(zone) && provisioner.available(now, &flavor.name, zone, tenure));
+            let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
+            // To the cent of a cent: equal prices for each task must compare as equal.
+            let cost = ((price / f64::from(each) * 1e4).round(), price);
+            if can_be_had && best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, ((flavor.name.clone(), tenure), 1.0 / f64::from(each))));
+            }
+        }
+    }
+    best.map(|(_, found)| found)
+}
+
 /// Whether one more task of the job may go to a zone, given where its others are.
-fn zone_open(job: &crate::domain::Job, zones: &BTreeMap<Zone, u32>, zone: &Zone) -> bool {
+fn zone_open(job: &Job, zones: &BTreeMap<Zone, u32>, zone: &Zone) -> bool {
     let others_elsewhere = zones.iter().any(|(other, count)| other != zone && *count > 0);
     let here = zones.get(zone).copied().unwrap_or(0);
     !(job.one_zone && others_elsewhere) && here < job.zone_limit()
 }
 
-fn within_limit(config: &Config, job: &crate::domain::Job, usage: &BTreeMap<Team, Room>) -> bool {
+fn within_limit(config: &Config, job: &Job, usage: &BTreeMap<Team, Room>) -> bool {
     let Some(limits) = config.team(&job.team) else { return false };
     let used = usage.get(&job.team).copied().unwrap_or_default();
     let slack = 1e-6;
