--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -518,6 +518,17 @@
         any.then_some(txn)
     }
 
+    /// Machines of each pool, up or on order.
+    pub fn machines(&self, view: &View) -> BTreeMap<Pool, u32> {
+        let mut count = BTreeMap::new();
+        for (id, machine) in &view.machines {
+            if !machine.value.draining && !self.lost.contains(id) {
+                *count.entry((machine.value.type_name.clone(), machine.value.tenure)).or_default() += 1;
+            }
+        }
+        count
+    }
+
     /// One round of the rule.
     fn round(&mut self, now: Now, lead: &Lead<'_>, view: &View, demand: &Demand, mut txn: Txn) -> Option<Txn> {
         let Lead { config, policy, flavors, .. } = *lead;
@@ -525,6 +536,7 @@
             return None;
         }
         self.round = Some(now.steady);
+        let machines = self.machines(view);
         let mut ops = 0;
         for flavor in flavors.all() {
             if view.orders.contains_key(&flavor.name) {
@@ -535,17 +547,8 @@
                 let pool = (flavor.name.clone(), tenure);
                 let n = demand.machines.get(&pool).copied().unwrap_or(0.0);
                 let eta = self.eta(flavor, demand.runs.get(&pool));
-                let m = view
-                    .machines
-                    .iter()
-                    .filter(|(id, machine)| {
-                        machine.value.type_name == flavor.name
-                            && machine.value.tenure == tenure
-                            && !machine.value.draining
-                            && !self.lost.contains(*id)
-                    })
-                    .count();
-                let change = rule::change(n, u32::try_from(m).unwrap_or(u32::MAX), eta);
+                let m = machines.get(&pool).copied().unwrap_or(0);
+                let change = rule::change(n, m, eta);
                 if change < 0 {
                     let count = usize::try_from(-change).unwrap_or(0);
                     for (id, machine) in self.returnable(now, policy, &pool, view, demand, count) {
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -262,12 +262,13 @@
     }
 
     /// Releases what may run and has room. Returns the demand that provisioning has to meet.
-    pub fn plan(&mut self, now: Now, lead: &Lead<'_>, view: &View, provisioner: &Provisioner) -> Demand {
+    pub fn plan<'v>(&mut self, now: Now, lead: &Lead<'_>, view: &'v View, provisioner: &Provisioner) -> Demand {
         let Lead { config, flavors, .. } = *lead;
         self.settle(now, view);
         let mut usage: BTreeMap<Team, Room> = BTreeMap::new();
         let mut demand = Demand { runs: self.runs.clone(), ..Demand::default() };
-        let mut count = |demand: &mut Demand, machine: &MachineId, open: &OpenJob| {
+        let mut elsewhere: Vec<(&OpenJob, (Pool, f64))> = Vec::new();
+        let mut count = |demand: &mut Demand, machine: &MachineId, open: &'v OpenJob| {
             usage.entry(open.job.team.clone()).or_default().add(&open.job.need);
             if let Some(record) = view.machines.get(machine)
                 && let Some(flavor) = flavors.get(&record.value.type_name)
@@ -276,9 +277,11 @@
                 let here = ((record.value.type_name.clone(), record.value.tenure), 1.0 / each);
                 // What could run on spot machines is no reason to have ordinary ones.
                 let misplaced = open.job.spot && !record.value.tenure.is_spot();
-                let (pool, share) =
-                    if misplaced { cheapest(now, flavors, provisioner, &open.job).unwrap_or(here) } else { here };
-                *demand.machines.entry(pool).or_default() += share;
+                if misplaced {
+                    elsewhere.push((open, here));
+                } else {
+                    *demand.machines.entry(here.0).or_default() += here.1;
+                }
             }
             demand.occupied.insert(machine.clone());
         };
@@ -292,6 +295,11 @@
                 count(&mut demand, &release.machine, open);
             }
         }
+        let stock = Stock { now, flavors, provisioner, machines: provisioner.machines(view) };
+        for (open, here) in elsewhere {
+            let (pool, share) = stock.cheapest(&open.job, &demand).unwrap_or(here);
+            *demand.machines.entry(pool).or_default() += share;
+        }
         let mut queue = self.queue(now, view);
         self.waiting.clear();
         for waiting in &queue {
@@ -346,32 +354,27 @@
             *demand.machines.entry((chosen.type_name, chosen.tenure)).or_default() += 1.0 / each;
             demand.occupied.insert(chosen.machine);
         }
-        Self::count_waiting(now, lead, provisioner, &queue, &mut usage, &mut demand);
+        Self::count_waiting(config, &stock, &queue, &mut usage, &mut demand);
         demand
     }
 
     /// Adds the waiting tasks that their team's limit allows, each in the cheapest type that can be had.
     fn count_waiting(
-        now: Now,
-        lead: &Lead<'_>,
-        provisioner: &Provisioner,
+        config: &Config,
+        stock: &Stock<'_>,
         queue: &[Waiting<'_>],
         usage: &mut BTreeMap<Team, Room>,
         demand: &mut Demand,
     ) {
-        let Lead { config, flavors, .. } = *lead;
         for waiting in queue {
             let job = &waiting.open.job;
-            let mut allowed = 0u64;
-            while allowed < waiting.left && within_limit(config, job, usage) {
+            for _ in 0..waiting.left {
+                if !within_limit(config, job, usage) {
+                    break;
+                }
                 usage.entry(job.team.clone()).or_default().add(&job.need);
-                allowed += 1;
-            }
-            if allowed == 0 {
-                continue;
-            }
-            if let Some((pool, share)) = cheapest(now, flavors, provisioner, job) {
-                *demand.machines.entry(pool).or_default() += allowed as f64 * share;
+                let Some((pool, share)) = stock.cheapest(job, demand) else { break };
+                *demand.machines.entry(pool).or_default() += share;
             }
         }
     }
@@ -525,29 +528,46 @@
     }
 }
 
-/// Where a task costs least among what can be had, and its share of a machine there. Of equals, the smaller
-/// machines: they follow the demand more closely.
-fn cheapest(now: Now, flavors: &Flavors, provisioner: &Provisioner, job: &Job) -> Option<(Pool, f64)> {
-    let mut best: Option<((f64, f64), (Pool, f64))> = None;
-    for flavor in flavors.all().filter(|flavor| job.allows_type(&flavor.name)) {
-        let each = flavor.room().count_of(&job.need);
-        if each == 0 {
-            continue;
-        }
-        for tenure in [Tenure::Ordinary, Tenure::Spot].into_iter().filter(|tenure| job.allows_tenure(*tenure)) {
-            let can_be_had = flavor
-                .zones
-                .iter()
-                .any(|zone| job.allows_zone(zone) && provisioner.available(now, &flavor.name, zone, tenure));
-            let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
-            // To the cent of a cent: equal prices for each task must compare as equal.
-            let cost = ((price / f64::from(each) * 1e4).round(), price);
-            if can_be_had && best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, ((flavor.name.clone(), tenure), 1.0 / f64::from(each))));
+/// What machines there are and can be had.
+struct Stock<'a> {
+    now: Now,
+    flavors: &'a Flavors,
+    provisioner: &'a Provisioner,
+    /// Machines of each pool, those on order included.
+    machines: BTreeMap<Pool, u32>,
+}
+
+impl Stock<'_> {
+    /// Where a task costs least among what can be had, and its share of a machine there. Of equals, the smaller
+    /// machines: they follow the demand more closely.
+    ///
+    /// A type that has run out still serves what its machines, up or on order, have room for. Without that, a
+    /// refused order for spare machines moved the whole queue to the next dearer type.
+    fn cheapest(&self, job: &Job, demand: &Demand) -> Option<(Pool, f64)> {
+        let mut best: Option<((f64, f64), (Pool, f64))> = None;
+        for flavor in self.flavors.all().filter(|flavor| job.allows_type(&flavor.name)) {
+            let each = flavor.room().count_of(&job.need);
+            if each == 0 {
+                continue;
+            }
+            let share = 1.0 / f64::from(each);
+            for tenure in [Tenure::Ordinary, Tenure::Spot].into_iter().filter(|tenure| job.allows_tenure(*tenure)) {
+                let pool = (flavor.name.clone(), tenure);
+                let room = f64::from(self.machines.get(&pool).copied().unwrap_or(0))
+                    - demand.machines.get(&pool).copied().unwrap_or(0.0);
+                let available =
+                    |zone| job.allows_zone(zone) && self.provisioner.available(self.now, &flavor.name, zone, tenure);
+                let can_be_had = room + 1e-9 >= share || flavor.zones.iter().any(available);
+                let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
+                // To the cent of a cent: equal prices for each task must compare as equal.
+                let cost = ((price * share * 1e4).round(), price);
+                if can_be_had && best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                    best = Some((cost, (pool, share)));
+                }
             }
         }
+        best.map(|(_, found)| found)
     }
-    best.map(|(_, found)| found)
 }
 
 /// Whether one more task of the job may go to a zone, given where its others are.
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -996,7 +996,7 @@
 
 fn run_for(task: TaskId) -> Duration {
     Duration::from_millis(1500 + (task.job.0 * 31 + u64::from(task.index) * 977) % 9000)
-        + if task.job.0 % 3 == 0 { Duration::from_secs(5) } else { Duration::ZERO }
+        + if task.job.0.is_multiple_of(3) { Duration::from_secs(5) } else { Duration::ZERO }
 }
 
 fn body_of(id: JobId, job: &Job) -> Vec<u8> {
