--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -593,7 +593,7 @@
         }
     }
 
-    fn candidates(&self, now: Now, view: &View, flavors: &Flavors) -> Vec<Candidate> {
+    fn candidates(&self, now: Now, view: &View, flavors: &Flavors, places: &Places) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         for (id, worker) in &self.workers {
             let Some(machine) = view.machines.get(id) else { continue };
@@ -602,7 +602,7 @@
                 continue;
             }
             let mut free = flavor.room();
-            for placed in self.places.on.get(id).into_iter().flatten() {
+            for placed in places.on.get(id).into_iter().flatten() {
                 free.take(&view.open.get(&placed.0.task.job).map_or(Room::default(), |open| open.job.need));
             }
             candidates.push(Candidate {
@@ -658,8 +658,7 @@
         let mut conditions = BTreeMap::new();
         let mut unsure = Vec::new();
         if !self.pending.is_empty() {
-            let mut candidates = self.candidates(now, view, flavors);
-            // Their room was counted with what has ended still in place; it is counted again next time.
+            let mut candidates = self.candidates(now, view, flavors, &draft);
             for wanted in &self.pending {
                 let Some(open) = view.open.get(&wanted.attempt.task.job).filter(|open| !open.cancelled) else {
                     continue;
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -122,6 +122,8 @@
 pub struct Demand {
     /// Room taken and asked for, in machines.
     pub machines: BTreeMap<Pool, f64>,
+    /// The part of it that waits and must be in that zone.
+    pub pinned: BTreeMap<(Pool, Zone), f64>,
     /// Machines that have tasks on them or on their way.
     pub occupied: BTreeSet<MachineId>,
     pub runs: BTreeMap<Pool, Runs>,
@@ -542,7 +544,7 @@
             if view.orders.contains_key(&flavor.name) {
                 continue;
             }
-            let mut best: Option<(i64, Tenure, f64)> = None;
+            let mut best: Option<(i64, Tenure, Option<Zone>)> = None;
             for tenure in [Tenure::Ordinary, Tenure::Spot] {
                 let pool = (flavor.name.clone(), tenure);
                 let n = demand.machines.get(&pool).copied().unwrap_or(0.0);
@@ -559,12 +561,21 @@
                             txn = txn.when(machine_key(&id), machine.version).put(machine_key(&id), &record);
                         }
                     }
-                } else if change > 0 && best.is_none_or(|(most, _, _)| change > most) {
-                    best = Some((change, tenure, eta));
+                }
+                // The rule counts machines of all zones. Tasks that wait for one zone are short there whatever
+                // stands idle elsewhere.
+                let short = self.short_zone(now, &pool, view, demand);
+                let (change, zone) = match short {
+                    Some((zone, short)) => (change.max(short), Some(zone)),
+                    None => (change, None),
+                };
+                if change > 0 && best.as_ref().is_none_or(|(most, _, _)| change > *most) {
+                    debug!(type_name = %flavor.name, ?tenure, n, m, eta, change, "short of machines");
+                    best = Some((change, tenure, zone));
                 }
             }
-            let Some((count, tenure, eta)) = best else { continue };
-            let Some(zone) = self.zone_for(now, flavor, tenure, view) else { continue };
+            let Some((count, tenure, zone)) = best else { continue };
+            let Some(zone) = zone.or_else(|| self.zone_for(now, flavor, tenure, view)) else { continue };
             let most = i64::try_from(config.state_limits.txn_ops - 1).unwrap_or(1).min(50);
             self.next_request += 1;
             let order = Order {
@@ -573,13 +584,29 @@
                 tenure,
                 count: u32::try_from(count.min(most)).unwrap_or(1),
             };
-            info!(request = %order.request, type_name = %flavor.name, zone = %order.zone, ?tenure, count, eta, "order");
+            info!(request = %order.request, type_name = %flavor.name, zone = %order.zone, ?tenure, count, "order");
             ops += 1;
             txn = txn.when(order_key(&flavor.name), 0).put(order_key(&flavor.name), &order);
         }
         (ops > 0).then_some(txn)
     }
 
+    /// A zone in which tasks wait that may not go elsewhere, and the machines that are not yet on order for them.
+    fn short_zone(&self, now: Now, pool: &Pool, view: &View, demand: &Demand) -> Option<(Zone, i64)> {
+        let coming = |zone: &Zone| {
+            let here = |m: &Machine| (&m.type_name, m.tenure, &m.zone) == (&pool.0, pool.1, zone) && !m.draining;
+            let booting = |id: &MachineId| !self.up.contains(id) && !self.lost.contains(id);
+            view.machines.iter().filter(|(id, machine)| here(&machine.value) && booting(id)).count() as i64
+        };
+        demand
+            .pinned
+            .iter()
+            .filter(|((of, zone), _)| of == pool && self.available(now, &pool.0, zone, pool.1))
+            .map(|((_, zone), share)| (zone.clone(), (share - 1e-9).ceil() as i64 - coming(zone)))
+            .filter(|(_, short)| *short > 0)
+            .max_by_key(|(_, short)| *short)
+    }
+
     /// Boot time over mean run time. Both are measured; the run time starts as if one task had run for one
     /// boot, which makes eta 1 until there is more to go by.
     fn eta(&self, flavor: &Flavor, runs: Option<&Runs>) -> f64 {
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -32,6 +32,8 @@
 const FAULTY: u32 = 3;
 /// Done tasks of a block are folded into their job's progress when the block's value is this full.
 const FOLD_AT: f64 = 0.4;
+/// Tasks that may be stopping at a time to make room.
+const STOPS: usize = 40;
 const LONGEST_BACKOFF: Duration = Duration::from_secs(20);
 
 #[derive(Debug, Clone)]
@@ -69,13 +71,16 @@
     desks: BTreeMap<BlockId, Desk>,
     writer: Writer,
     /// Where each attempt was when last looked, to notice those that vanish without being done.
-    placed: HashMap<u64, (TaskId, MachineId)>,
+    placed: HashMap<u64, (TaskId, MachineId, Instant)>,
     strikes: HashMap<JobId, Strikes>,
     runs: BTreeMap<Pool, Runs>,
     measured: Instant,
     pub waiting: BTreeMap<Team, u64>,
 }
 
+/// A way to make room: the work it loses, the machine, and the tasks to be stopped there.
+type Way<'c> = (f64, &'c Candidate, Vec<(Attempt, BlockId)>);
+
 /// What a task may have and what it takes, in the order in which it is served.
 struct Waiting<'v> {
     id: JobId,
@@ -158,9 +163,10 @@
                 self.desks.insert(block.clone(), desk);
             }
         }
-        let mut live: HashMap<u64, (TaskId, MachineId)> = HashMap::new();
+        let mut live: HashMap<u64, (TaskId, MachineId, Instant)> = HashMap::new();
         for (_, machine, attempt) in view.live_places() {
-            live.insert(attempt.number, (attempt.task, machine.clone()));
+            let at = self.placed.get(&attempt.number).map_or(now.steady, |(_, _, at)| *at);
+            live.insert(attempt.number, (attempt.task, machine.clone(), at));
         }
         self.note_ends(now, view, &live);
         for (block, desk) in &mut self.desks {
@@ -191,12 +197,12 @@
     }
 
     /// Measures run times, and lets jobs wait whose tasks end again and again without being done.
-    fn note_ends(&mut self, now: Now, view: &View, live: &HashMap<u64, (TaskId, MachineId)>) {
+    fn note_ends(&mut self, now: Now, view: &View, live: &HashMap<u64, (TaskId, MachineId, Instant)>) {
         let stopped: BTreeSet<u64> =
             self.desks.values().flat_map(|desk| desk.stops.keys().map(|attempt| attempt.number)).collect();
         let passed = since(now, self.measured);
         self.measured = now.steady;
-        for (number, (task, machine)) in &self.placed {
+        for (number, (task, machine, _)) in &self.placed {
             let pool = view.machines.get(machine).map(|m| (m.value.type_name.clone(), m.value.tenure));
             let mut unknown = Runs::default();
             let runs = pool.map_or(&mut unknown, |pool| self.runs.entry(pool).or_default());
@@ -297,7 +303,7 @@
         }
         let stock = Stock { now, flavors, provisioner, machines: provisioner.machines(view) };
         for (open, here) in elsewhere {
-            let (pool, share) = stock.cheapest(&open.job, &demand).unwrap_or(here);
+            let (pool, share) = stock.cheapest(&open.job, &demand, None).unwrap_or(here);
             *demand.machines.entry(pool).or_default() += share;
         }
         let mut queue = self.queue(now, view);
@@ -306,6 +312,13 @@
             *self.waiting.entry(waiting.open.job.team.clone()).or_default() += waiting.left;
         }
         let mut candidates = self.candidates(now, view, flavors, provisioner);
+        // What each team will have once the tasks that are being stopped are gone.
+        let mut kept = usage.clone();
+        for attempt in self.desks.values().flat_map(|desk| desk.stops.keys()) {
+            if let Some(open) = view.open.get(&attempt.task.job) {
+                kept.entry(open.job.team.clone()).or_default().take(&open.job.need);
+            }
+        }
         // Releases only where all that is placed is known: every block under a grant of this term.
         let complete = !view.grants.is_empty() && view.grants.values().all(|grant| grant.value.term == self.term);
         let mut released = 0;
@@ -316,7 +329,10 @@
             let zones = &waiting.zones;
             let job = &waiting.open.job;
             let open_zone = |zone: &Zone| zone_open(job, zones, zone);
-            let chosen = if fits { placement::choose(candidates.iter(), job, open_zone).cloned() } else { None };
+            let mut chosen = if fits { placement::choose(candidates.iter(), job, open_zone).cloned() } else { None };
+            if fits && chosen.is_none() {
+                chosen = self.make_room(now, config, view, &candidates, &mut kept, job, &open_zone);
+            }
             let (Some(chosen), Some(index)) = (chosen, waiting.taken.first_gap(job.tasks)) else {
                 waiting.blocked = true;
                 continue;
@@ -350,6 +366,7 @@
             waiting.left -= 1;
             let open = waiting.open;
             usage.entry(open.job.team.clone()).or_default().add(&open.job.need);
+            kept.entry(open.job.team.clone()).or_default().add(&open.job.need);
             let each = f64::from(chosen.size.count_of(&open.job.need).max(1));
             *demand.machines.entry((chosen.type_name, chosen.tenure)).or_default() += 1.0 / each;
             demand.occupied.insert(chosen.machine);
@@ -368,23 +385,106 @@
     ) {
         for waiting in queue {
             let job = &waiting.open.job;
+            let pinned = stock.pinned(waiting);
             for _ in 0..waiting.left {
                 if !within_limit(config, job, usage) {
                     break;
                 }
                 usage.entry(job.team.clone()).or_default().add(&job.need);
-                let Some((pool, share)) = stock.cheapest(job, demand) else { break };
+                let Some((pool, share)) = stock.cheapest(job, demand, pinned.as_ref()) else { break };
+                if let Some(zone) = &pinned {
+                    *demand.pinned.entry((pool.clone(), zone.clone())).or_default() += share;
+                }
                 *demand.machines.entry(pool).or_default() += share;
             }
         }
     }
 
+    /// Stops tasks so that one of `job` fits. PROTOCOL allows it for those of lower priority, and for those that
+    /// another team runs beyond its guarantee if this team is within its own; of the latter, those of higher
+    /// priority are left alone. The cheapest way is taken: the
+    /// least work lost.
+    #[allow(clippy::too_many_arguments)]
+    fn make_room<'c>(
+        &mut self,
+        now: Now,
+        config: &Config,
+        view: &View,
+        candidates: &'c [Candidate],
+        kept: &mut BTreeMap<Team, Room>,
+        job: &Job,
+        zone_open: &impl Fn(&Zone) -> bool,
+    ) -> Option<Candidate> {
+        if self.desks.values().map(|desk| desk.stops.len()).sum::<usize>() >= STOPS {
+            return None;
+        }
+        let owed = within_guarantee(config, job, kept);
+        let mut victims: HashMap<&MachineId, Vec<(f64, Attempt, &BlockId, &Job)>> = HashMap::new();
+        for (block, machine, attempt) in view.live_places() {
+            let Some(open) = view.open.get(&attempt.task.job).filter(|open| !open.cancelled) else { continue };
+            let other = &open.job;
+            let beyond = beyond_guarantee(config, other, kept);
+            let stopping = self.desks.get(block).is_none_or(|desk| desk.stops.contains_key(&attempt));
+            // A team beyond its guarantee takes nothing from one that is within: what it took would be owed
+            // back at once, and the two would stop each other's tasks in turn.
+            let lower = other.priority > job.priority;
+            let equal = other.priority == job.priority && other.team != job.team;
+            let allowed = if owed { lower || (beyond && equal) } else { lower && beyond };
+            // A replica that is stopped is down, which no start is worth.
+            if stopping || !allowed || other.kind == Kind::Service {
+                continue;
+            }
+            let ran = self.placed.get(&attempt.number).map_or(Duration::ZERO, |(_, _, at)| since(now, *at));
+            let lost = ran.as_secs_f64() * other.need.cpus.max(0.1);
+            victims.entry(machine).or_default().push((lost, attempt, block, other));
+        }
+        let mut best: Option<Way<'c>> = None;
+        for candidate in candidates.iter().filter(|c| c.allows(job) && zone_open(&c.zone)) {
+            let Some(there) = victims.get_mut(&candidate.machine) else { continue };
+            there.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut free = candidate.free;
+            let mut cost = if candidate.images.contains(&job.image) {
+                0.0
+            } else {
+                job.image_gb * candidate.fetch_s_per_gb * job.need.cpus
+            };
+            let mut chosen = Vec::new();
+            for (lost, attempt, block, other) in there.iter() {
+                if free.fits(&job.need) {
+                    break;
+                }
+                free.add(&other.need);
+                cost += lost;
+                chosen.push((*attempt, (*block).clone()));
+            }
+            if free.fits(&job.need) && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+                best = Some((cost, candidate, chosen));
+            }
+        }
+        let (lost, candidate, chosen) = best?;
+        for (attempt, block) in chosen {
+            info!(%attempt, machine = %candidate.machine, class = %job.class, lost, "preempted");
+            if let Some(open) = view.open.get(&attempt.task.job) {
+                kept.entry(open.job.team.clone()).or_default().take(&open.job.need);
+            }
+            if let Some(desk) = self.desks.get_mut(&block) {
+                desk.stops.insert(attempt, now.steady);
+                desk.dirty = true;
+            }
+        }
+        Some(candidate.clone())
+    }
+
     fn queue<'v>(&self, now: Now, view: &'v View) -> Vec<Waiting<'v>> {
         let mut released: HashMap<JobId, Vec<(u32, Zone)>> = HashMap::new();
-        for release in self.desks.values().flat_map(|desk| desk.releases.values()) {
-            let Some(machine) = view.machines.get(&release.machine) else { continue };
-            let task = release.attempt.task;
-            released.entry(task.job).or_default().push((task.index, machine.value.zone.clone()));
+        for (block, desk) in &self.desks {
+            // A block is of one zone, so this holds even when the machine meant is gone: its holder may choose
+            // another one.
+            let Some(zone) = view.grants.get(block).map(|grant| &grant.value.zone) else { continue };
+            for release in desk.releases.values() {
+                let task = release.attempt.task;
+                released.entry(task.job).or_default().push((task.index, zone.clone()));
+            }
         }
         let mut queue = Vec::new();
         for (id, open) in &view.open {
@@ -538,12 +638,31 @@
 }
 
 impl Stock<'_> {
+    /// The zone that a job's next task has to go to, if not all zones will do: the one where most is up already
+    /// or on order.
+    fn pinned(&self, waiting: &Waiting<'_>) -> Option<Zone> {
+        let job = &waiting.open.job;
+        let zones: BTreeSet<&Zone> = self.flavors.all().flat_map(|flavor| &flavor.zones).collect();
+        let open = |zone: &&Zone| job.allows_zone(zone) && zone_open(job, &waiting.zones, zone);
+        let allowed: Vec<&Zone> = zones.iter().copied().filter(open).collect();
+        if allowed.len() == zones.len() {
+            return None;
+        }
+        let obtainable = |zone: &&Zone| {
+            self.flavors.all().filter(|flavor| job.allows_type(&flavor.name)).any(|flavor| {
+                let tenures = [Tenure::Ordinary, Tenure::Spot].into_iter().filter(|t| job.allows_tenure(*t));
+                tenures.into_iter().any(|t| self.provisioner.available(self.now, &flavor.name, zone, t))
+            })
+        };
+        allowed.into_iter().max_by_key(|zone| obtainable(zone)).cloned()
+    }
+
     /// Where a task costs least among what can be had, and its share of a machine there. Of equals, the smaller
     /// machines: they follow the demand more closely.
     ///
     /// A type that has run out still serves what its machines, up or on order, have room for. Without that, a
     /// refused order for spare machines moved the whole queue to the next dearer type.
-    fn cheapest(&self, job: &Job, demand: &Demand) -> Option<(Pool, f64)> {
+    fn cheapest(&self, job: &Job, demand: &Demand, pinned: Option<&Zone>) -> Option<(Pool, f64)> {
         let mut best: Option<((f64, f64), (Pool, f64))> = None;
         for flavor in self.flavors.all().filter(|flavor| job.allows_type(&flavor.name)) {
             let each = flavor.room().count_of(&job.need);
@@ -555,9 +674,12 @@
                 let pool = (flavor.name.clone(), tenure);
                 let room = f64::from(self.machines.get(&pool).copied().unwrap_or(0))
                     - demand.machines.get(&pool).copied().unwrap_or(0.0);
-                let available =
-                    |zone| job.allows_zone(zone) && self.provisioner.available(self.now, &flavor.name, zone, tenure);
-                let can_be_had = room + 1e-9 >= share || flavor.zones.iter().any(available);
+                let available = |zone: &Zone| {
+                    pinned.map_or(job.allows_zone(zone), |only| only == zone)
+                        && self.provisioner.available(self.now, &flavor.name, zone, tenure)
+                };
+                let has_room = pinned.is_none() && room + 1e-9 >= share;
+                let can_be_had = has_room || flavor.zones.iter().any(available);
                 let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
                 // To the cent of a cent: equal prices for each task must compare as equal.
                 let cost = ((price * share * 1e4).round(), price);
@@ -577,6 +699,20 @@
     !(job.one_zone && others_elsewhere) && here < job.zone_limit()
 }
 
+/// Whether one more task of the job stays within its team's guarantee.
+fn within_guarantee(config: &Config, job: &Job, usage: &BTreeMap<Team, Room>) -> bool {
+    let Some(limits) = config.team(&job.team) else { return false };
+    let used = usage.get(&job.team).copied().unwrap_or_default();
+    used.cpus + job.need.cpus <= limits.cpus + 1e-6 && used.gpus + job.need.gpus <= limits.gpus + 1e-6
+}
+
+/// Whether a task's team uses more than its guarantee, and would still use it all without the task.
+fn beyond_guarantee(config: &Config, job: &Job, usage: &BTreeMap<Team, Room>) -> bool {
+    let Some(limits) = config.team(&job.team) else { return true };
+    let used = usage.get(&job.team).copied().unwrap_or_default();
+    used.cpus - job.need.cpus >= limits.cpus - 1e-6 && used.gpus - job.need.gpus >= limits.gpus - 1e-6
+}
+
 fn within_limit(config: &Config, job: &Job, usage: &BTreeMap<Team, Room>) -> bool {
     let Some(limits) = config.team(&job.team) else { return false };
     let used = usage.get(&job.team).copied().unwrap_or_default();
@@ -592,7 +728,7 @@
         let job = &waiting.open.job;
         let Some(limits) = config.team(&job.team) else { continue };
         let used = usage.get(&job.team).copied().unwrap_or_default();
-        let beyond = used.cpus + job.need.cpus > limits.cpus + 1e-6 || used.gpus + job.need.gpus > limits.gpus + 1e-6;
+        let beyond = !within_guarantee(config, job, usage);
         let share = used.cpus / limits.cpus.max(1.0) + used.gpus / limits.gpus.max(1.0);
         let replica = job.kind == Kind::Service && job.priority == Priority::Production;
         let rank = (!replica, beyond, job.priority, share);
