Ask overdue workers for a sign of life; keep idle machines for 0.7 boot times

Cause: dead and hanging machines were given up only 12 s after their last report, and machines were returned seconds before the next burst ordered them again.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 use crate::domain::{Attempt, BlockId, Image, JobId, MachineId, Now, Room, TaskId, since};
 use crate::peer::{BlockStatus, MachineStatus, Wanted, Work};
 use crate::placement::{self, Candidate};
+use crate::policy::Policy;
 use crate::provisioning::Flavors;
 use crate::store::records::{Places, Ranges, grant_key, machine_key, places_key};
 use crate::store::{Op, Outcome, Txn, View, Writer};
@@ -24,6 +25,9 @@
 const RELAUNCH: Duration = Duration::from_millis(1500);
 /// A worker that has not reported for this long gets no new tasks.
 const QUIET: Duration = Duration::from_secs(9);
+/// A report is overdue after this many times its interval.
+const OVERDUE: f64 = 1.5;
+const PROBE_AGAIN: Duration = Duration::from_secs(4);
 /// A command of unknown outcome that stands in the way this long is fenced by a new seal.
 const RENEW_AFTER: Duration = Duration::from_secs(3);
 /// Machines one transaction places on: each is one of its conditions.
@@ -67,6 +71,8 @@
     busy: bool,
     /// Something to tell the worker that should not wait for its next report.
     due: bool,
+    /// Asked for a sign of life since its last report: when, and whether it failed to give one.
+    probed: Option<(Instant, bool)>,
     errors: u32,
     images: BTreeSet<Image>,
 }
@@ -86,11 +92,26 @@
             tainted: HashSet::new(),
             busy: false,
             due: false,
+            probed: None,
             errors: 0,
             images: BTreeSet::new(),
         }
     }
 
+    /// Whether it should be asked for a sign of life: its report is overdue.
+    fn probe_due(&self, now: Now, quiet: Duration) -> bool {
+        self.reported
+            && since(now, self.heard) > quiet
+            && self.probed.is_none_or(|(at, _)| since(now, at) > PROBE_AGAIN)
+    }
+
+    /// Whether it gives no sign of life: reports are missing and a question went unanswered.
+    fn silent(&self, now: Now, policy: &Policy) -> bool {
+        let unanswered = self.probed.is_some_and(|(_, failed)| failed);
+        let patience = if unanswered { policy.silent_after } else { policy.unheard_after };
+        since(now, self.heard) >= patience
+    }
+
     /// Whether a launch of this attempt may still be on its way.
     fn may_start_late(&self, attempt: &Attempt) -> bool {
         self.tainted.contains(attempt) || matches!(self.launches.get(attempt), Some(Launch::Sent { .. }))
@@ -328,13 +349,14 @@
     }
 
     /// Commands that should not wait for the next report.
-    pub fn commands(&mut self, now: Now, view: &View) -> Vec<Command> {
+    pub fn commands(&mut self, now: Now, config: &Config, view: &View) -> Vec<Command> {
+        let quiet = config.report_every.mul_f64(OVERDUE);
         let mut commands = Vec::new();
         for block in self.blocks.values_mut() {
             let due: Vec<MachineId> = block
                 .workers
                 .iter()
-                .filter(|(_, w)| w.due && !w.busy && w.addr.is_some() && w.session > 0)
+                .filter(|(_, w)| (w.due || w.probe_due(now, quiet)) && !w.busy && w.addr.is_some() && w.session > 0)
                 .map(|(id, _)| id.clone())
                 .collect();
             for machine in due {
@@ -344,9 +366,13 @@
                 let seal = block.seal;
                 let Some(worker) = block.workers.get_mut(&machine) else { continue };
                 worker.due = false;
-                if body.orders.is_empty() && worker.seal >= seal {
+                let probe = worker.probe_due(now, quiet);
+                if body.orders.is_empty() && worker.seal >= seal && !probe {
                     continue;
                 }
+                if probe {
+                    worker.probed = Some((now.steady, false));
+                }
                 worker.busy = true;
                 let addr = worker.addr.clone().unwrap_or_default();
                 commands.push(Command { block: id, machine, addr, body });
@@ -373,8 +399,8 @@
         }
     }
 
-    pub fn status(&self, now: Now) -> Vec<BlockStatus> {
-        self.blocks.values().map(|block| block.status(now)).collect()
+    pub fn status(&self, now: Now, policy: &Policy) -> Vec<BlockStatus> {
+        self.blocks.values().map(|block| block.status(now, policy)).collect()
     }
 }
 
@@ -436,6 +462,7 @@
         worker.session = report.session;
         worker.seq = report.seq;
         worker.heard = now.steady;
+        worker.probed = None;
         worker.reported = true;
         worker.notice = report.notice_s.is_some();
         worker.addr = Some(report.addr);
@@ -589,7 +616,11 @@
                     self.take_report(now, report, view);
                 }
             }
-            CommandOutcome::Unknown => {}
+            CommandOutcome::Unknown => {
+                if let Some((_, failed)) = &mut worker.probed {
+                    *failed = true;
+                }
+            }
         }
     }
 
@@ -737,12 +768,12 @@
         }
     }
 
-    fn status(&self, now: Now) -> BlockStatus {
+    fn status(&self, now: Now, policy: &Policy) -> BlockStatus {
         let machines = self.workers.iter().map(|(id, worker)| MachineStatus {
             machine: id.clone(),
             usable: self.usable(now, worker),
             seen: worker.reported,
-            silent_ms: u64::try_from(since(now, worker.heard).as_millis()).unwrap_or(u64::MAX),
+            silent: worker.silent(now, policy),
             notice: worker.notice,
             errors: worker.errors,
             images: worker.images.iter().cloned().collect(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -298,7 +298,7 @@
             let grant_version = self.fleet.grant_version(&block);
             self.ask(Urgency::Work, StoreTag::Block { block, grant_version }, op);
         }
-        for command in self.fleet.commands(now, &self.view) {
+        for command in self.fleet.commands(now, &self.config, &self.view) {
             effects.push(Effect::Command(command));
         }
         self.tell_leader(now, effects);
@@ -345,7 +345,7 @@
         leading.planned = Some(now.steady);
         self.stale_plan = false;
         let health = leading.queues.health(now);
-        leading.provisioner.observe(now, &self.policy, &self.flavors, &self.view, &health);
+        leading.provisioner.observe(now, &self.flavors, &self.view, &health);
         leading.demand = leading.queues.plan(now, &lead, &self.view, &leading.provisioner);
         for (tag, call) in leading.provisioner.calls(now, &self.config, &self.view, &leading.demand) {
             effects.push(Effect::Call { tag, call });
@@ -378,7 +378,8 @@
         let Some(leader) = self.view.leader.as_ref().map(|leader| leader.value.node.clone()) else { return };
         self.told = Some(now.steady);
         self.status_due = false;
-        let status = Status { node: self.config.name.clone(), boot: self.boot, blocks: self.fleet.status(now) };
+        let status =
+            Status { node: self.config.name.clone(), boot: self.boot, blocks: self.fleet.status(now, &self.policy) };
         if leader == self.config.name {
             self.peer(now, Message::Status(status));
         } else {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -43,7 +43,8 @@
     pub usable: bool,
     /// Has reported to this holder at all.
     pub seen: bool,
-    pub silent_ms: u64,
+    /// Gives no sign of life.
+    pub silent: bool,
     pub notice: bool,
     /// Tasks that failed here one after the other, as far as this holder knows.
     pub errors: u32,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,8 +13,12 @@
     pub grant_life: Duration,
     /// How long a controller may be silent before its blocks are granted to others.
     pub suspect_after: Duration,
-    /// How long a worker may be silent before its machine is given up.
+    /// How long a worker may be silent before its machine is given up, if a question went unanswered too.
     pub silent_after: Duration,
+    /// The same for a worker that can't be asked.
+    pub unheard_after: Duration,
+    /// A machine is returned only after it has been idle for this many times its boot time.
+    pub idle_boots: f64,
     /// A rented machine is kept at least this long, since a deleted machine costs a minute anyway.
     pub least_rental: Duration,
     /// How long a stock-out is believed.
@@ -32,7 +36,9 @@
             round: Duration::from_millis(1500),
             grant_life: Self::longest_grant(config).min(GRANT_LIFE),
             suspect_after: Duration::from_secs(4),
-            silent_after: Duration::from_secs(12),
+            silent_after: config.report_every.mul_f64(2.5),
+            unheard_after: config.report_every * 4,
+            idle_boots: 0.7,
             least_rental: Duration::from_secs(60),
             stockout_memory: Duration::from_secs(15),
         }
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -133,7 +133,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Health {
     pub seen: bool,
-    pub silent: Duration,
+    pub silent: bool,
     pub faulty: bool,
 }
 
@@ -155,6 +155,8 @@
     /// Deleted machines, for the list shows them a while longer.
     buried: HashMap<MachineId, Instant>,
     lost: BTreeSet<MachineId>,
+    /// Since when machines have had no tasks.
+    idle: BTreeMap<MachineId, Instant>,
     up: BTreeSet<MachineId>,
     unexpected: BTreeMap<MachineId, (ListedMachine, Instant)>,
     list_busy: bool,
@@ -195,6 +197,7 @@
             deleted: BTreeSet::new(),
             buried: HashMap::new(),
             lost: BTreeSet::new(),
+            idle: BTreeMap::new(),
             up: BTreeSet::new(),
             unexpected: BTreeMap::new(),
             list_busy: false,
@@ -237,14 +240,7 @@
     }
 
     /// Takes in how the machines are.
-    pub fn observe(
-        &mut self,
-        now: Now,
-        policy: &Policy,
-        flavors: &Flavors,
-        view: &View,
-        health: &BTreeMap<MachineId, Health>,
-    ) {
+    pub fn observe(&mut self, now: Now, flavors: &Flavors, view: &View, health: &BTreeMap<MachineId, Health>) {
         self.lost.retain(|machine| view.machines.contains_key(machine));
         self.up.retain(|machine| view.machines.contains_key(machine));
         self.deleted.retain(|machine| view.machines.contains_key(machine));
@@ -261,10 +257,9 @@
             let occupied = view.places.get(&machine.value.block).is_some_and(|p| p.value.on.contains_key(id));
             let never_up = age.as_secs_f64() > boot_s * BOOT_PATIENCE + 10.0;
             let known_up = self.up.contains(id) || occupied;
-            let silent = health.silent >= policy.silent_after && (known_up || never_up);
+            let silent = health.silent && (known_up || never_up);
             if (silent || health.faulty) && self.lost.insert(id.clone()) {
-                let silent_s = health.silent.as_secs();
-                warn!(machine = %id, silent_s, faulty = health.faulty, known_up, "machine given up");
+                warn!(machine = %id, silent, faulty = health.faulty, known_up, "machine given up");
             }
         }
     }
@@ -396,6 +391,10 @@
     /// The next write: machines that came or went, or what a round decides.
     pub fn write(&mut self, now: Now, lead: &Lead<'_>, view: &mut View, demand: &Demand) -> Option<Op> {
         let Lead { config, flavors, .. } = *lead;
+        self.idle.retain(|id, _| view.machines.contains_key(id) && !demand.occupied.contains(id));
+        for id in view.machines.keys().filter(|id| !demand.occupied.contains(*id)) {
+            self.idle.entry(id.clone()).or_insert(now.steady);
+        }
         if !self.writer.ready(now, view) || !flavors.known() {
             return None;
         }
@@ -553,7 +552,7 @@
                 let change = rule::change(n, m, eta);
                 if change < 0 {
                     let count = usize::try_from(-change).unwrap_or(0);
-                    for (id, machine) in self.returnable(now, policy, &pool, view, demand, count) {
+                    for (id, machine) in self.returnable(now, lead, &pool, view, demand, count) {
                         if ops + 2 < config.state_limits.txn_ops {
                             info!(machine = %id, type_name = %flavor.name, ?tenure, n, m, "returning");
                             ops += 1;
@@ -619,13 +618,16 @@
     fn returnable<'v>(
         &self,
         now: Now,
-        policy: &Policy,
+        lead: &Lead<'_>,
         pool: &Pool,
         view: &'v View,
         demand: &Demand,
         count: usize,
     ) -> Vec<(MachineId, &'v crate::store::Versioned<Machine>)> {
-        let least_ms = u64::try_from(policy.least_rental.as_millis()).unwrap_or(u64::MAX);
+        let least_ms = u64::try_from(lead.policy.least_rental.as_millis()).unwrap_or(u64::MAX);
+        let boot = lead.flavors.get(&pool.0).map_or(0.0, |flavor| flavor.boot_s.0);
+        let patience = Duration::from_secs_f64(boot * lead.policy.idle_boots);
+        let rested = |id: &MachineId| self.idle.get(id).is_some_and(|at| since(now, *at) >= patience);
         let mut idle: Vec<_> = view
             .machines
             .iter()
@@ -634,6 +636,7 @@
                     && machine.value.tenure == pool.1
                     && !machine.value.draining
                     && !demand.occupied.contains(*id)
+                    && rested(id)
                     && !self.lost.contains(*id)
                     && now.unix_ms().saturating_sub(machine.value.rented_ms) >= least_ms
             })
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -128,11 +128,7 @@
     pub fn health(&self, now: Now) -> BTreeMap<MachineId, Health> {
         self.machines(now)
             .map(|machine| {
-                let health = Health {
-                    seen: machine.seen,
-                    silent: Duration::from_millis(machine.silent_ms),
-                    faulty: machine.errors >= FAULTY,
-                };
+                let health = Health { seen: machine.seen, silent: machine.silent, faulty: machine.errors >= FAULTY };
                 (machine.machine.clone(), health)
             })
             .collect()
