--- a/src/node.rs
+++ b/src/node.rs
@@ -1,12 +1,11 @@
 //! One controller: all slices together, as one state machine. Events come in, effects go out; it reads no clock
 //! and does no I/O, so the tests drive whole services of it through simulated time.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tracing::warn;
+use tracing::{info, warn};
 
 use crate::blocks::Granting;
 use crate::config::Config;
@@ -64,6 +63,7 @@
     provisioner: Provisioner,
     demand: Demand,
     planned: Option<Instant>,
+    summary: Option<Instant>,
 }
 
 pub struct Node {
@@ -89,6 +89,7 @@
 /// The plan is made anew at most this often.
 const PLAN_SPACING: Duration = Duration::from_millis(40);
 const PLAN_AT_LEAST: Duration = Duration::from_millis(500);
+const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 const STATUS_EVERY: Duration = Duration::from_millis(1000);
 const STATUS_SPACING: Duration = Duration::from_millis(60);
 
@@ -325,6 +326,7 @@
                 provisioner: Provisioner::new(now, term),
                 demand: Demand::default(),
                 planned: None,
+                summary: None,
             });
             self.status_due = true;
         }
@@ -343,6 +345,12 @@
             return;
         }
         leading.planned = Some(now.steady);
+        if leading.summary.is_none_or(|at| since(now, at) >= SUMMARY_EVERY) {
+            leading.summary = Some(now.steady);
+            leading.provisioner.summary(&self.view, &leading.demand);
+            let waiting: u64 = leading.queues.waiting.values().sum();
+            info!(open = self.view.open.len(), ended = self.view.ended.len(), waiting, "jobs");
+        }
         self.stale_plan = false;
         let health = leading.queues.health(now);
         leading.provisioner.observe(now, &self.flavors, &self.view, &health);
@@ -386,10 +394,4 @@
             effects.push(Effect::Peer { to: leader, message: Message::Status(status) });
         }
     }
-
-    /// Open work by team, for logs.
-    pub fn waiting(&self) -> BTreeMap<String, u64> {
-        let Some(leading) = &self.leading else { return BTreeMap::new() };
-        leading.queues.waiting.iter().map(|(team, count)| (team.to_string(), *count)).collect()
-    }
 }
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -519,6 +519,19 @@
         any.then_some(txn)
     }
 
+    /// A line for each pool: what operators watch.
+    pub fn summary(&self, view: &View, demand: &Demand) {
+        for (pool, machines) in self.machines(view) {
+            let of_pool = |id: &MachineId| {
+                view.machines.get(id).is_some_and(|m| (&m.value.type_name, m.value.tenure) == (&pool.0, pool.1))
+            };
+            let up = self.up.iter().filter(|id| of_pool(id)).count();
+            let idle = self.idle.keys().filter(|id| of_pool(id) && self.up.contains(*id)).count();
+            let demand = demand.machines.get(&pool).copied().unwrap_or(0.0);
+            info!(type_name = %pool.0, tenure = ?pool.1, machines, up, idle, demand, "pool");
+        }
+    }
+
     /// Machines of each pool, up or on order.
     pub fn machines(&self, view: &View) -> BTreeMap<Pool, u32> {
         let mut count = BTreeMap::new();
