--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -20,7 +20,7 @@
 /// Long enough that a slow process is not taken for dead, short enough that a dead one is noticed.
 const MEMBER_LIFE: Duration = Duration::from_secs(10);
 /// How long the service can be without a leader after one has died.
-const LEADER_LIFE: Duration = Duration::from_secs(5);
+const LEADER_LIFE: Duration = Duration::from_millis(3500);
 const RETRY: Duration = Duration::from_millis(500);
 
 /// What the leader's slices need to know to act for this term.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -35,7 +35,7 @@
         Policy {
             round: Duration::from_millis(1500),
             grant_life: Self::longest_grant(config).min(GRANT_LIFE),
-            suspect_after: Duration::from_secs(4),
+            suspect_after: Duration::from_millis(2500),
             silent_after: config.report_every.mul_f64(2.5),
             unheard_after: config.report_every * 4,
             idle_boots: 0.7,
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -556,7 +556,7 @@
             if view.orders.contains_key(&flavor.name) {
                 continue;
             }
-            let mut best: Option<(i64, Tenure, Option<Zone>)> = None;
+            let mut best: Option<(i64, Tenure, Option<Zone>, bool)> = None;
             for tenure in [Tenure::Ordinary, Tenure::Spot] {
                 let pool = (flavor.name.clone(), tenure);
                 let n = demand.machines.get(&pool).copied().unwrap_or(0.0);
@@ -581,13 +581,13 @@
                     Some((zone, short)) => (change.max(short), Some(zone)),
                     None => (change, None),
                 };
-                if change > 0 && best.as_ref().is_none_or(|(most, _, _)| change > *most) {
+                if change > 0 && best.as_ref().is_none_or(|(most, _, _, _)| change > *most) {
                     debug!(type_name = %flavor.name, ?tenure, n, m, eta, change, "short of machines");
-                    best = Some((change, tenure, zone));
+                    best = Some((change, tenure, zone, n > f64::from(m)));
                 }
             }
-            let Some((count, tenure, zone)) = best else { continue };
-            let Some(zone) = zone.or_else(|| self.zone_for(now, flavor, tenure, view)) else { continue };
+            let Some((count, tenure, zone, wanted)) = best else { continue };
+            let Some(zone) = zone.or_else(|| self.zone_for(now, flavor, tenure, wanted, view)) else { continue };
             let most = i64::try_from(config.state_limits.txn_ops - 1).unwrap_or(1).min(50);
             self.next_request += 1;
             let order = Order {
@@ -660,14 +660,17 @@
         idle.into_iter().map(|(id, machine)| (id.clone(), machine)).collect()
     }
 
-    /// The zone with the fewest machines among those that may have some to give.
-    fn zone_for(&self, now: Now, flavor: &Flavor, tenure: Tenure, view: &View) -> Option<Zone> {
+    /// The zone with the fewest machines among those that may have some to give. If all have run out, the one
+    /// that did so first is asked again, as long as tasks wait.
+    fn zone_for(&self, now: Now, flavor: &Flavor, tenure: Tenure, wanted: bool, view: &View) -> Option<Zone> {
+        let out_until = |zone: &Zone| self.stockouts.get(&(flavor.name.clone(), zone.clone(), tenure)).copied();
         let count = |zone: &Zone| view.machines.values().filter(|m| m.value.zone == *zone).count();
         flavor
             .zones
             .iter()
             .filter(|zone| self.available(now, &flavor.name, zone, tenure))
             .min_by_key(|zone| count(zone))
+            .or_else(|| flavor.zones.iter().filter(|_| wanted).min_by_key(|zone| out_until(zone)))
             .cloned()
     }
 }
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -624,6 +624,9 @@
     }
 }
 
+/// Whether a pool has run out, what a task costs there, and what a machine does.
+type Cost = (bool, f64, f64);
+
 /// What machines there are and can be had.
 struct Stock<'a> {
     now: Now,
@@ -659,7 +662,7 @@
     /// A type that has run out still serves what its machines, up or on order, have room for. Without that, a
     /// refused order for spare machines moved the whole queue to the next dearer type.
     fn cheapest(&self, job: &Job, demand: &Demand, pinned: Option<&Zone>) -> Option<(Pool, f64)> {
-        let mut best: Option<((f64, f64), (Pool, f64))> = None;
+        let mut best: Option<(Cost, (Pool, f64))> = None;
         for flavor in self.flavors.all().filter(|flavor| job.allows_type(&flavor.name)) {
             let each = flavor.room().count_of(&job.need);
             if each == 0 {
@@ -678,8 +681,9 @@
                 let can_be_had = has_room || flavor.zones.iter().any(available);
                 let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
                 // To the cent of a cent: equal prices for each task must compare as equal.
-                let cost = ((price * share * 1e4).round(), price);
-                if can_be_had && best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                // What has run out everywhere is still asked for, again each round.
+                let cost = (!can_be_had, (price * share * 1e4).round(), price);
+                if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                     best = Some((cost, (pool, share)));
                 }
             }
