--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -33,12 +33,12 @@
 impl Policy {
     pub fn defaults(config: &Config) -> Self {
         Policy {
-            round: Duration::from_millis(1500),
+            round: Duration::from_millis(1000),
             grant_life: Self::longest_grant(config).min(GRANT_LIFE),
             suspect_after: Duration::from_millis(2500),
             silent_after: config.report_every.mul_f64(2.5),
             unheard_after: config.report_every * 4,
-            idle_boots: 0.7,
+            idle_boots: 0.4,
             least_rental: Duration::from_secs(60),
             stockout_memory: Duration::from_secs(15),
         }
