--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -15,9 +15,10 @@
 use crate::store::records::{Grant, LEADER, SEAL, Seal, grant_key};
 use crate::store::{Op, Outcome, Txn, View, Writer};
 
-/// The blocks that should exist: as many in each zone as give every controller one.
-pub fn wanted(zones: &[Zone], controllers: usize) -> Vec<(BlockId, Zone)> {
-    let each = controllers.div_ceil(zones.len().max(1)).max(1);
+/// The blocks that should exist: as many in each zone as give every controller as many as the policy says.
+pub fn wanted(zones: &[Zone], config: &Config, policy: &Policy) -> Vec<(BlockId, Zone)> {
+    let blocks = config.controllers() * policy.blocks_per_controller;
+    let each = blocks.div_ceil(zones.len().max(1)).max(1);
     let blocks = zones
         .iter()
         .flat_map(|zone| (0..each).map(move |n| (BlockId::from(format!("{zone}.{n}").as_str()), zone.clone())));
@@ -84,7 +85,7 @@
         }
         let mut last = view.max_seal();
         let mut changes = Vec::new();
-        for (block, zone) in wanted(zones, config.controllers()) {
+        for (block, zone) in wanted(zones, config, policy) {
             let old = view.grants.get(&block);
             let kept = old.filter(|old| {
                 members.contains(&old.value.holder) && boot_of(&old.value.holder) == Some(old.value.boot)
@@ -122,7 +123,7 @@
             changes.push((block, version, Grant { zone, holder, boot, seal: last, term }));
         }
         if changes.is_empty() {
-            if let Some((block, node, version)) = self.unbalanced(now, config, zones, &held, view) {
+            if let Some((block, node, version)) = self.unbalanced(now, lead, zones, &held, view) {
                 let zone = view.grants.get(&block).map(|grant| grant.value.zone.clone())?;
                 let boot = boot_of(&node)?;
                 last += 1;
@@ -148,18 +149,19 @@
     fn unbalanced(
         &self,
         now: Now,
-        config: &Config,
+        lead: &Lead<'_>,
         zones: &[Zone],
         held: &BTreeMap<&NodeName, usize>,
         view: &View,
     ) -> Option<(BlockId, NodeName, u64)> {
+        let Lead { config, policy, .. } = *lead;
         let settled = self.leading_since.is_some_and(|(_, at)| since(now, at) > Duration::from_secs(5));
         let (idle, none) = held.iter().min_by_key(|(_, count)| **count)?;
         let (busy, most) = held.iter().max_by_key(|(_, count)| **count)?;
         if !settled || *most < none + 2 {
             return None;
         }
-        let (block, _) = wanted(zones, config.controllers())
+        let (block, _) = wanted(zones, config, policy)
             .into_iter()
             .filter(|(block, _)| view.grants.get(block).is_some_and(|grant| grant.value.holder == **busy))
             .max_by_key(|(_, zone)| config.peers.iter().any(|p| p.name == **idle && p.zone == *zone))?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,4 @@
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
@@ -26,32 +26,51 @@
         /// The settings file (TOML) that the platform hands over.
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
+        /// The operators' policy file; the built-in policy stands without one.
+        #[arg(long, value_name = "FILE")]
+        policy: Option<PathBuf>,
     },
-    /// Check a settings file and say what is wrong with it.
+    /// Check a settings file, and a policy under it, and say what is wrong.
     Check {
         /// The settings file (TOML).
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
+        /// The operators' policy file.
+        #[arg(long, value_name = "FILE")]
+        policy: Option<PathBuf>,
     },
 }
 
 const WRONG_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
-    let cli = Cli::parse();
-    match cli.command {
-        Command::Serve { config } => serve(&config),
-        Command::Check { config } => match Config::load(&config) {
-            Ok(_) => {
-                println!("{}: correct", config.display());
-                ExitCode::SUCCESS
-            }
-            Err(problem) => {
-                eprintln!("{problem}");
-                ExitCode::from(WRONG_SETTINGS)
-            }
-        },
+    let (config, policy, run) = match Cli::parse().command {
+        Command::Serve { config, policy } => (config, policy, true),
+        Command::Check { config, policy } => (config, policy, false),
+    };
+    let (settings, tuned) = match load(&config, policy.as_deref()) {
+        Ok(loaded) => loaded,
+        Err(problem) => {
+            eprintln!("{problem}");
+            return ExitCode::from(WRONG_SETTINGS);
+        }
+    };
+    if run {
+        return serve(settings, tuned);
+    }
+    for path in [Some(config), policy].into_iter().flatten() {
+        println!("{}: correct", path.display());
     }
+    ExitCode::SUCCESS
+}
+
+fn load(config: &Path, policy: Option<&Path>) -> Result<(Config, Policy), Box<dyn std::error::Error>> {
+    let config = Config::load(config)?;
+    let policy = match policy {
+        Some(path) => Policy::load(path, &config)?,
+        None => Policy::defaults(&config),
+    };
+    Ok((config, policy))
 }
 
 fn start_logging() {
@@ -69,16 +88,8 @@
     }
 }
 
-fn serve(path: &std::path::Path) -> ExitCode {
-    let config = match Config::load(path) {
-        Ok(config) => config,
-        Err(problem) => {
-            eprintln!("{problem}");
-            return ExitCode::from(WRONG_SETTINGS);
-        }
-    };
+fn serve(config: Config, policy: Policy) -> ExitCode {
     start_logging();
-    let policy = Policy::defaults(&config);
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(problem) => {
--- /dev/null
+++ b/src/policy/expression.rs
@@ -0,0 +1,122 @@
+//! The expression language: CEL, cut down to what has a value by itself. Without lists, maps and the macros over
+//! them there are no loops, so evaluation always ends, in time proportional to the text's length.
+
+use cel::common::ast::{Expr, IdedExpr};
+use cel::{Context, ExecutionError, Program, Value};
+
+/// Longer texts are refused: nobody needs them, and depth is bounded with them.
+const LONGEST: usize = 400;
+const NOT_ALLOWED: &str = "lists, maps, fields and loops are not allowed";
+const FUNCTIONS: [&str; 3] = ["min", "max", "double"];
+
+#[derive(Debug, Default)]
+pub struct Expression {
+    source: String,
+    program: Option<Program>,
+}
+
+/// What is wrong with an expression, and at which column of it (from 1).
+#[derive(Debug)]
+pub struct Fault {
+    pub column: usize,
+    pub problem: String,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    Number(f64),
+    Truth(bool),
+    Other,
+}
+
+impl Outcome {
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Outcome::Number(_) => "a number",
+            Outcome::Truth(_) => "true or false",
+            Outcome::Other => "text",
+        }
+    }
+}
+
+fn fault(column: usize, problem: impl Into<String>) -> Fault {
+    Fault { column, problem: problem.into() }
+}
+
+impl Expression {
+    pub fn parse(source: &str) -> Result<Self, Fault> {
+        if source.len() > LONGEST {
+            return Err(fault(1, format!("longer than {LONGEST} characters")));
+        }
+        let program = Program::compile(source).map_err(|errors| {
+            let column = errors.errors.first().map_or(1, |error| usize::try_from(error.pos.1).unwrap_or(1).max(1));
+            fault(column, "the expression is cut short or malformed")
+        })?;
+        allowed(source, program.expression())?;
+        Ok(Expression { source: source.to_owned(), program: Some(program) })
+    }
+
+    pub fn evaluate(&self, numbers: &[(&str, f64)], texts: &[(&str, &str)]) -> Result<Outcome, Fault> {
+        let Some(program) = &self.program else { return Err(fault(1, "empty")) };
+        let known = |name: &str| numbers.iter().any(|(n, _)| *n == name) || texts.iter().any(|(n, _)| *n == name);
+        if let Some(name) = program.references().variables().into_iter().find(|name| !known(name)) {
+            let mut names: Vec<&str> = numbers.iter().map(|(n, _)| *n).chain(texts.iter().map(|(n, _)| *n)).collect();
+            names.sort_unstable();
+            let problem = format!("unknown variable `{name}`; known are {}", names.join(", "));
+            return Err(fault(column_of(&self.source, name), problem));
+        }
+        let mut context = Context::default();
+        for (name, function) in [("min", f64::min as fn(f64, f64) -> f64), ("max", f64::max)] {
+            context.add_function(name, function).map_err(|_| fault(1, "the functions can't be set up"))?;
+        }
+        for (name, value) in numbers {
+            context.add_variable_from_value(*name, *value);
+        }
+        for (name, value) in texts {
+            context.add_variable_from_value(*name, *value);
+        }
+        match program.execute(&context) {
+            Ok(Value::Float(value)) => Ok(Outcome::Number(value)),
+            Ok(Value::Int(value)) => Ok(Outcome::Number(value as f64)),
+            Ok(Value::UInt(value)) => Ok(Outcome::Number(value as f64)),
+            Ok(Value::Bool(truth)) => Ok(Outcome::Truth(truth)),
+            Ok(_) => Ok(Outcome::Other),
+            Err(ExecutionError::DivisionByZero(_)) => Err(fault(1, "division by zero")),
+            Err(_) => {
+                Err(fault(1, "a number without a decimal point, or types that don't go together: write 2.0, not 2"))
+            }
+        }
+    }
+}
+
+/// Only literals, variables, operators and a few functions: whatever else CEL has is refused by not being here.
+fn allowed(source: &str, expression: &IdedExpr) -> Result<(), Fault> {
+    match &expression.expr {
+        Expr::Literal(_) | Expr::Ident(_) => Ok(()),
+        Expr::Call(call) if call.target.is_none() => {
+            let name = call.func_name.as_str();
+            if name.contains('[') {
+                return Err(fault(1, NOT_ALLOWED));
+            }
+            let operator = !name.starts_with(|c: char| c.is_alphabetic());
+            if !operator && !FUNCTIONS.contains(&name) {
+                let problem = format!("unknown function `{name}`; known are {}", FUNCTIONS.join(", "));
+                return Err(fault(column_of(source, name), problem));
+            }
+            call.args.iter().try_for_each(|argument| allowed(source, argument))
+        }
+        _ => Err(fault(1, NOT_ALLOWED)),
+    }
+}
+
+/// The column at which a name stands for the first time, as a whole word.
+fn column_of(source: &str, name: &str) -> usize {
+    let word = |c: char| c.is_alphanumeric() || c == '_';
+    let whole = |at: usize| {
+        let before = source[..at].chars().next_back();
+        let after = source[at + name.len()..].chars().next();
+        !before.is_some_and(word) && !after.is_some_and(word)
+    };
+    let at = source.match_indices(name).map(|(at, _)| at).find(|at| whole(*at)).unwrap_or(0);
+    source[..at].chars().count() + 1
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,16 +1,33 @@
-//! What an operator may tune. The defaults are the design's starting values.
+//! What an operator may tune: a file of small expressions, checked before anything starts.
+//!
+//! The built-in policy is such a file too, so that there is one way to a policy. No policy can break a rule: every
+//! value has bounds, and those that the rules depend on have bounds that follow from the settings.
 
+mod expression;
+
+use std::collections::BTreeMap;
+use std::path::Path;
 use std::time::Duration;
 
-use crate::config::Config;
+use toml::de::{DeTable, DeValue};
+
+use crate::config::{Config, TeamLimits};
+use crate::domain::Team;
+use expression::{Expression, Outcome};
+
+/// The built-in policy, as a file.
+pub const BUILT_IN: &str = include_str!("../../examples/policy.toml");
 
 /// Tunable values, always within the bounds that the rules need.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Policy {
     /// How often the provisioning rule runs.
     pub round: Duration,
+    /// Multiplies the margin of the rule.
+    pub headroom: f64,
     /// How long a controller may act on a grant without having read the state service.
     pub grant_life: Duration,
+    pub blocks_per_controller: usize,
     /// How long a controller may be silent before its blocks are granted to others.
     pub suspect_after: Duration,
     /// How long a worker may be silent before its machine is given up, if a question went unanswered too.
@@ -23,31 +40,200 @@
     pub least_rental: Duration,
     /// How long a stock-out is believed.
     pub stockout_memory: Duration,
+    pub team_shares: BTreeMap<Team, f64>,
+    pub preempt_for_priority: bool,
+    pub preempt_for_guarantee: bool,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum PolicyError {
+    #[error("{path}: {source}")]
+    Unreadable { path: String, source: std::io::Error },
+    #[error("{path}:{line}:{column}: {problem}")]
+    Wrong { path: String, line: usize, column: usize, problem: String },
 }
 
 /// What is kept free between the last renewal of a worker's lease and the time a cancelled task must be gone.
 const CANCEL_MARGIN: Duration = Duration::from_secs(4);
-/// The design's starting value for the life of a grant.
-const GRANT_LIFE: Duration = Duration::from_secs(30);
+
+/// An expression and where it stands.
+struct Entry {
+    expression: Expression,
+    path: String,
+    line: usize,
+    column: usize,
+}
+
+impl Entry {
+    fn wrong(&self, column: usize, problem: String) -> PolicyError {
+        PolicyError::Wrong { path: self.path.clone(), line: self.line, column: self.column + column, problem }
+    }
+}
 
 impl Policy {
+    /// The built-in policy.
     pub fn defaults(config: &Config) -> Self {
-        Policy {
-            round: Duration::from_millis(1000),
-            grant_life: Self::longest_grant(config).min(GRANT_LIFE),
-            suspect_after: Duration::from_millis(2500),
-            silent_after: config.report_every.mul_f64(2.5),
-            unheard_after: config.report_every * 4,
-            idle_boots: 0.4,
-            least_rental: Duration::from_secs(60),
-            stockout_memory: Duration::from_secs(15),
+        match Self::parse("built-in policy", "", config) {
+            Ok(policy) => policy,
+            // The tests evaluate it for all kinds of settings; each bound is wider than its value.
+            Err(problem) => unreachable!("{problem}"),
         }
     }
 
+    pub fn load(path: &Path, config: &Config) -> Result<Self, PolicyError> {
+        let shown = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|source| PolicyError::Unreadable { path: shown.clone(), source })?;
+        Self::parse(&shown, &text, config)
+    }
+
     /// A holder that is cut off renews leases for the life of its grant, and a worker keeps its tasks for a
     /// lease longer. Both together must be over when a cancelled task has to be gone.
     pub fn longest_grant(config: &Config) -> Duration {
-        config.cancel_within.saturating_sub(config.lease).saturating_sub(CANCEL_MARGIN).max(config.report_every)
+        let left = config.cancel_within.saturating_sub(config.lease);
+        left.saturating_sub(CANCEL_MARGIN).max(left / 2)
+    }
+
+    pub fn parse(path: &str, text: &str, config: &Config) -> Result<Self, PolicyError> {
+        let mut entries = entries("built-in policy", BUILT_IN, None)?;
+        let known: Vec<String> = entries.keys().cloned().collect();
+        entries.extend(self::entries(path, text, Some(&known))?);
+        let values = Values { entries, variables: variables(config) };
+        let report_s = config.report_every.as_secs_f64();
+        let lease_s = config.lease.as_secs_f64();
+        let longest_grant_s = Self::longest_grant(config).as_secs_f64();
+        let shortest_grant_s = report_s.min(longest_grant_s);
+        let silence = (1.5 * report_s, 10.0 * lease_s.max(report_s));
+        let mut team_shares = BTreeMap::new();
+        for team in &config.teams {
+            team_shares.insert(team.name.clone(), values.number_for("team_share", (0.01, 100.0), Some(team))?);
+        }
+        Ok(Policy {
+            round: values.seconds("round_s", (0.5, 60.0))?,
+            headroom: values.number("headroom", (1.0, 4.0))?,
+            grant_life: values.seconds("grant_life_s", (shortest_grant_s, longest_grant_s))?,
+            blocks_per_controller: values.number("blocks_per_controller", (1.0, 4.0))? as usize,
+            suspect_after: values.seconds("suspect_after_s", (1.0, 30.0))?,
+            silent_after: values.seconds("silent_after_s", silence)?,
+            unheard_after: values.seconds("unheard_after_s", silence)?,
+            idle_boots: values.number("idle_boots", (0.0, 100.0))?,
+            least_rental: values.seconds("least_rental_s", (0.0, 3600.0))?,
+            stockout_memory: values.seconds("stockout_memory_s", (1.0, 600.0))?,
+            team_shares,
+            preempt_for_priority: values.truth("preempt_for_priority")?,
+            preempt_for_guarantee: values.truth("preempt_for_guarantee")?,
+        })
+    }
+}
+
+fn variables(config: &Config) -> Vec<(&'static str, f64)> {
+    let count = |number: usize| number as f64;
+    vec![
+        ("report_s", config.report_every.as_secs_f64()),
+        ("lease_s", config.lease.as_secs_f64()),
+        ("cancel_s", config.cancel_within.as_secs_f64()),
+        ("list_lag_s", config.list_lag.as_secs_f64()),
+        ("state_rps", config.state_limits.rps),
+        ("state_write_rps", config.state_limits.write_rps),
+        ("cloud_rps", config.cloud_rps),
+        ("controllers", count(config.controllers())),
+        ("zones", count(config.zones.len())),
+        ("longest_grant_s", Policy::longest_grant(config).as_secs_f64()),
+    ]
+}
+
+fn team_variables(team: &TeamLimits) -> Vec<(&'static str, f64)> {
+    vec![("cpus", team.cpus), ("cpus_max", team.cpus_max), ("gpus", team.gpus), ("gpus_max", team.gpus_max)]
+}
+
+/// The line and column, from 1, of a place in a text.
+fn place(text: &str, offset: usize) -> (usize, usize) {
+    let before = text.get(..offset).unwrap_or(text);
+    let line_start = before.rfind('\n').map_or(0, |at| at + 1);
+    (before.matches('\n').count() + 1, before[line_start..].chars().count() + 1)
+}
+
+/// Reads a policy file: names and expressions, not yet evaluated.
+fn entries(path: &str, text: &str, known: Option<&[String]>) -> Result<BTreeMap<String, Entry>, PolicyError> {
+    let wrong = |offset: usize, problem: String| {
+        let (line, column) = place(text, offset);
+        PolicyError::Wrong { path: path.to_owned(), line, column, problem }
+    };
+    let table = DeTable::parse(text)
+        .map_err(|error| wrong(error.span().map_or(0, |span| span.start), error.message().to_owned()))?;
+    let mut entries = BTreeMap::new();
+    for (name, value) in table.into_inner() {
+        let key = name.get_ref().to_string();
+        if let Some(known) = known.filter(|known| !known.contains(&key)) {
+            let problem = format!("unknown setting `{key}`; known are {}", known.join(", "));
+            return Err(wrong(name.span().start, problem));
+        }
+        let (source, quote) = match value.get_ref() {
+            DeValue::String(text) => (text.to_string(), 1),
+            DeValue::Boolean(truth) => (truth.to_string(), 0),
+            DeValue::Integer(number) => (format!("double({})", number.as_str()), 0),
+            DeValue::Float(number) => (number.as_str().to_owned(), 0),
+            _ => return Err(wrong(value.span().start, format!("`{key}` must be an expression"))),
+        };
+        let (line, column) = place(text, value.span().start + quote);
+        let mut entry =
+            Entry { expression: Expression::default(), path: path.to_owned(), line, column: column.saturating_sub(1) };
+        entry.expression = Expression::parse(&source)
+            .map_err(|fault| entry.wrong(fault.column, format!("`{key}`: {}", fault.problem)))?;
+        entries.insert(key, entry);
+    }
+    Ok(entries)
+}
+
+/// All expressions with what they may refer to.
+struct Values {
+    entries: BTreeMap<String, Entry>,
+    variables: Vec<(&'static str, f64)>,
+}
+
+impl Values {
+    fn evaluate(&self, name: &str, team: Option<&TeamLimits>) -> Result<(&Entry, Outcome), PolicyError> {
+        // Every name is in the built-in policy, which is the base of every other.
+        let entry = &self.entries[name];
+        let mut numbers = self.variables.clone();
+        let mut texts = Vec::new();
+        if let Some(team) = team {
+            numbers.extend(team_variables(team));
+            texts.push(("team", &*team.name.0));
+        }
+        let outcome = entry
+            .expression
+            .evaluate(&numbers, &texts)
+            .map_err(|fault| entry.wrong(fault.column, format!("`{name}`: {}", fault.problem)))?;
+        Ok((entry, outcome))
+    }
+
+    fn number(&self, name: &str, bounds: (f64, f64)) -> Result<f64, PolicyError> {
+        self.number_for(name, bounds, None)
+    }
+
+    fn number_for(&self, name: &str, (low, high): (f64, f64), team: Option<&TeamLimits>) -> Result<f64, PolicyError> {
+        let (entry, outcome) = self.evaluate(name, team)?;
+        let of_team = team.map(|team| format!(" for team {}", team.name)).unwrap_or_default();
+        match outcome {
+            Outcome::Number(value) if value >= low && value <= high => Ok(value),
+            Outcome::Number(value) => {
+                let problem = format!("`{name}` is {value}{of_team}; allowed is {low} to {high}");
+                Err(entry.wrong(1, problem))
+            }
+            other => Err(entry.wrong(1, format!("`{name}` must be a number, not {}{of_team}", other.kind()))),
+        }
+    }
+
+    fn seconds(&self, name: &str, bounds: (f64, f64)) -> Result<Duration, PolicyError> {
+        self.number(name, bounds).map(Duration::from_secs_f64)
+    }
+
+    fn truth(&self, name: &str) -> Result<bool, PolicyError> {
+        match self.evaluate(name, None)? {
+            (_, Outcome::Truth(truth)) => Ok(truth),
+            (entry, other) => Err(entry.wrong(1, format!("`{name}` must be true or false, not {}", other.kind()))),
+        }
     }
 }
 
@@ -56,11 +242,93 @@
     use super::*;
     use crate::config::tests::SETTINGS;
 
+    fn config() -> Config {
+        Config::parse("s.toml", SETTINGS).expect("valid")
+    }
+
     #[test]
     fn a_cut_off_holder_is_over_before_a_cancelled_task_must_be_gone() {
-        let config = Config::parse("s.toml", SETTINGS).expect("valid");
-        let policy = Policy::defaults(&config);
-        assert!(policy.grant_life + config.lease < config.cancel_within);
+        let policy = Policy::defaults(&config());
+        assert!(policy.grant_life + config().lease < config().cancel_within);
         assert!(policy.grant_life > Duration::from_secs(20));
+        // Nor can a policy change that.
+        let error = Policy::parse("p.toml", "grant_life_s = \"cancel_s\"", &config()).expect_err("unsafe");
+        assert_eq!(error.to_string(), "p.toml:1:17: `grant_life_s` is 50; allowed is 3 to 26");
+    }
+
+    #[test]
+    fn the_built_in_policy_holds_for_all_kinds_of_settings() {
+        for (report, lease, cancel) in [("0.1", "0.2", "0.3"), ("60.0", "61.0", "62.0"), ("3.0", "26.0", "4000.0")] {
+            let text = SETTINGS
+                .replace("report_s = 3.0", &format!("report_s = {report}"))
+                .replace("lease_s = 20.0", &format!("lease_s = {lease}"))
+                .replace("cancel_s = 50.0", &format!("cancel_s = {cancel}"));
+            let config = Config::parse("s.toml", &text).expect("valid");
+            let policy = Policy::defaults(&config);
+            assert!(policy.grant_life + config.lease < config.cancel_within);
+        }
+    }
+
+    #[test]
+    fn a_file_changes_only_what_it_names() {
+        let text = "round_s = \"zones > 2.0 ? 4.0 : 2.0\"\nteam_share = \"team == 'red' ? 2.0 : cpus / 32.0\"\n\
+                    headroom = 2\npreempt_for_guarantee = false\n";
+        let policy = Policy::parse("p.toml", text, &config()).expect("valid");
+        let built_in = Policy::defaults(&config());
+        assert_eq!(policy.round, Duration::from_secs(4));
+        assert_eq!(policy.team_shares[&Team::from("red")], 2.0);
+        assert_eq!(policy.team_shares[&Team::from("blue")], 1.0);
+        assert!(!policy.preempt_for_guarantee && policy.preempt_for_priority);
+        assert_eq!(Policy { headroom: 1.0, ..policy }.least_rental, built_in.least_rental);
+    }
+
+    #[test]
+    fn the_example_file_is_the_built_in_policy() {
+        let example = Policy::parse("policy.toml", BUILT_IN, &config()).expect("valid");
+        assert_eq!(example, Policy::defaults(&config()));
+    }
+
+    #[test]
+    fn what_is_wrong_is_told_with_its_place() {
+        let cases = [
+            (
+                "\nround = \"1.0\"",
+                "p.toml:2:1: unknown setting `round`; known are blocks_per_controller, grant_life_s, \
+              headroom, idle_boots, least_rental_s, preempt_for_guarantee, preempt_for_priority, round_s, \
+              silent_after_s, stockout_memory_s, suspect_after_s, team_share, unheard_after_s",
+            ),
+            (
+                "round_s = \"1.0 + lag\"",
+                "p.toml:1:18: `round_s`: unknown variable `lag`; known are cancel_s, cloud_rps, \
+              controllers, lease_s, list_lag_s, longest_grant_s, report_s, state_rps, state_write_rps, zones",
+            ),
+            ("round_s = \"true\"", "p.toml:1:12: `round_s` must be a number, not true or false"),
+            (
+                "preempt_for_priority = \"1.0\"",
+                "p.toml:1:25: `preempt_for_priority` must be true or false, not a number",
+            ),
+            ("headroom = \"0.5\"", "p.toml:1:13: `headroom` is 0.5; allowed is 1 to 4"),
+            ("headroom = \"1.0 / 0.0\"", "p.toml:1:13: `headroom` is inf; allowed is 1 to 4"),
+            ("headroom = \"1.0 +\"", "p.toml:1:18: `headroom`: the expression is cut short or malformed"),
+            (
+                "headroom = \"[1.0].map(x, x)[0]\"",
+                "p.toml:1:13: `headroom`: lists, maps, fields and loops are not allowed",
+            ),
+            (
+                "headroom = \"size('x') + 1.0\"",
+                "p.toml:1:13: `headroom`: unknown function `size`; known are min, max, double",
+            ),
+            (
+                "headroom = \"1 + 1.0\"",
+                "p.toml:1:13: `headroom`: a number without a decimal point, or types that don't go \
+              together: write 2.0, not 2",
+            ),
+            ("headroom = [1.0]", "p.toml:1:12: `headroom` must be an expression"),
+            ("headroom = ", "p.toml:1:12: string values must be quoted, expected literal string"),
+        ];
+        for (text, message) in cases {
+            let error = Policy::parse("p.toml", text, &config()).expect_err(text);
+            assert_eq!(error.to_string(), message, "{text}");
+        }
     }
 }
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -400,9 +400,9 @@
         }
         let txn = Txn::default().when(LEADER, lead.version);
         let txn = self
-            .record_rented(now, config, flavors, view, txn.clone())
+            .record_rented(now, lead, view, txn.clone())
             .or_else(|| self.record_deleted(config, view, txn.clone()))
-            .or_else(|| self.record_unexpected(now, config, flavors, view, txn.clone()))
+            .or_else(|| self.record_unexpected(now, lead, view, txn.clone()))
             .or_else(|| self.round(now, lead, view, demand, txn))?;
         self.writer.sent();
         Some(Op::Commit(txn))
@@ -412,14 +412,8 @@
         self.writer.answered(now, outcome);
     }
 
-    fn block_for(
-        &self,
-        config: &Config,
-        flavors: &Flavors,
-        zone: &Zone,
-        load: &mut BTreeMap<BlockId, usize>,
-    ) -> Option<BlockId> {
-        let (block, _) = blocks::wanted(&flavors.zones(config), config.controllers())
+    fn block_for(&self, lead: &Lead<'_>, zone: &Zone, load: &mut BTreeMap<BlockId, usize>) -> Option<BlockId> {
+        let (block, _) = blocks::wanted(&lead.flavors.zones(lead.config), lead.config, lead.policy)
             .into_iter()
             .filter(|(_, of)| of == zone)
             .min_by_key(|(block, _)| load.get(block).copied().unwrap_or(0))?;
@@ -435,20 +429,13 @@
         load
     }
 
-    fn record_rented(
-        &mut self,
-        now: Now,
-        config: &Config,
-        flavors: &Flavors,
-        view: &View,
-        mut txn: Txn,
-    ) -> Option<Txn> {
+    fn record_rented(&mut self, now: Now, lead: &Lead<'_>, view: &View, mut txn: Txn) -> Option<Txn> {
         // Recorded already, if our copy no longer has the order.
         self.rented.retain(|name, (_, version, _)| view.orders.get(name).is_some_and(|o| o.version == *version));
         let (name, (order, version, machines)) = self.rented.iter().next()?;
         let mut load = Self::load(view);
         txn = txn.when(order_key(name), *version).delete(order_key(name));
-        for machine in machines.iter().take(config.state_limits.txn_ops - 1) {
+        for machine in machines.iter().take(lead.config.state_limits.txn_ops - 1) {
             if view.machines.contains_key(machine) {
                 continue;
             }
@@ -456,7 +443,7 @@
                 type_name: name.clone(),
                 zone: order.zone.clone(),
                 tenure: order.tenure,
-                block: self.block_for(config, flavors, &order.zone, &mut load)?,
+                block: self.block_for(lead, &order.zone, &mut load)?,
                 draining: false,
                 rented_ms: now.unix_ms(),
             };
@@ -476,14 +463,7 @@
         any.then_some(txn)
     }
 
-    fn record_unexpected(
-        &mut self,
-        now: Now,
-        config: &Config,
-        flavors: &Flavors,
-        view: &View,
-        mut txn: Txn,
-    ) -> Option<Txn> {
+    fn record_unexpected(&mut self, now: Now, lead: &Lead<'_>, view: &View, mut txn: Txn) -> Option<Txn> {
         self.unexpected.retain(|id, _| !view.machines.contains_key(id));
         // An order under way may explain it.
         let known = |listed: &ListedMachine, at: Instant| {
@@ -493,7 +473,7 @@
             .unexpected
             .values()
             .filter(|(listed, at)| known(listed, *at))
-            .take(config.state_limits.txn_ops)
+            .take(lead.config.state_limits.txn_ops)
             .map(|(listed, _)| listed.clone())
             .collect();
         if take.is_empty() {
@@ -503,7 +483,7 @@
         let mut any = false;
         for listed in take {
             self.unexpected.remove(&listed.id);
-            let Some(block) = self.block_for(config, flavors, &listed.zone, &mut load) else { continue };
+            let Some(block) = self.block_for(lead, &listed.zone, &mut load) else { continue };
             info!(machine = %listed.id, type_name = %listed.type_name, "unexpected machine taken up");
             let record = Machine {
                 type_name: listed.type_name,
@@ -562,7 +542,7 @@
                 let n = demand.machines.get(&pool).copied().unwrap_or(0.0);
                 let eta = self.eta(flavor, demand.runs.get(&pool));
                 let m = machines.get(&pool).copied().unwrap_or(0);
-                let change = rule::change(n, m, eta);
+                let change = rule::change(n, m, eta, policy.headroom);
                 if change < 0 {
                     let count = usize::try_from(-change).unwrap_or(0);
                     for (id, machine) in self.returnable(now, lead, &pool, view, demand, count) {
--- a/src/provisioning/rule.rs
+++ b/src/provisioning/rule.rs
@@ -2,8 +2,10 @@
 
 /// How many machines to order (positive) or return (negative) for `n` machines' worth of demand when `m` are
 /// there or on order: ceil(n + e*sqrt(n) - m), or ceil(m - n - e*sqrt(n)) the other way.
-pub fn change(n: f64, m: u32, eta: f64) -> i64 {
-    let margin = headroom(n, eta);
+///
+/// `factor` widens the margin; 1 is the least that the rule's source allows.
+pub fn change(n: f64, m: u32, eta: f64, factor: f64) -> i64 {
+    let margin = headroom(n, eta) * factor.max(1.0);
     let short = n + margin - f64::from(m);
     // The room of many small tasks adds up to a whole machine only nearly.
     let ceil = |value: f64| (value - 1e-9).ceil() as i64;
@@ -22,13 +24,14 @@
     #[test]
     fn the_rule_of_the_design() {
         // e = 2*sqrt(1/2) for eta = 1.
-        assert_eq!(change(0.0, 0, 1.0), 0);
-        assert_eq!(change(16.0, 16, 1.0), 6);
-        assert_eq!(change(16.0, 0, 1.0), 22);
-        assert_eq!(change(16.0, 22, 1.0), -1);
-        assert_eq!(change(16.0, 30, 1.0), -9);
-        assert_eq!(change(0.0, 3, 1.0), -3);
+        assert_eq!(change(0.0, 0, 1.0, 1.0), 0);
+        assert_eq!(change(16.0, 16, 1.0, 1.0), 6);
+        assert_eq!(change(16.0, 0, 1.0, 1.0), 22);
+        assert_eq!(change(16.0, 22, 1.0, 1.0), -1);
+        assert_eq!(change(16.0, 30, 1.0, 1.0), -9);
+        assert_eq!(change(0.0, 3, 1.0, 1.0), -3);
+        assert_eq!(change(16.0, 16, 1.0, 2.0), 12);
         // Instant machines need no margin.
-        assert_eq!(change(16.0, 16, 0.0), 0);
+        assert_eq!(change(16.0, 16, 0.0, 1.0), 0);
     }
 }
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -319,7 +319,7 @@
         let complete = !view.grants.is_empty() && view.grants.values().all(|grant| grant.value.term == self.term);
         let mut released = 0;
         while complete && released < RELEASES {
-            let Some(next) = next_in_turn(&queue, &usage, config) else { break };
+            let Some(next) = next_in_turn(&queue, &usage, lead) else { break };
             let Some(waiting) = queue.get_mut(next) else { break };
             let fits = within_limit(config, &waiting.open.job, &usage);
             let zones = &waiting.zones;
@@ -327,7 +327,7 @@
             let open_zone = |zone: &Zone| zone_open(job, zones, zone);
             let mut chosen = if fits { placement::choose(candidates.iter(), job, open_zone).cloned() } else { None };
             if fits && chosen.is_none() {
-                chosen = self.make_room(now, config, view, &candidates, &mut kept, job, &open_zone);
+                chosen = self.make_room(now, lead, view, &candidates, &mut kept, job, &open_zone);
             }
             let (Some(chosen), Some(index)) = (chosen, waiting.taken.first_gap(job.tasks)) else {
                 waiting.blocked = true;
@@ -404,7 +404,7 @@
     fn make_room<'c>(
         &mut self,
         now: Now,
-        config: &Config,
+        lead: &Lead<'_>,
         view: &View,
         candidates: &'c [Candidate],
         kept: &mut BTreeMap<Team, Room>,
@@ -414,6 +414,7 @@
         if self.desks.values().map(|desk| desk.stops.len()).sum::<usize>() >= STOPS {
             return None;
         }
+        let Lead { config, policy, .. } = *lead;
         let owed = within_guarantee(config, job, kept);
         let mut victims: HashMap<&MachineId, Vec<(f64, Attempt, &BlockId, &Job)>> = HashMap::new();
         for (block, machine, attempt) in view.live_places() {
@@ -425,9 +426,10 @@
             // back at once, and the two would stop each other's tasks in turn.
             let lower = other.priority > job.priority;
             let equal = other.priority == job.priority && other.team != job.team;
-            let allowed = if owed { lower || (beyond && equal) } else { lower && beyond };
+            let for_priority = policy.preempt_for_priority && lower && (owed || beyond);
+            let for_guarantee = policy.preempt_for_guarantee && owed && beyond && equal;
             // A replica that is stopped is down, which no start is worth.
-            if stopping || !allowed || other.kind == Kind::Service {
+            if stopping || !(for_priority || for_guarantee) || other.kind == Kind::Service {
                 continue;
             }
             let ran = self.placed.get(&attempt.number).map_or(Duration::ZERO, |(_, _, at)| since(now, *at));
@@ -722,14 +724,16 @@
 
 /// The job whose task is served next: replicas first, then teams within their guarantee, then by priority, then
 /// the team that has the least for its share.
-fn next_in_turn(queue: &[Waiting<'_>], usage: &BTreeMap<Team, Room>, config: &Config) -> Option<usize> {
+fn next_in_turn(queue: &[Waiting<'_>], usage: &BTreeMap<Team, Room>, lead: &Lead<'_>) -> Option<usize> {
+    let Lead { config, policy, .. } = *lead;
     let mut best: Option<(usize, (bool, bool, Priority, f64))> = None;
     for (index, waiting) in queue.iter().enumerate().filter(|(_, waiting)| !waiting.blocked && waiting.left > 0) {
         let job = &waiting.open.job;
         let Some(limits) = config.team(&job.team) else { continue };
         let used = usage.get(&job.team).copied().unwrap_or_default();
         let beyond = !within_guarantee(config, job, usage);
-        let share = used.cpus / limits.cpus.max(1.0) + used.gpus / limits.gpus.max(1.0);
+        let weight = policy.team_shares.get(&job.team).copied().unwrap_or(1.0);
+        let share = (used.cpus / limits.cpus.max(1.0) + used.gpus / limits.gpus.max(1.0)) / weight;
         let replica = job.kind == Kind::Service && job.priority == Priority::Production;
         let rank = (!replica, beyond, job.priority, share);
         if best.as_ref().is_none_or(|(_, least)| rank < *least) {
