--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -30,6 +30,7 @@
     Health(oneshot::Sender<bool>),
     Report(Report, oneshot::Sender<Answer>),
     Peer(Message),
+    Metrics(oneshot::Sender<String>),
 }
 
 /// The protocol's limit for request bodies.
@@ -38,6 +39,7 @@
 const LARGEST_PEER_BODY: u64 = 1 << 20;
 /// A request must arrive within this; a connection that dawdles is closed.
 const HEADER_WITHIN: Duration = Duration::from_secs(20);
+const WARN_EVERY: Duration = Duration::from_secs(10);
 /// Answers that the state machine owes; more waiting than this are refused at once.
 pub const MOST_WAITING: usize = 1024;
 
@@ -133,6 +135,10 @@
 pub fn between_controllers(
     events: mpsc::Sender<Incoming>,
 ) -> impl Filter<Extract = (HttpResponse,), Error = Infallible> + Clone {
+    let with = events.clone();
+    let metrics = warp::path!("metrics")
+        .and(warp::get())
+        .and_then(move || ask(with.clone(), Incoming::Metrics, |text| HttpResponse::new(text.into())).into_rejection());
     warp::path!("peer")
         .and(warp::post())
         .and(body(LARGEST_PEER_BODY))
@@ -143,6 +149,8 @@
             },
             None => reply_cbor(400, &Problem { error: "malformed message" }),
         })
+        .or(metrics)
+        .unify()
         .recover(refused)
         .unify()
 }
@@ -186,12 +194,16 @@
     let listener = TcpListener::bind(addr).await?;
     let service = warp::service(routes);
     let open = std::sync::Arc::new(tokio::sync::Semaphore::new(limit));
+    let mut warned: Option<Instant> = None;
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
                 // Out of sockets, most likely: some will be closed.
-                warn!(%error, "can't accept a connection");
+                if warned.is_none_or(|at| at.elapsed() > WARN_EVERY) {
+                    warned = Some(Instant::now());
+                    warn!(%error, "can't accept connections");
+                }
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 continue;
             }
@@ -213,3 +225,77 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use ciborium::cbor;
+
+    use super::*;
+    use crate::intake::wire::JobState;
+
+    /// Answers whatever reaches the state machine, so that the rest is seen to be refused before.
+    fn events() -> mpsc::Sender<Incoming> {
+        let (sender, mut receiver) = mpsc::channel(8);
+        tokio::spawn(async move {
+            while let Some(incoming) = receiver.recv().await {
+                let state = JobState { id: crate::domain::JobId(1), status: "queued", done: 0, running: 0 };
+                let found = Response::State { status: 200, state };
+                let wait =
+                    Response::Problem { status: 503, problem: "later", retry_after: Some(Duration::from_secs(2)) };
+                let _ = match incoming {
+                    Incoming::Submit(_, reply) => reply.send(wait).is_ok(),
+                    Incoming::Poll(_, reply) | Incoming::Cancel(_, reply) => reply.send(found).is_ok(),
+                    Incoming::Health(reply) => reply.send(true).is_ok(),
+                    Incoming::Report(_, reply) => reply.send(Answer::Elsewhere(Some("node-2".into()))).is_ok(),
+                    Incoming::Metrics(reply) => reply.send("accept_ms_count 0\n".to_owned()).is_ok(),
+                    Incoming::Peer(_) => true,
+                };
+            }
+        });
+        sender
+    }
+
+    #[tokio::test]
+    async fn bad_requests_are_refused_at_the_edge_and_refusals_say_when_to_come_back() {
+        let routes = public(events());
+        let large = vec![0u8; 64 * 1024 + 1];
+        let cases: [(&str, &str, &[u8], u16); 10] = [
+            ("POST", "/submissions", b"x", 503),
+            ("POST", "/submissions", &large, 400),
+            ("GET", "/submissions", b"", 405),
+            ("GET", "/submissions/j-000001", b"", 200),
+            ("POST", "/submissions/j-000001/cancel", b"", 200),
+            ("GET", "/up", b"", 200),
+            ("POST", "/v1/report", b"\xa1", 400),
+            ("POST", "/v1/report", &large, 400),
+            ("GET", "/nowhere", b"", 404),
+            ("POST", "/peer", b"", 404),
+        ];
+        for (method, path, body, status) in cases {
+            let reply = warp::test::request().method(method).path(path).body(body).reply(&routes).await;
+            assert_eq!(reply.status().as_u16(), status, "{method} {path}");
+            let retry = reply.headers().get("retry-after").map(|value| value.as_bytes());
+            assert_eq!(retry, (status == 503).then_some(b"2".as_slice()), "{method} {path}");
+        }
+    }
+
+    #[tokio::test]
+    async fn a_report_for_another_holder_is_sent_there() {
+        let report = cbor!({
+            "berth" => "m-000231", "endpoint" => "10.1.0.232:9000", "berthKind" => "g8", "wing" => "a",
+            "loaner" => true, "shift" => 1, "folio" => 88, "seal" => 41, "entries" => []
+        });
+        let body = write(&report.expect("valid"));
+        let reply = warp::test::request().method("POST").path("/v1/report").body(body).reply(&public(events())).await;
+        assert_eq!(reply.status().as_u16(), 421);
+        assert_eq!(read::<ciborium::Value>(reply.body()), cbor!({"clerk" => "node-2"}).ok());
+    }
+
+    #[tokio::test]
+    async fn metrics_are_shown_to_peers_only() {
+        let reply = warp::test::request().path("/metrics").reply(&between_controllers(events())).await;
+        assert_eq!((reply.status().as_u16(), &reply.body()[..]), (200, b"accept_ms_count 0\n".as_slice()));
+        let reply = warp::test::request().path("/metrics").reply(&public(events())).await;
+        assert_eq!(reply.status().as_u16(), 404);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod intake;
 pub mod leadership;
+pub mod metrics;
 pub mod node;
 pub mod peer;
 pub mod placement;
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,124 @@
+//! What operators watch: counters and histograms of this process, shown on the peer address and in the log.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Longer times are counted as this long.
+const LONGEST_MS: u64 = 3_600_000;
+const SIGNIFICANT_DIGITS: u8 = 2;
+
+/// Times in milliseconds, or in microseconds where the name says so.
+#[derive(Debug)]
+pub struct Times(Histogram<u64>);
+
+impl Times {
+    fn new() -> Self {
+        // Fails only for bounds or digits out of range, and these are constants.
+        match Histogram::new_with_bounds(1, LONGEST_MS, SIGNIFICANT_DIGITS) {
+            Ok(histogram) => Times(histogram),
+            Err(problem) => unreachable!("{problem}"),
+        }
+    }
+
+    pub fn record(&mut self, value: u64) {
+        self.0.saturating_record(value.clamp(1, LONGEST_MS));
+    }
+
+    pub fn quantile(&self, quantile: f64) -> u64 {
+        if self.0.is_empty() { 0 } else { self.0.value_at_quantile(quantile) }
+    }
+
+    pub fn count(&self) -> u64 {
+        self.0.len()
+    }
+}
+
+#[derive(Debug)]
+pub struct Metrics {
+    /// From a submission's arrival to its acceptance.
+    pub accept_ms: Times,
+    /// From a job's acceptance to each of its tasks running, as the leader sees it.
+    pub start_ms: Times,
+    /// Processing of one event: a leader's round is the longest kind.
+    pub step_us: Times,
+    /// Answers to users that were not 200 or 201.
+    pub refused: BTreeMap<u16, u64>,
+    /// Values of the moment: queue per team, machines by state.
+    pub gauges: BTreeMap<String, f64>,
+}
+
+impl Metrics {
+    pub fn new() -> Self {
+        Metrics {
+            accept_ms: Times::new(),
+            start_ms: Times::new(),
+            step_us: Times::new(),
+            refused: BTreeMap::new(),
+            gauges: BTreeMap::new(),
+        }
+    }
+
+    pub fn step(&mut self, took: Duration) {
+        self.step_us.record(u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
+    }
+
+    pub fn refused(&mut self, status: u16) {
+        *self.refused.entry(status).or_default() += 1;
+    }
+
+    /// One value a line.
+    pub fn show(&self) -> String {
+        let mut text = String::new();
+        let times = [("accept_ms", &self.accept_ms), ("start_ms", &self.start_ms), ("step_us", &self.step_us)];
+        for (name, times) in times {
+            // Writing to a String can't fail.
+            let _ = writeln!(text, "{name}_count {}", times.count());
+            for (label, quantile) in [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("max", 1.0)] {
+                let _ = writeln!(text, "{name}{{quantile=\"{label}\"}} {}", times.quantile(quantile));
+            }
+        }
+        for (status, count) in &self.refused {
+            let _ = writeln!(text, "refused{{status=\"{status}\"}} {count}");
+        }
+        for (name, value) in &self.gauges {
+            let _ = writeln!(text, "{name} {value}");
+        }
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_recorded_is_shown() {
+        let mut metrics = Metrics::new();
+        for value in 1..=100 {
+            metrics.accept_ms.record(value);
+        }
+        metrics.accept_ms.record(u64::MAX);
+        metrics.refused(503);
+        metrics.refused(503);
+        metrics.gauges.insert("waiting{team=\"red\"}".to_owned(), 3.0);
+        let text = metrics.show();
+        for line in [
+            "accept_ms_count 101",
+            "accept_ms{quantile=\"p50\"} 51",
+            "start_ms{quantile=\"p99\"} 0",
+            "refused{status=\"503\"} 2",
+            "waiting{team=\"red\"} 3",
+        ] {
+            assert!(text.lines().any(|shown| shown == line), "{line} is not in\n{text}");
+        }
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,6 +14,7 @@
 use crate::fleet::{Answer, Command, CommandOutcome, Fleet};
 use crate::intake::{self, Intake, RequestId, Response};
 use crate::leadership::{self, Lead, Leadership};
+use crate::metrics::Metrics;
 use crate::peer::{Message, Status};
 use crate::policy::Policy;
 use crate::provisioning::{self, Call, CallOutcome, Demand, Flavors, Provisioner};
@@ -81,6 +82,8 @@
     leading: Option<Leading>,
     /// Something changed that the leader's plan depends on.
     stale_plan: bool,
+    metrics: Metrics,
+    reported: Instant,
     told: Option<Instant>,
     status_due: bool,
     seen_revision: u64,
@@ -89,7 +92,7 @@
 /// The plan is made anew at most this often.
 const PLAN_SPACING: Duration = Duration::from_millis(40);
 const PLAN_AT_LEAST: Duration = Duration::from_millis(500);
-const SUMMARY_EVERY: Duration = Duration::from_secs(10);
+const SUMMARY_EVERY: Duration = Duration::from_secs(60);
 const STATUS_EVERY: Duration = Duration::from_millis(1000);
 const STATUS_SPACING: Duration = Duration::from_millis(60);
 
@@ -112,6 +115,8 @@
             intake: Intake::new(),
             leading: None,
             stale_plan: true,
+            metrics: Metrics::new(),
+            reported: now.steady,
             told: None,
             status_due: true,
             seen_revision: 0,
@@ -122,6 +127,29 @@
         &self.view
     }
 
+    pub fn metrics(&mut self) -> &mut Metrics {
+        &mut self.metrics
+    }
+
+    fn log_metrics(&mut self, now: Now) {
+        if since(now, self.reported) < SUMMARY_EVERY {
+            return;
+        }
+        self.reported = now.steady;
+        let Metrics { accept_ms, start_ms, step_us, refused, .. } = &self.metrics;
+        info!(
+            accepted = accept_ms.count(),
+            accept_p90_ms = accept_ms.quantile(0.9),
+            started = start_ms.count(),
+            start_p50_ms = start_ms.quantile(0.5),
+            start_p90_ms = start_ms.quantile(0.9),
+            step_p99_us = step_us.quantile(0.99),
+            step_max_us = step_us.quantile(1.0),
+            refused = refused.values().sum::<u64>(),
+            "metrics"
+        );
+    }
+
     /// Whether what we know of the grants is recent enough to act on: counted from before it was asked for.
     fn entitled(&self, now: Now) -> bool {
         self.view.fresh_since().is_some_and(|fresh| since(now, fresh) < self.policy.grant_life)
@@ -135,7 +163,10 @@
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         match event {
-            Event::Tick => self.fleet.tick(now, &self.view),
+            Event::Tick => {
+                self.fleet.tick(now, &self.view);
+                self.log_metrics(now);
+            }
             Event::Submit { id, body } => {
                 let (intake, mut cx) = self.intake();
                 let response = intake.submit(now, id, &body, &mut cx);
@@ -172,6 +203,11 @@
             Event::Peer(message) => self.peer(now, message),
         }
         self.advance(now, &mut effects);
+        for effect in &effects {
+            if let Effect::Answer { response: Response::Problem { status, .. }, .. } = effect {
+                self.metrics.refused(*status);
+            }
+        }
         effects
     }
 
@@ -256,7 +292,7 @@
                         self.granting.wants_new_seal(&block.block, block.seal);
                     }
                     if let Some(leading) = &mut self.leading {
-                        leading.queues.status(now, block);
+                        leading.queues.status(now, block, &self.view, &mut self.metrics.start_ms);
                         self.stale_plan = true;
                     }
                 }
@@ -347,7 +383,14 @@
         leading.planned = Some(now.steady);
         if leading.summary.is_none_or(|at| since(now, at) >= SUMMARY_EVERY) {
             leading.summary = Some(now.steady);
-            leading.provisioner.summary(&self.view, &leading.demand);
+            let gauges = &mut self.metrics.gauges;
+            gauges.clear();
+            leading.provisioner.summary(&self.view, &leading.demand, gauges);
+            for (team, count) in &leading.queues.waiting {
+                gauges.insert(format!("waiting{{team=\"{team}\"}}"), *count as f64);
+            }
+            gauges.insert("jobs_open".to_owned(), self.view.open.len() as f64);
+            gauges.insert("jobs_ended".to_owned(), self.view.ended.len() as f64);
             let waiting: u64 = leading.queues.waiting.values().sum();
             info!(open = self.view.open.len(), ended = self.view.ended.len(), waiting, "jobs");
         }
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -499,16 +499,23 @@
         any.then_some(txn)
     }
 
-    /// A line for each pool: what operators watch.
-    pub fn summary(&self, view: &View, demand: &Demand) {
+    /// A line for each pool in the log, and its values among the metrics.
+    pub fn summary(&self, view: &View, demand: &Demand, gauges: &mut BTreeMap<String, f64>) {
         for (pool, machines) in self.machines(view) {
             let of_pool = |id: &MachineId| {
                 view.machines.get(id).is_some_and(|m| (&m.value.type_name, m.value.tenure) == (&pool.0, pool.1))
             };
             let up = self.up.iter().filter(|id| of_pool(id)).count();
             let idle = self.idle.keys().filter(|id| of_pool(id) && self.up.contains(*id)).count();
+            let draining = view.machines.iter().filter(|(id, m)| m.value.draining && of_pool(id)).count();
             let demand = demand.machines.get(&pool).copied().unwrap_or(0.0);
-            info!(type_name = %pool.0, tenure = ?pool.1, machines, up, idle, demand, "pool");
+            info!(type_name = %pool.0, tenure = ?pool.1, machines, up, idle, draining, demand, "pool");
+            for (state, count) in [("all", f64::from(machines)), ("up", up as f64), ("idle", idle as f64)] {
+                gauges.insert(
+                    format!("machines{{type=\"{}\",tenure=\"{:?}\",state=\"{state}\"}}", pool.0, pool.1),
+                    count,
+                );
+            }
         }
     }
 
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! A released task counts as placed until its holder has said that it never will be: see `settle`.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use tracing::{debug, info};
@@ -13,6 +13,7 @@
     Attempt, BlockId, Final, Job, JobId, Kind, MachineId, Now, Priority, Room, TaskId, Team, Tenure, Zone, since,
 };
 use crate::leadership::Lead;
+use crate::metrics::Times;
 use crate::peer::{BlockStatus, MachineStatus, Wanted, Work};
 use crate::placement::{self, Candidate};
 use crate::provisioning::{Demand, Flavors, Health, Pool, Provisioner, Runs};
@@ -72,6 +73,7 @@
     writer: Writer,
     /// Where each attempt was when last looked, to notice those that vanish without being done.
     placed: HashMap<u64, (TaskId, MachineId, Instant)>,
+    started: HashSet<u64>,
     strikes: HashMap<JobId, Strikes>,
     runs: BTreeMap<Pool, Runs>,
     measured: Instant,
@@ -102,6 +104,7 @@
             desks: BTreeMap::new(),
             writer: Writer::Unsure { since: now.steady },
             placed: HashMap::new(),
+            started: HashSet::new(),
             strikes: HashMap::new(),
             runs: BTreeMap::new(),
             measured: now.steady,
@@ -110,7 +113,17 @@
     }
 
     /// A holder's word on one of its blocks.
-    pub fn status(&mut self, now: Now, status: BlockStatus) {
+    pub fn status(&mut self, now: Now, status: BlockStatus, view: &View, start_ms: &mut Times) {
+        for number in status.machines.iter().flat_map(|machine| &machine.running) {
+            // Only what this leader released: when the others started is not known.
+            let ours = *number >= self.term << 20;
+            if let Some((task, _, _)) = self.placed.get(number).filter(|_| ours)
+                && let Some(open) = view.open.get(&task.job)
+                && self.started.insert(*number)
+            {
+                start_ms.record(now.unix_ms().saturating_sub(open.job.accepted_ms));
+            }
+        }
         let Some(desk) = self.desks.get_mut(&status.block) else { return };
         if desk.grant_version == status.grant_version {
             desk.status = Some((status, now.steady));
@@ -190,6 +203,8 @@
             }
         }
         self.placed = live;
+        let placed = &self.placed;
+        self.started.retain(|number| placed.contains_key(number));
     }
 
     /// Measures run times, and lets jobs wait whose tasks end again and again without being done.
@@ -219,7 +234,9 @@
                 if strikes.count > 2 {
                     let backoff = Duration::from_millis(500) * 2u32.saturating_pow(strikes.count.min(10) - 2);
                     strikes.until = Some(now.steady + backoff.min(LONGEST_BACKOFF));
-                    info!(%task, %machine, failures = strikes.count, "tasks of this job keep failing");
+                    if strikes.count.is_power_of_two() {
+                        info!(%task, %machine, failures = strikes.count, "tasks of this job keep failing");
+                    }
                 }
             }
         }
@@ -561,7 +578,7 @@
                 (open.done.len() >= u64::from(tasks)).then_some(Final::Done)
             };
             let Some(end) = end else { continue };
-            info!(job = %id, ?end, tasks, "job over");
+            debug!(job = %id, ?end, tasks, "job over");
             txn = txn.when(job_key(*id), open.version).put(job_key(*id), &JobRecord::Ended(end, tasks));
         }
         for ((job, chunk), progress) in &view.progress {
--- a/src/service.rs
+++ b/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{mpsc, oneshot};
 use tracing::{debug, info};
@@ -25,7 +25,7 @@
 const OWN_SOCKETS: usize = 300;
 
 enum Waiting {
-    User(oneshot::Sender<Response>),
+    User(oneshot::Sender<Response>, Instant),
     Worker(oneshot::Sender<Answer>),
     Health(oneshot::Sender<bool>),
 }
@@ -78,20 +78,29 @@
     fn take(&mut self, request: Incoming) {
         self.next += 1;
         let id = self.next;
+        let now = Now::read().steady;
         let (waiting, event) = match request {
-            Incoming::Submit(body, reply) => (Waiting::User(reply), Event::Submit { id, body: body.to_vec() }),
-            Incoming::Poll(job, reply) => (Waiting::User(reply), Event::Poll { id, job }),
-            Incoming::Cancel(job, reply) => (Waiting::User(reply), Event::Cancel { id, job }),
+            Incoming::Submit(body, reply) => (Waiting::User(reply, now), Event::Submit { id, body: body.to_vec() }),
+            Incoming::Poll(job, reply) => (Waiting::User(reply, now), Event::Poll { id, job }),
+            Incoming::Cancel(job, reply) => (Waiting::User(reply, now), Event::Cancel { id, job }),
             Incoming::Health(reply) => (Waiting::Health(reply), Event::Health { id }),
             Incoming::Report(report, reply) => (Waiting::Worker(reply), Event::Report { id, report }),
             Incoming::Peer(message) => return self.handle(Event::Peer(message)),
+            Incoming::Metrics(reply) => {
+                // Whoever asked may be gone.
+                let _ = reply.send(self.node.metrics().show());
+                return;
+            }
         };
         self.waiting.insert(id, waiting);
         self.handle(event);
     }
 
     fn handle(&mut self, event: Event) {
-        for effect in self.node.handle(Now::read(), event) {
+        let began = Now::read();
+        let effects = self.node.handle(began, event);
+        self.node.metrics().step(began.steady.elapsed());
+        for effect in effects {
             self.perform(effect);
         }
     }
@@ -99,7 +108,11 @@
     fn perform(&mut self, effect: Effect) {
         match effect {
             Effect::Answer { id, response } => {
-                if let Some(Waiting::User(reply)) = self.waiting.remove(&id) {
+                if let Some(Waiting::User(reply, since)) = self.waiting.remove(&id) {
+                    if matches!(response, Response::State { status: 201, .. }) {
+                        let took = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+                        self.node.metrics().accept_ms.record(took);
+                    }
                     // Whoever asked may be gone.
                     let _ = reply.send(response);
                 }
