--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -197,7 +197,7 @@
             view.grants.get(block).filter(|grant| grant.value.holder == config.name && grant.value.boot == boot)
         };
         self.blocks.retain(|id, block| {
-            let kept = ours(id).is_some_and(|grant| grant.value.seal == block.seal);
+            let kept = ours(id).is_some();
             if !kept {
                 info!(block = %id, seal = block.seal, "block given up");
             }
@@ -214,6 +214,7 @@
                     // A new leader. What the old one wanted is void, and no write under the old version can
                     // be committed any more, so our copy holds all that were.
                     block.grant_version = grant.version;
+                    block.raise(grant.value.seal);
                     block.places = places;
                     block.places_version = places_version;
                     block.last_work = 0;
@@ -291,9 +292,6 @@
         view: &View,
     ) {
         let Some(block) = self.blocks.get_mut(block) else { return };
-        if block.seal != body.seal {
-            return;
-        }
         block.commanded(now, machine, body, outcome, view);
     }
 
@@ -414,6 +412,22 @@
 }
 
 impl Block {
+    /// Takes a new seal. Workers that have shown it execute nothing that was sent under the old one, so what
+    /// was unsure about it is settled as each of them does.
+    fn raise(&mut self, seal: u64) {
+        if seal == self.seal {
+            return;
+        }
+        info!(block = %self.id, old = self.seal, seal, "new seal");
+        self.seal = seal;
+        self.blocked_since = None;
+        for worker in self.workers.values_mut() {
+            worker.launches.clear();
+            worker.tainted.clear();
+            worker.due = true;
+        }
+    }
+
     fn mark_due(&mut self, machines: impl IntoIterator<Item = MachineId>) {
         for machine in machines {
             if let Some(worker) = self.workers.get_mut(&machine) {
@@ -574,6 +588,7 @@
                     let wanted = wanted_alive(view, task.job) && !self.stops.contains(&attempt);
                     let ended = self.ended.contains_key(&(machine.clone(), attempt));
                     if !there && !recent && wanted && !ended {
+                        debug!(%attempt, %machine, seal, worker.session, "launch");
                         worker.launches.insert(attempt, Launch::Sent { at: now.steady });
                         orders.push(Order::Launch { task: *task, number: *number });
                     }
@@ -590,7 +605,7 @@
             Order::Launch { task, number } => Some(Attempt { task: *task, number: *number }),
             _ => None,
         });
-        let same_session = body.session == Some(worker.session);
+        let current = body.session == Some(worker.session) && body.seal == self.seal;
         for attempt in launched {
             let next = match &outcome {
                 CommandOutcome::Executed(_) => Some(Launch::Confirmed),
@@ -598,9 +613,10 @@
                 CommandOutcome::Unknown => Some(Launch::Lost { at: now.steady }),
             };
             match next {
-                _ if !same_session => {}
+                _ if !current => {}
                 Some(next) => {
                     if matches!(next, Launch::Lost { .. }) {
+                        debug!(%attempt, %machine, "launch unanswered");
                         worker.tainted.insert(attempt);
                     }
                     worker.launches.insert(attempt, next);
@@ -700,10 +716,16 @@
                 {
                     continue;
                 }
-                let hinted = candidates.iter().find(|c| c.machine == wanted.machine);
+                // Where a launch of an earlier attempt may still be on its way, a new attempt would make the
+                // worker forget that one, and it could start beside the new one.
+                let task = wanted.attempt.task;
+                let clear = |c: &&Candidate| {
+                    self.workers.get(&c.machine).is_some_and(|w| w.tainted.iter().all(|attempt| attempt.task != task))
+                };
+                let hinted = candidates.iter().filter(clear).find(|c| c.machine == wanted.machine);
                 let chosen = hinted
                     .filter(|c| c.allows(&open.job) && c.free.fits(&open.job.need))
-                    .or_else(|| placement::choose(candidates.iter(), &open.job, |_| true))
+                    .or_else(|| placement::choose(candidates.iter().filter(clear), &open.job, |_| true))
                     .map(|c| c.machine.clone());
                 let Some(machine) = chosen else { continue };
                 let Some(version) = view.machines.get(&machine).map(|m| m.version) else { continue };
@@ -798,27 +820,18 @@
         }
     }
 
-    /// Notes whether a launch of unknown outcome keeps an unwanted task from being proven gone.
-    fn note_blocked(&mut self, now: Now, view: &View) {
-        let blocked = self.places.attempts().any(|(machine, attempt)| {
-            !wanted_alive(view, attempt.task.job)
-                && self.workers.get(machine).is_some_and(|worker| {
-                    worker.reported && worker.tainted.contains(&attempt) && !worker.tasks.contains_key(&attempt.task)
-                })
-        });
-        match (blocked, self.blocked_since) {
-            (true, None) => self.blocked_since = Some(now.steady),
-            (false, Some(_)) => self.blocked_since = None,
-            _ => {}
-        }
+    /// Notes whether launches of unknown outcome are about, which only a new seal settles.
+    fn note_blocked(&mut self, now: Now) {
+        let blocked = self.workers.values().any(|worker| !worker.tainted.is_empty());
+        self.blocked_since = self.blocked_since.filter(|_| blocked).or_else(|| blocked.then_some(now.steady));
     }
 }
 
 impl Fleet {
     /// Housekeeping by the clock.
-    pub fn tick(&mut self, now: Now, view: &View) {
+    pub fn tick(&mut self, now: Now) {
         for block in self.blocks.values_mut() {
-            block.note_blocked(now, view);
+            block.note_blocked(now);
             let placed: HashSet<Attempt> = block.places.attempts().map(|(_, attempt)| attempt).collect();
             for worker in block.workers.values_mut() {
                 worker.launches.retain(|attempt, _| placed.contains(attempt));
--- a/src/node.rs
+++ b/src/node.rs
@@ -164,7 +164,7 @@
         let mut effects = Vec::new();
         match event {
             Event::Tick => {
-                self.fleet.tick(now, &self.view);
+                self.fleet.tick(now);
                 self.log_metrics(now);
             }
             Event::Submit { id, body } => {
--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -79,6 +79,14 @@
     }
 }
 
+#[test]
+fn zones_are_cut_off() {
+    let faults = Faults { zone_cut: 30.0, peers_cut: 50.0, held: 0.01, ..Faults::default() };
+    for seed in 50..=55 {
+        check(seed, faults);
+    }
+}
+
 #[test]
 fn everything_at_once() {
     for seed in 100..=115 {
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -24,6 +24,7 @@
 use super::state::StateService;
 
 const NODES: usize = 3;
+const ZONES: [&str; NODES] = ["a", "b", "c"];
 const TICK: Duration = Duration::from_millis(50);
 /// Machines and users move in steps of this.
 const STEP: Duration = Duration::from_millis(100);
@@ -46,6 +47,8 @@
     pub spot_taken: f64,
     pub cloud_outage: f64,
     pub peers_cut: f64,
+    /// A zone is cut off: what crosses its border is held and delivered when the cut is over.
+    pub zone_cut: f64,
     pub faulty_machines: f64,
     /// A launch is also executed by another machine: breaks a rule on purpose.
     pub sabotage: bool,
@@ -65,6 +68,7 @@
             spot_taken: 30.0,
             cloud_outage: 100.0,
             peers_cut: 70.0,
+            zone_cut: 80.0,
             faulty_machines: 0.1,
             sabotage: false,
         }
@@ -97,6 +101,7 @@
     SpotTaken,
     CloudOutage,
     PeersCut,
+    ZoneCut,
 }
 
 struct Slot {
@@ -158,6 +163,7 @@
     state_out_until: Duration,
     cloud_out_until: Duration,
     peers_cut_until: Duration,
+    zone_cut: (Zone, Duration),
     watchers: BTreeMap<u64, Watcher>,
     slots: Vec<Slot>,
     machines: BTreeMap<String, Machine>,
@@ -215,6 +221,7 @@
             state_out_until: Duration::ZERO,
             cloud_out_until: Duration::ZERO,
             peers_cut_until: Duration::ZERO,
+            zone_cut: (Zone::from("a"), Duration::ZERO),
             watchers: BTreeMap::new(),
             slots,
             machines: BTreeMap::new(),
@@ -243,6 +250,7 @@
             (Fault::SpotTaken, faults.spot_taken),
             (Fault::CloudOutage, faults.cloud_outage),
             (Fault::PeersCut, faults.peers_cut),
+            (Fault::ZoneCut, faults.zone_cut),
         ] {
             if mean > 0.0 {
                 let mut at = 0.0;
@@ -265,7 +273,7 @@
         let id = JobId(n as u64 * 37 % 1000 + 1000);
         let rng = &mut self.rng;
         let service = rng.random_bool(0.3);
-        let zone = ["a", "b", "c"][rng.random_range(0..3)];
+        let zone = ZONES[rng.random_range(0..NODES)];
         let job = Job {
             class: "class".into(),
             team: Team::from(if rng.random_bool(0.5) { "red" } else { "blue" }),
@@ -454,6 +462,16 @@
                 }
             }
             Ev::Peer { node, message } => {
+                let from = match &message {
+                    Message::Status(status) => Some(status.node.clone()),
+                    Message::Work(_) => None,
+                };
+                let from = from.and_then(|name| name.0.trim_start_matches("node-").parse::<usize>().ok());
+                let zone = from.map(|from| Zone::from(ZONES[from]));
+                if let Some(until) = zone.and_then(|zone| self.cut(node, Some(&zone))) {
+                    self.at(until, Ev::Peer { node, message });
+                    return;
+                }
                 // Held messages reach whichever process is there by then.
                 self.handle(node, Event::Peer(message));
             }
@@ -468,6 +486,10 @@
             Ev::Report { node, report } => {
                 let Some(machine) = self.machines.get(&*report.machine.0) else { return };
                 let sent = machine.report.map_or(self.now, |(_, sent)| sent);
+                if let Some(until) = self.cut(node, Some(&machine.zone)) {
+                    self.at(until, Ev::Report { node, report });
+                    return;
+                }
                 let slot = &mut self.slots[node];
                 if slot.node.is_none() {
                     return;
@@ -496,13 +518,12 @@
         }
         let mut config = self.config.clone();
         let names = ["node-0", "node-1", "node-2"];
-        let zones = ["a", "b", "c"];
         let addr = config.peers[0].addr;
         config.name = names[node].into();
-        config.zone = zones[node].into();
+        config.zone = ZONES[node].into();
         config.peers = (0..NODES)
             .filter(|other| *other != node)
-            .map(|other| dappleshore::config::Peer { name: names[other].into(), zone: zones[other].into(), addr })
+            .map(|other| dappleshore::config::Peer { name: names[other].into(), zone: ZONES[other].into(), addr })
             .collect();
         let policy = Policy::defaults(&config);
         let seed = self.rng.random();
@@ -527,7 +548,26 @@
         self.now < self.state_out_until || self.now < self.slots[node].cut_until
     }
 
+    /// When the cut between a node and a place is over, if there is one. None: the state service and the
+    /// cloud, which are in no zone.
+    fn cut(&self, node: usize, zone: Option<&Zone>) -> Option<Duration> {
+        let (cut, until) = &self.zone_cut;
+        let inside = *ZONES[node] == *cut.0;
+        let crosses = inside != zone.is_some_and(|zone| zone == cut);
+        (crosses && self.now < *until).then_some(*until)
+    }
+
     fn store(&mut self, node: usize, boot: u64, tag: StoreTag, sent: Instant, op: Op, answer: bool) {
+        if let Some(until) = self.cut(node, None) {
+            if answer {
+                let unknown = Event::Store { tag: tag.clone(), sent, outcome: Outcome::Unknown };
+                let after = Duration::from_millis(1500);
+                self.at(self.now + after, Ev::Deliver { node, boot, event: Box::new(unknown) });
+            }
+            let late = until + Duration::from_millis(self.rng.random_range(1..50));
+            self.at(late, Ev::Store { node, boot, tag, sent, op, answer: false });
+            return;
+        }
         let out = self.state_out(node);
         if let Op::Follow { prefix, after, wait } = &op {
             if !answer {
@@ -590,6 +630,7 @@
             match what {
                 Happened::Started(task) => {
                     let machine = &self.machines[id];
+                    tracing::debug!(at = self.now.as_secs_f64(), %task, machine = id, "starts");
                     let place = Place {
                         machine: id.to_owned(),
                         type_name: machine.type_name.clone(),
@@ -613,6 +654,15 @@
         if self.faults.sabotage {
             self.sabotage(&id, &command.body);
         }
+        let zone = self.machines.get(&id).map(|machine| machine.zone.clone());
+        if let Some(until) = zone.as_ref().and_then(|zone| self.cut(node, Some(zone))) {
+            if answer {
+                self.unanswered(node, boot, &command);
+            }
+            let late = until + Duration::from_millis(self.rng.random_range(1..50));
+            self.at(late, Ev::Command { node, boot, command, answer: false });
+            return;
+        }
         let Some(machine) = self.machines.get_mut(&id) else {
             if answer {
                 self.unanswered(node, boot, &command);
@@ -955,6 +1005,10 @@
                 self.slots[node].cut_until = self.now + long(&mut self.rng, 40.0);
             }
             Fault::CloudOutage => self.cloud_out_until = self.now + long(&mut self.rng, 30.0),
+            Fault::ZoneCut => {
+                let zone = Zone::from(ZONES[self.rng.random_range(0..NODES)]);
+                self.zone_cut = (zone, self.now + long(&mut self.rng, 60.0));
+            }
             Fault::PeersCut => self.peers_cut_until = self.now + long(&mut self.rng, 20.0),
             Fault::MachineDies | Fault::MachineHangs | Fault::SpotTaken => {
                 let spot = fault == Fault::SpotTaken;
