--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -876,7 +876,8 @@
     use crate::config::tests::SETTINGS;
     use crate::domain::{Job, Tenure};
     use crate::placement::tests::job;
-    use crate::provisioning::wire::{Flavor, FlavorList};
+    use crate::provisioning::wire::FlavorList;
+    use crate::provisioning::wire::tests::flavor;
     use crate::store::Change;
     use crate::store::records::{Grant, JobRecord, Machine, encode, job_key};
     use wire::ReportedTask;
@@ -897,22 +898,8 @@
         /// Holds block `a.0` under seal 4, with `m-1` and `m-2` that have shown it, and job 1.
         fn new(job: Job) -> Self {
             let config = Config::parse("s.toml", SETTINGS).expect("valid");
-            let amount = crate::domain::Amount;
             let mut flavors = Flavors::default();
-            flavors.answered(Some(FlavorList {
-                types: vec![Flavor {
-                    name: "large".into(),
-                    cpus: amount(16.0),
-                    gpus: amount(0.0),
-                    memory_gb: amount(64.0),
-                    cache_gb: amount(20.0),
-                    fetch_gb_per_s: amount(1.0),
-                    price: amount(1.0),
-                    spot_price: amount(0.3),
-                    boot_s: amount(10.0),
-                    zones: vec!["a".into()],
-                }],
-            }));
+            flavors.answered(Some(FlavorList { types: vec![flavor()] }));
             let (view, fleet) = (View::following(), Fleet::new());
             let mut holder = Holder { config, flavors, view, fleet, now: Now::read(), version: 0, seq: 0 };
             for machine in ["m-1", "m-2"] {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,7 @@
 //! One controller: all slices together, as one state machine. Events come in, effects go out; it reads no clock
 //! and does no I/O, so the tests drive whole services of it through simulated time.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
@@ -85,6 +86,11 @@
     metrics: Metrics,
     reported: Instant,
     told: Option<Instant>,
+    told_all: Option<Instant>,
+    /// When each of the others last said that it reaches the state service.
+    peers_reach_state: BTreeMap<NodeName, Instant>,
+    /// Since when we don't.
+    cut_off: Option<Instant>,
     status_due: bool,
     seen_revision: u64,
 }
@@ -94,6 +100,8 @@
 const PLAN_AT_LEAST: Duration = Duration::from_millis(500);
 const SUMMARY_EVERY: Duration = Duration::from_secs(60);
 const STATUS_EVERY: Duration = Duration::from_millis(1000);
+/// How long only this controller must be without the state service before users are sent elsewhere.
+const CUT_OFF_AFTER: Duration = Duration::from_secs(3);
 const STATUS_SPACING: Duration = Duration::from_millis(60);
 
 impl Node {
@@ -118,6 +126,9 @@
             metrics: Metrics::new(),
             reported: now.steady,
             told: None,
+            told_all: None,
+            peers_reach_state: BTreeMap::new(),
+            cut_off: None,
             status_due: true,
             seen_revision: 0,
         }
@@ -155,9 +166,12 @@
         self.view.fresh_since().is_some_and(|fresh| since(now, fresh) < self.policy.grant_life)
     }
 
-    /// Whether users should come here. During an outage for all, staying is better than being taken out.
-    fn healthy(&self) -> bool {
-        self.view.ready() && self.flavors.known()
+    /// Whether users should come here. Not if only we can't reach the state service; during an outage for all,
+    /// staying is better than being taken out, since coming back takes the load balancer its time.
+    fn healthy(&self, now: Now) -> bool {
+        let alone = self.cut_off.is_some_and(|at| since(now, at) > CUT_OFF_AFTER)
+            && self.peers_reach_state.values().any(|at| since(now, *at) < CUT_OFF_AFTER);
+        self.view.ready() && self.flavors.known() && !alone
     }
 
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Effect> {
@@ -182,7 +196,7 @@
                 let response = intake.cancel(now, id, &job, &mut cx);
                 effects.extend(response.map(|response| Effect::Answer { id, response }));
             }
-            Event::Health { id } => effects.push(Effect::AnswerHealth { id, healthy: self.healthy() }),
+            Event::Health { id } => effects.push(Effect::AnswerHealth { id, healthy: self.healthy(now) }),
             Event::Report { id, report } => {
                 let entitled = self.entitled(now);
                 if !self.view.machines.contains_key(&report.machine)
@@ -297,6 +311,13 @@
                     }
                 }
             }
+            Message::Alive { node, reaches_state } => {
+                if reaches_state {
+                    self.peers_reach_state.insert(node, now.steady);
+                } else {
+                    self.peers_reach_state.remove(&node);
+                }
+            }
             Message::Work(work) => {
                 self.fleet.work(work);
                 self.status_due = true;
@@ -338,6 +359,7 @@
         for command in self.fleet.commands(now, &self.config, &self.view) {
             effects.push(Effect::Command(command));
         }
+        self.tell_all(now, effects);
         self.tell_leader(now, effects);
         let (intake, mut cx) = self.intake();
         for (id, response) in intake.advance(now, &mut cx) {
@@ -421,6 +443,19 @@
         }
     }
 
+    fn tell_all(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        let reaches_state = self.budget.available(now);
+        self.cut_off = if reaches_state { None } else { self.cut_off.or(Some(now.steady)) };
+        if self.told_all.is_some_and(|told| since(now, told) < STATUS_EVERY) {
+            return;
+        }
+        self.told_all = Some(now.steady);
+        for peer in &self.config.peers {
+            let message = Message::Alive { node: self.config.name.clone(), reaches_state };
+            effects.push(Effect::Peer { to: peer.name.clone(), message });
+        }
+    }
+
     fn tell_leader(&mut self, now: Now, effects: &mut Vec<Effect>) {
         let pause = if self.status_due { STATUS_SPACING } else { STATUS_EVERY };
         if self.told.is_some_and(|told| since(now, told) < pause) {
@@ -438,3 +473,39 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::tests::SETTINGS;
+    use crate::provisioning::wire::FlavorList;
+
+    #[test]
+    fn users_are_sent_elsewhere_only_if_the_others_reach_the_state_service() {
+        let config = Config::parse("s.toml", SETTINGS).expect("valid");
+        let policy = Policy::defaults(&config);
+        let start = Now::read();
+        let at = |ms| Now { steady: start.steady + Duration::from_millis(ms), ..start };
+        let mut node = Node::new(config, policy, 1, start);
+        assert!(!node.healthy(at(1)), "nothing is known yet");
+        let list = FlavorList { types: vec![crate::provisioning::wire::tests::flavor()] };
+        let event = Event::Called { tag: provisioning::Tag::Flavors, outcome: CallOutcome::Flavors(list) };
+        // An empty state service.
+        for effect in node.handle(start, event) {
+            if let Effect::Store { tag: tag @ StoreTag::View(view::Tag::Page { .. }), .. } = effect {
+                let outcome = Outcome::Rows { rows: Vec::new(), more: false, revision: 0 };
+                node.handle(at(5), Event::Store { tag, sent: start.steady, outcome });
+            }
+        }
+        assert!(node.healthy(at(20)));
+        node.budget.note(at(2000), &Outcome::Refused);
+        let mut healthy = |now: Now, reaches_state: bool| {
+            node.handle(now, Event::Peer(Message::Alive { node: "node-1".into(), reaches_state }));
+            let effects = node.handle(now, Event::Health { id: 2 });
+            effects.iter().any(|effect| matches!(effect, Effect::AnswerHealth { healthy: true, .. }))
+        };
+        assert!(healthy(at(2100), true), "it may pass");
+        assert!(healthy(at(6000), false), "an outage for all");
+        assert!(!healthy(at(6100), true), "only ours");
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -9,6 +9,8 @@
 pub enum Message {
     /// Holder to leader: how its blocks are.
     Status(Status),
+    /// To everyone: whether this controller reaches the state service.
+    Alive { node: NodeName, reaches_state: bool },
     /// Leader to holder: all the tasks it wants placed in a block.
     Work(Work),
 }
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -793,7 +793,8 @@
     use crate::config::tests::SETTINGS;
     use crate::placement::tests::job;
     use crate::policy::Policy;
-    use crate::provisioning::wire::{Flavor, FlavorList};
+    use crate::provisioning::wire::FlavorList;
+    use crate::provisioning::wire::tests::flavor;
     use crate::store::Change;
     use crate::store::records::{Grant, Machine, Places, encode, grant_key, job_key, machine_key, places_key};
 
@@ -815,22 +816,8 @@
         fn new(machines: u32) -> Self {
             let config = Config::parse("s.toml", SETTINGS).expect("valid");
             let now = Now::read();
-            let amount = crate::domain::Amount;
             let mut flavors = Flavors::default();
-            flavors.answered(Some(FlavorList {
-                types: vec![Flavor {
-                    name: "large".into(),
-                    cpus: amount(16.0),
-                    gpus: amount(0.0),
-                    memory_gb: amount(64.0),
-                    cache_gb: amount(20.0),
-                    fetch_gb_per_s: amount(1.0),
-                    price: amount(1.0),
-                    spot_price: amount(0.3),
-                    boot_s: amount(10.0),
-                    zones: vec!["a".into()],
-                }],
-            }));
+            flavors.answered(Some(FlavorList { types: vec![flavor()] }));
             let mut desktop = Desktop {
                 policy: Policy::defaults(&config),
                 flavors,
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -464,6 +464,7 @@
             Ev::Peer { node, message } => {
                 let from = match &message {
                     Message::Status(status) => Some(status.node.clone()),
+                    Message::Alive { node, .. } => Some(node.clone()),
                     Message::Work(_) => None,
                 };
                 let from = from.and_then(|name| name.0.trim_start_matches("node-").parse::<usize>().ok());
