--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -661,6 +661,7 @@
                 free,
                 images: worker.images.iter().cloned().collect(),
                 fetch_s_per_gb: flavor.fetch_s_per_gb(),
+                price: flavor.price_of(machine.value.tenure),
             });
         }
         candidates
