--- a/tests/simulation/rules.rs
+++ b/tests/simulation/rules.rs
@@ -193,3 +193,81 @@
         self.jobs.values().map(|known| known.on.values().flatten().count()).sum()
     }
 }
+
+/// Each rule, broken on purpose.
+#[test]
+fn every_rule_can_be_broken() {
+    use dappleshore::domain::{Kind, Priority};
+    let job = |tasks, cpus| Job {
+        class: "class".into(),
+        team: "red".into(),
+        kind: Kind::Array,
+        priority: Priority::Standard,
+        tasks,
+        need: Room { cpus, gpus: 0.0, memory_gb: 1.0 },
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        image: "img".into(),
+        image_gb: 1.0,
+        estimate_s: 1.0,
+        checkpoint_every_s: 0.0,
+        checkpoint_s: 0.0,
+        deadline_s: None,
+        accepted_ms: 0,
+    };
+    let place =
+        |zone: &str, tenure| Place { machine: zone.into(), type_name: "small".into(), zone: zone.into(), tenure };
+    let task = |index| TaskId { job: JobId(1), index };
+    let at = Duration::from_secs;
+    let broken = |job: Job, play: &dyn Fn(&mut Rules)| {
+        let mut rules = Rules::new([("red".into(), 8.0)].into(), at(50));
+        rules.submitted(JobId(1), job);
+        play(&mut rules);
+        rules.check(at(100));
+        rules.broken.first().map(|text| text.split(' ').nth(1).unwrap_or_default().to_owned())
+    };
+    let ordinary = Tenure::Ordinary;
+    let expect = |rule: &str, found: Option<String>| assert_eq!(found, Some(format!("{rule}:")));
+    assert_eq!(broken(job(2, 4.0), &|r| (0..2).for_each(|n| r.starts(at(1), task(n), place("a", ordinary)))), None);
+    expect("quota", broken(job(3, 4.0), &|r| (0..3).for_each(|n| r.starts(at(1), task(n), place("a", ordinary)))));
+    expect(
+        "ran_twice",
+        broken(job(1, 1.0), &|r| ["a", "b"].iter().for_each(|zone| r.starts(at(1), task(0), place(zone, ordinary)))),
+    );
+    expect("wrong_place", broken(job(1, 1.0), &|r| r.starts(at(1), task(0), place("a", Tenure::Spot))));
+    let spread = Job { spread: true, ..job(2, 1.0) };
+    expect("wrong_place", broken(spread, &|r| (0..2).for_each(|n| r.starts(at(1), task(n), place("a", ordinary)))));
+    let cancelled = |r: &mut Rules| {
+        r.cancel_asked(JobId(1));
+        r.told(at(10), JobId(1), Some("cancelled"));
+    };
+    let stays = |r: &mut Rules| {
+        r.starts(at(1), task(0), place("a", ordinary));
+        cancelled(r);
+    };
+    expect("ran_cancelled", broken(job(1, 1.0), &stays));
+    let late = |r: &mut Rules| {
+        cancelled(r);
+        r.starts(at(61), task(0), place("a", ordinary));
+    };
+    expect("ran_cancelled", broken(job(1, 1.0), &late));
+    let accepted_then = |then: &dyn Fn(&mut Rules)| {
+        broken(job(1, 1.0), &|r| {
+            r.told(at(1), JobId(1), Some("queued"));
+            then(r);
+        })
+    };
+    expect("forgotten", accepted_then(&|r| r.told(at(2), JobId(1), None)));
+    expect("forgotten", accepted_then(&|r| r.refused(at(2), JobId(1), 422)));
+    expect("invented", accepted_then(&|r| r.told(at(2), JobId(2), Some("queued"))));
+    expect("not_done", accepted_then(&|r| r.told(at(2), JobId(1), Some("done"))));
+    expect("went_back", accepted_then(&|r| r.told(at(2), JobId(1), Some("cancelled"))));
+    let back = |r: &mut Rules| {
+        cancelled(r);
+        r.told(at(11), JobId(1), Some("running"));
+    };
+    expect("went_back", broken(job(1, 1.0), &back));
+}
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -707,7 +707,14 @@
 
     /// Breaks the first rule on purpose: whatever one machine is told, another executes as well.
     fn sabotage(&mut self, id: &str, body: &Orders) {
-        let other = self.machines.iter().find(|(other, m)| *other != id && m.runs(self.now)).map(|(id, _)| id.clone());
+        let Some(meant) = self.machines.get(id) else { return };
+        // Alike in all else, so that it is the first rule that breaks.
+        let alike = |m: &Machine| (&m.type_name, &m.zone, m.tenure) == (&meant.type_name, &meant.zone, meant.tenure);
+        let other = self
+            .machines
+            .iter()
+            .find(|(other, machine)| *other != id && machine.runs(self.now) && alike(machine))
+            .map(|(id, _)| id.clone());
         if let Some(other) = other {
             let machine = self.machines.get_mut(&other).expect("just found");
             let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for);
