--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -661,7 +661,6 @@
                 free,
                 images: worker.images.iter().cloned().collect(),
                 fetch_s_per_gb: flavor.fetch_s_per_gb(),
-                price: flavor.price_of(machine.value.tenure),
             });
         }
         candidates
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,6 +1,6 @@
 //! Which machine a task goes to: one that holds its image, then the one with the least room left over.
 
-use crate::domain::{Image, Job, Kind, MachineId, Room, Tenure, TypeName, Zone};
+use crate::domain::{Image, Job, MachineId, Room, Tenure, TypeName, Zone};
 
 /// A machine that takes tasks, as the leader or its holder knows it.
 #[derive(Debug, Clone)]
@@ -14,16 +14,9 @@
     pub images: Vec<Image>,
     /// How long a fetch of a gigabyte takes here.
     pub fetch_s_per_gb: f64,
-    /// What the whole machine costs.
-    pub price: f64,
 }
 
 impl Candidate {
-    /// What one task's share of the machine costs.
-    fn price_of(&self, job: &Job) -> f64 {
-        self.price / f64::from(self.size.count_of(&job.need).max(1))
-    }
-
     pub fn allows(&self, job: &Job) -> bool {
         job.allows_type(&self.type_name) && job.allows_zone(&self.zone) && job.allows_tenure(self.tenure)
     }
@@ -35,20 +28,11 @@
     job: &Job,
     zone_open: impl Fn(&Zone) -> bool,
 ) -> Option<&'c Candidate> {
-    let fitting: Vec<&Candidate> =
-        candidates.filter(|c| c.allows(job) && c.free.fits(&job.need) && zone_open(&c.zone)).collect();
-    let cheapest = fitting.iter().map(|c| c.price_of(job)).fold(f64::INFINITY, f64::min);
-    let rank = |c: &Candidate| {
-        // A replica stays for long, and keeps a dear machine rented that an emergency had called for.
-        let dear = job.kind == Kind::Service && c.price_of(job) > cheapest * DEAR;
-        (dear, rank(c, job))
-    };
-    fitting.into_iter().min_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal))
+    candidates
+        .filter(|c| c.allows(job) && c.free.fits(&job.need) && zone_open(&c.zone))
+        .min_by(|a, b| rank(a, job).partial_cmp(&rank(b, job)).unwrap_or(std::cmp::Ordering::Equal))
 }
 
-/// A machine on which a task costs this many times as much as on another one is dear.
-const DEAR: f64 = 1.2;
-
 /// Lower is better: no fetch, the kind of machine meant for such work, little left over.
 fn rank(candidate: &Candidate, job: &Job) -> (f64, bool, f64) {
     let fetch_s = if candidate.images.contains(&job.image) { 0.0 } else { job.image_gb * candidate.fetch_s_per_gb };
@@ -97,7 +81,6 @@
             free: Room { cpus: free, gpus: 0.0, memory_gb: 32.0 },
             images: images.iter().map(|image| Image::from(*image)).collect(),
             fetch_s_per_gb: 2.0,
-            price: 1.0,
         }
     }
 
--- a/src/provisioning/wire.rs
+++ b/src/provisioning/wire.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Call, CallOutcome};
-use crate::domain::{Amount, MachineId, Room, Tenure, TypeName, Zone};
+use crate::domain::{Amount, MachineId, Room, TypeName, Zone};
 use crate::http::{Reply, Request, read, write};
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -42,10 +42,6 @@
         Room { cpus: self.cpus.0, gpus: self.gpus.0, memory_gb: self.memory_gb.0 }
     }
 
-    pub fn price_of(&self, tenure: Tenure) -> f64 {
-        if tenure.is_spot() { self.spot_price.0 } else { self.price.0 }
-    }
-
     pub fn fetch_s_per_gb(&self) -> f64 {
         1.0 / self.fetch_gb_per_s.0.max(1e-3)
     }
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -279,7 +279,6 @@
                 free,
                 images: status.images.clone(),
                 fetch_s_per_gb: flavor.fetch_s_per_gb(),
-                price: flavor.price_of(machine.value.tenure),
             });
         }
         candidates
@@ -714,7 +713,7 @@
                 };
                 let has_room = pinned.is_none() && room + 1e-9 >= share;
                 let can_be_had = has_room || flavor.zones.iter().any(available);
-                let price = flavor.price_of(tenure);
+                let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
                 // To the cent of a cent: equal prices for each task must compare as equal.
                 // What has run out everywhere is still asked for, again each round.
                 let cost = (!can_be_had, (price * share * 1e4).round(), price);
