--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -73,7 +73,10 @@
     due: bool,
     /// Asked for a sign of life since its last report: when, and whether it failed to give one.
     probed: Option<(Instant, bool)>,
+    /// Tasks that failed since one was done here, and the jobs they were of. A job with a mistake fails on
+    /// every machine, so it takes two jobs to tell a faulty machine.
     errors: u32,
+    failed_jobs: BTreeSet<JobId>,
     images: BTreeSet<Image>,
 }
 
@@ -94,6 +97,7 @@
             due: false,
             probed: None,
             errors: 0,
+            failed_jobs: BTreeSet::new(),
             images: BTreeSet::new(),
         }
     }
@@ -510,9 +514,6 @@
             match seen {
                 Some(seen) => {
                     if seen.state != TaskState::Exited {
-                        if seen.state == TaskState::Running {
-                            worker.errors = worker.errors.min(1);
-                        }
                         continue;
                     }
                     if worker.seal < seal {
@@ -523,8 +524,14 @@
                     if let std::collections::btree_map::Entry::Vacant(entry) = self.ended.entry(key) {
                         debug!(%attempt, cause = ?seen.cause, "task ended");
                         match seen.cause {
-                            Some(Cause::Done) => worker.errors = 0,
-                            Some(Cause::Error) => worker.errors += 1,
+                            Some(Cause::Done) => {
+                                worker.errors = 0;
+                                worker.failed_jobs.clear();
+                            }
+                            Some(Cause::Error) => {
+                                worker.errors += 1;
+                                worker.failed_jobs.insert(attempt.task.job);
+                            }
                             _ => {}
                         }
                         entry.insert(if done { End::Done } else { End::Gone });
@@ -797,7 +804,7 @@
             seen: worker.reported,
             silent: worker.silent(now, policy),
             notice: worker.notice,
-            errors: worker.errors,
+            errors: if worker.failed_jobs.len() > 1 { worker.errors } else { worker.errors.min(2) },
             images: worker.images.iter().cloned().collect(),
             running: worker
                 .tasks
