--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1069,6 +1069,32 @@
         assert_eq!(holder.write(), [], "refused: it never started");
     }
 
+    /// Found by a search of seeds: a sight of a running task reset the count, and machines whose tasks fail after
+    /// running were never given up.
+    #[test]
+    fn a_machine_is_faulty_when_tasks_of_two_jobs_fail_there_though_they_ran() {
+        let mut holder = Holder::new(job(1, 1.0));
+        holder.put(job_key(JobId(2)), encode(&JobRecord::Open(job(1, 1.0))));
+        let policy = Policy::defaults(&holder.config);
+        let mut errors = Vec::new();
+        for (number, of) in [(9, 1), (10, 1), (11, 1), (12, 2)] {
+            let attempt = Attempt { task: TaskId { job: JobId(of), index: 0 }, number };
+            let grant_version = holder.fleet.grant_version(&"a.0".into());
+            let want = vec![Wanted { attempt, machine: "m-1".into() }];
+            let work = Work { block: "a.0".into(), grant_version, number, want, stop: Vec::new() };
+            assert!(holder.fleet.work(work));
+            holder.write();
+            for (state, cause) in [(TaskState::Running, None), (TaskState::Exited, Some(Cause::Error))] {
+                let mut report = holder.message("m-1", 4, &[(number, state, cause)]);
+                report.tasks[0].task = attempt.task;
+                holder.fleet.report(holder.now, report, &holder.config, &holder.view, true);
+            }
+            holder.write();
+            errors.push(holder.fleet.status(holder.now, &policy)[0].machines[0].errors);
+        }
+        assert_eq!(errors, [1, 2, 2, 4]);
+    }
+
     #[test]
     fn a_report_with_a_higher_seal_or_an_old_grant_is_not_answered_with_orders() {
         let mut holder = Holder::new(job(1, 1.0));
