One constructor for placement candidates; dead accessors and a wrong comment removed

The leader and the holders built the same candidate field by field; both now call Candidate::new. No change of behaviour.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -188,10 +188,6 @@
         Fleet::default()
     }
 
-    pub fn holds_any(&self) -> bool {
-        !self.blocks.is_empty()
-    }
-
     /// Takes up blocks granted to us and drops those that are not any more.
     pub fn sync(&mut self, now: Now, config: &Config, boot: u64, view: &View) {
         if !view.ready() {
@@ -655,20 +651,12 @@
             if machine.value.draining || !self.usable(now, worker) {
                 continue;
             }
-            let mut free = flavor.room();
-            for placed in places.on.get(id).into_iter().flatten() {
-                free.take(&view.open.get(&placed.0.task.job).map_or(Room::default(), |open| open.job.need));
+            let mut taken = Room::default();
+            for open in places.on.get(id).into_iter().flatten().filter_map(|p| view.open.get(&p.0.task.job)) {
+                taken.add(&open.job.need);
             }
-            candidates.push(Candidate {
-                machine: id.clone(),
-                type_name: machine.value.type_name.clone(),
-                zone: machine.value.zone.clone(),
-                tenure: machine.value.tenure,
-                size: flavor.room(),
-                free,
-                images: worker.images.iter().cloned().collect(),
-                fetch_s_per_gb: flavor.fetch_s_per_gb(),
-            });
+            let images = worker.images.iter().cloned().collect();
+            candidates.push(Candidate::new(id, &machine.value, flavor, &taken, images));
         }
         candidates
     }
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::config::Config;
-use crate::domain::{Final, Job, JobId, Kind, Now, Room, since};
+use crate::domain::{Final, Job, JobId, Kind, Now, Room};
 use crate::provisioning::Flavors;
 use crate::store::budget::{Budget, Urgency};
 use crate::store::records::{JobRecord, job_key};
@@ -264,15 +264,6 @@
         }
         answers
     }
-
-    pub fn waiting(&self) -> usize {
-        self.pending.len()
-    }
-
-    /// The oldest question that is still open.
-    pub fn oldest(&self, now: Now) -> Duration {
-        self.pending.values().map(|pending| since(now, pending.asked)).max().unwrap_or_default()
-    }
 }
 
 /// Final states are final: they can be told from any copy, however old.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,6 +1,8 @@
 //! Which machine a task goes to: one that holds its image, then the one with the least room left over.
 
 use crate::domain::{Image, Job, MachineId, Room, Tenure, TypeName, Zone};
+use crate::provisioning::wire::Flavor;
+use crate::store::records::Machine;
 
 /// A machine that takes tasks, as the leader or its holder knows it.
 #[derive(Debug, Clone)]
@@ -17,6 +19,23 @@
 }
 
 impl Candidate {
+    /// A machine of which `taken` is in use.
+    pub fn new(id: &MachineId, machine: &Machine, flavor: &Flavor, taken: &Room, images: Vec<Image>) -> Self {
+        let size = flavor.room();
+        let mut free = size;
+        free.take(taken);
+        Candidate {
+            machine: id.clone(),
+            type_name: machine.type_name.clone(),
+            zone: machine.zone.clone(),
+            tenure: machine.tenure,
+            size,
+            free,
+            images,
+            fetch_s_per_gb: flavor.fetch_s_per_gb(),
+        }
+    }
+
     pub fn allows(&self, job: &Job) -> bool {
         job.allows_type(&self.type_name) && job.allows_zone(&self.zone) && job.allows_tenure(self.tenure)
     }
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -266,20 +266,9 @@
             if machine.value.draining || provisioner.is_lost(&status.machine) {
                 continue;
             }
-            let mut free = flavor.room();
-            if let Some(taken) = taken.get(&status.machine) {
-                free.take(taken);
-            }
-            candidates.push(Candidate {
-                machine: status.machine.clone(),
-                type_name: machine.value.type_name.clone(),
-                zone: machine.value.zone.clone(),
-                tenure: machine.value.tenure,
-                size: flavor.room(),
-                free,
-                images: status.images.clone(),
-                fetch_s_per_gb: flavor.fetch_s_per_gb(),
-            });
+            let taken = taken.get(&status.machine).copied().unwrap_or_default();
+            let images = status.images.clone();
+            candidates.push(Candidate::new(&status.machine, &machine.value, flavor, &taken, images));
         }
         candidates
     }
@@ -430,8 +419,7 @@
 
     /// Stops tasks so that one of `job` fits. PROTOCOL allows it for those of lower priority, and for those that
     /// another team runs beyond its guarantee if this team is within its own; of the latter, those of higher
-    /// priority are left alone. The cheapest way is taken: the
-    /// least work lost.
+    /// priority are left alone. The cheapest way is taken: the least work lost.
     #[allow(clippy::too_many_arguments)]
     fn make_room<'c>(
         &mut self,
@@ -671,8 +659,8 @@
 }
 
 impl Stock<'_> {
-    /// The zone that a job's next task has to go to, if not all zones will do: the one where most is up already
-    /// or on order.
+    /// The zone that a job's next task has to go to, if not all zones will do: one that has machines to give, if
+    /// any of those that will do has.
     fn pinned(&self, waiting: &Waiting<'_>) -> Option<Zone> {
         let job = &waiting.open.job;
         let zones: BTreeSet<&Zone> = self.flavors.all().flat_map(|flavor| &flavor.zones).collect();
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -136,11 +136,6 @@
         let lacking = (ahead + 1.0 - self.writes.tokens).max(0.0);
         Duration::from_secs_f64(lacking / self.writes.rate)
     }
-
-    /// How long ago the service last answered.
-    pub fn silent_for(&self, now: Now) -> Option<Duration> {
-        self.last_answer.map(|answer| since(now, answer))
-    }
 }
 
 fn cost(op: &Op) -> f64 {
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -198,10 +198,6 @@
         self.0.is_empty()
     }
 
-    pub fn pieces(&self) -> usize {
-        self.0.len()
-    }
-
     pub fn merge(&mut self, other: &Ranges) {
         for range in other.0.iter() {
             self.0.insert(range.clone());
