--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -15,14 +15,20 @@
 use crate::store::records::{Grant, LEADER, SEAL, Seal, grant_key};
 use crate::store::{Op, Outcome, Txn, View, Writer};
 
-/// The blocks that should exist: as many in each zone as give every controller as many as the policy says.
-pub fn wanted(zones: &[Zone], config: &Config, policy: &Policy) -> Vec<(BlockId, Zone)> {
+/// A zone's block by its number.
+pub fn name(zone: &Zone, number: usize) -> BlockId {
+    BlockId::from(format!("{zone}.{number}").as_str())
+}
+
+/// The blocks that should exist: as many in each zone as give every controller as many as the policy says, and
+/// those that were opened since because the others were full.
+pub fn wanted(zones: &[Zone], config: &Config, policy: &Policy, view: &View) -> BTreeMap<BlockId, Zone> {
     let blocks = config.controllers() * policy.blocks_per_controller;
     let each = blocks.div_ceil(zones.len().max(1)).max(1);
-    let blocks = zones
-        .iter()
-        .flat_map(|zone| (0..each).map(move |n| (BlockId::from(format!("{zone}.{n}").as_str()), zone.clone())));
-    blocks.collect()
+    let mut wanted: BTreeMap<BlockId, Zone> =
+        zones.iter().flat_map(|zone| (0..each).map(move |n| (name(zone, n), zone.clone()))).collect();
+    wanted.extend(view.rosters.iter().map(|(block, roster)| (block.clone(), roster.value.zone.clone())));
+    wanted
 }
 
 #[derive(Debug)]
@@ -85,7 +91,7 @@
         }
         let mut last = view.max_seal();
         let mut changes = Vec::new();
-        for (block, zone) in wanted(zones, config, policy) {
+        for (block, zone) in wanted(zones, config, policy, view) {
             let old = view.grants.get(&block);
             let kept = old.filter(|old| {
                 members.contains(&old.value.holder) && boot_of(&old.value.holder) == Some(old.value.boot)
@@ -161,7 +167,7 @@
         if !settled || *most < none + 2 {
             return None;
         }
-        let (block, _) = wanted(zones, config, policy)
+        let (block, _) = wanted(zones, config, policy, view)
             .into_iter()
             .filter(|(block, _)| view.grants.get(block).is_some_and(|grant| grant.value.holder == **busy))
             .max_by_key(|(_, zone)| config.peers.iter().any(|p| p.name == **idle && p.zone == *zone))?;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,7 +17,8 @@
 use crate::placement::{self, Candidate};
 use crate::policy::Policy;
 use crate::provisioning::Flavors;
-use crate::store::records::{Places, Ranges, grant_key, machine_key, places_key};
+use crate::store::records::{Places, Ranges, grant_key, places_key, roster_key};
+use crate::store::view::Touched;
 use crate::store::{Op, Outcome, Txn, View, Writer};
 use wire::{Cause, Order, Orders, Report, TaskState};
 
@@ -30,8 +31,10 @@
 const PROBE_AGAIN: Duration = Duration::from_secs(4);
 /// A command of unknown outcome that stands in the way this long is fenced by a new seal.
 const RENEW_AFTER: Duration = Duration::from_secs(3);
-/// Machines one transaction places on: each is one of its conditions.
-const MACHINES_PER_WRITE: usize = 24;
+/// How often the clock alone is looked at: overdue reports, launches to be repeated.
+const REVIEW_EVERY: Duration = Duration::from_millis(400);
+/// A block that found nothing to write looks again after this long.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
 /// How a launch under the present seal and session went.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -78,6 +81,8 @@
     errors: u32,
     failed_jobs: BTreeSet<JobId>,
     images: BTreeSet<Image>,
+    /// What the leader is told of it, and the number of the message that first said so.
+    told: Option<(MachineStatus, u64)>,
 }
 
 impl Worker {
@@ -99,6 +104,7 @@
             errors: 0,
             failed_jobs: BTreeSet::new(),
             images: BTreeSet::new(),
+            told: None,
         }
     }
 
@@ -142,6 +148,8 @@
     pending: Vec<Wanted>,
     /// Attempts already dealt with that the leader may not know of yet.
     handled: HashSet<u64>,
+    /// Those for which the last look found no machine.
+    refused: Vec<u64>,
     /// Attempts of the transaction that is under way or whose outcome is not known.
     unsure: Vec<u64>,
     stops: HashSet<Attempt>,
@@ -149,6 +157,16 @@
     ended: BTreeMap<(MachineId, Attempt), End>,
     draft: Option<Places>,
     blocked_since: Option<Instant>,
+    /// Workers with something to be told, or to be told of; so that no event costs a look at all of them.
+    due: BTreeSet<MachineId>,
+    unsaid: BTreeSet<MachineId>,
+    /// The last status sent, and the last one that the leader has heard.
+    number: u64,
+    heard: u64,
+    /// When it was last looked for something to write.
+    looked: Option<Instant>,
+    /// When the jobs were accepted whose tasks were seen to have started, for the metrics.
+    started: Vec<u64>,
 }
 
 /// Direct commands to a worker.
@@ -181,6 +199,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     blocks: BTreeMap<BlockId, Block>,
+    reviewed: Option<Instant>,
 }
 
 impl Fleet {
@@ -189,10 +208,25 @@
     }
 
     /// Takes up blocks granted to us and drops those that are not any more.
-    pub fn sync(&mut self, now: Now, config: &Config, boot: u64, view: &View) {
-        if !view.ready() {
-            return;
+    pub fn sync(&mut self, now: Now, config: &Config, boot: u64, view: &View, touched: &Touched) {
+        if touched.all || touched.grants {
+            self.sync_grants(now, config, boot, view);
+        }
+        if touched.all {
+            for block in self.blocks.values_mut() {
+                block.sync_machines(now, view);
+            }
         }
+        for id in &touched.machines {
+            let home = view.machines.get(id).map(|machine| &machine.block);
+            for block in self.blocks.values_mut() {
+                block.sync_machine(now, id, home == Some(&block.id));
+            }
+        }
+        self.jobs_ended(view, touched);
+    }
+
+    fn sync_grants(&mut self, now: Now, config: &Config, boot: u64, view: &View) {
         let ours = |block: &BlockId| {
             view.grants.get(block).filter(|grant| grant.value.holder == config.name && grant.value.boot == boot)
         };
@@ -222,6 +256,7 @@
                     block.handled.clear();
                     block.unsure.clear();
                     block.stops.clear();
+                    block.forget_told();
                     if block.writer != Writer::Sent {
                         block.draft = None;
                         block.writer = Writer::Idle;
@@ -229,7 +264,7 @@
                 }
                 None => {
                     info!(block = %id, seal = grant.value.seal, tasks = places.attempts().count(), "block taken up");
-                    let block = Block {
+                    let mut block = Block {
                         id: id.clone(),
                         seal: grant.value.seal,
                         grant_version: grant.version,
@@ -240,19 +275,24 @@
                         last_work: 0,
                         pending: Vec::new(),
                         handled: HashSet::new(),
+                        refused: Vec::new(),
                         unsure: Vec::new(),
                         stops: HashSet::new(),
                         ended: BTreeMap::new(),
                         draft: None,
                         blocked_since: None,
+                        due: BTreeSet::new(),
+                        unsaid: BTreeSet::new(),
+                        number: 0,
+                        heard: 0,
+                        looked: None,
+                        started: Vec::new(),
                     };
+                    block.sync_machines(now, view);
                     self.blocks.insert(id.clone(), block);
                 }
             }
         }
-        for block in self.blocks.values_mut() {
-            block.sync_machines(now, view);
-        }
     }
 
     /// A worker's report. `entitled`: our copy of the grants is recent enough to act on.
@@ -265,7 +305,7 @@
             let leader = view.leader.as_ref().map(|leader| leader.value.node.clone());
             return Answer::Elsewhere(leader.filter(|leader| *leader != config.name));
         };
-        let block_id = &machine.value.block;
+        let block_id = &machine.block;
         let Some(block) = self.blocks.get_mut(block_id) else {
             let holder = view.grants.get(block_id).map(|grant| grant.value.holder.clone());
             return Answer::Elsewhere(holder.filter(|holder| *holder != config.name));
@@ -305,6 +345,8 @@
             return true;
         }
         block.last_work = work.number;
+        block.heard = block.heard.max(work.heard);
+        block.looked = None;
         let wanted: HashSet<u64> = work.want.iter().map(|wanted| wanted.attempt.number).collect();
         block.handled.retain(|number| wanted.contains(number));
         let placed: HashSet<u64> = block.places.attempts().map(|(_, attempt)| attempt.number).collect();
@@ -325,15 +367,24 @@
         true
     }
 
-    /// Prepares the next write of each block.
-    pub fn writes(&mut self, now: Now, config: &Config, view: &mut View, flavors: &Flavors) -> Vec<(BlockId, Op)> {
-        let mut ops = Vec::new();
-        for block in self.blocks.values_mut() {
+    /// Prepares the next write: of the block that has waited longest. To be called when it can be sent at once,
+    /// so that it holds all that has come up until then.
+    pub fn write(&mut self, now: Now, config: &Config, view: &mut View, flavors: &Flavors) -> Option<(BlockId, Op)> {
+        let due = |block: &Block| block.looked.is_none_or(|at| since(now, at) >= LOOK_AGAIN);
+        let mut waiting: Vec<(Option<Instant>, BlockId)> = self
+            .blocks
+            .values()
+            .filter(|block| block.has_news(now) && due(block))
+            .map(|block| (block.looked, block.id.clone()))
+            .collect();
+        waiting.sort();
+        for (_, id) in waiting {
+            let Some(block) = self.blocks.get_mut(&id) else { continue };
             if let Some(op) = block.write(now, config, view, flavors) {
-                ops.push((block.id.clone(), op));
+                return Some((id, op));
             }
         }
-        ops
+        None
     }
 
     pub fn written(&mut self, now: Now, block: &BlockId, grant_version: u64, outcome: &Outcome) {
@@ -351,20 +402,20 @@
         let quiet = config.report_every.mul_f64(OVERDUE);
         let mut commands = Vec::new();
         for block in self.blocks.values_mut() {
-            let due: Vec<MachineId> = block
-                .workers
-                .iter()
-                .filter(|(_, w)| (w.due || w.probe_due(now, quiet)) && !w.busy && w.addr.is_some() && w.session > 0)
-                .map(|(id, _)| id.clone())
-                .collect();
-            for machine in due {
-                let session = block.workers.get(&machine).map(|worker| worker.session);
-                let body = block.orders(now, &machine, view, session);
+            for machine in std::mem::take(&mut block.due) {
+                let Some(worker) = block.workers.get(&machine) else { continue };
+                let reachable = worker.addr.is_some() && worker.session > 0;
+                let probe = worker.probe_due(now, quiet);
+                if worker.busy || !reachable || !(worker.due || probe) {
+                    // It comes back here with its answer, or its first report.
+                    continue;
+                }
+                let session = worker.session;
+                let body = block.orders(now, &machine, view, Some(session));
                 let id = block.id.clone();
                 let seal = block.seal;
                 let Some(worker) = block.workers.get_mut(&machine) else { continue };
                 worker.due = false;
-                let probe = worker.probe_due(now, quiet);
                 if body.orders.is_empty() && worker.seal >= seal && !probe {
                     continue;
                 }
@@ -380,25 +431,25 @@
     }
 
     /// Tells workers at once when jobs end that have tasks on them.
-    pub fn jobs_ended(&mut self, view: &View) {
-        for block in self.blocks.values_mut() {
-            let machines: BTreeSet<MachineId> = block
-                .places
-                .attempts()
-                .filter(|(machine, attempt)| {
-                    !wanted_alive(view, attempt.task.job)
-                        && block.workers.get(*machine).is_some_and(|worker| {
-                            worker.tasks.get(&attempt.task).is_some_and(|seen| seen.state != TaskState::Exited)
-                        })
-                })
-                .map(|(machine, _)| machine.clone())
-                .collect();
-            block.mark_due(machines);
+    fn jobs_ended(&mut self, view: &View, touched: &Touched) {
+        for (task, place) in touched.ended.iter().flat_map(|job| {
+            view.placed(*job).iter().map(|((index, _), place)| (TaskId { job: *job, index: *index }, place))
+        }) {
+            let Some(block) = self.blocks.get_mut(&place.block) else { continue };
+            let there = block.workers.get(&place.machine).and_then(|worker| worker.tasks.get(&task));
+            if there.is_some_and(|seen| seen.state != TaskState::Exited) {
+                block.mark_due([place.machine.clone()]);
+            }
         }
     }
 
-    pub fn status(&self, now: Now, policy: &Policy) -> Vec<BlockStatus> {
-        self.blocks.values().map(|block| block.status(now, policy)).collect()
+    /// When the jobs were accepted whose tasks have been seen to start since the last call.
+    pub fn take_started(&mut self) -> impl Iterator<Item = u64> {
+        self.blocks.values_mut().flat_map(|block| std::mem::take(&mut block.started))
+    }
+
+    pub fn status(&mut self, now: Now, policy: &Policy) -> Vec<BlockStatus> {
+        self.blocks.values_mut().map(|block| block.status(now, policy)).collect()
     }
 }
 
@@ -421,37 +472,63 @@
         info!(block = %self.id, old = self.seal, seal, "new seal");
         self.seal = seal;
         self.blocked_since = None;
-        for worker in self.workers.values_mut() {
+        for (id, worker) in &mut self.workers {
             worker.launches.clear();
             worker.tainted.clear();
             worker.due = true;
+            self.due.insert(id.clone());
+            self.unsaid.insert(id.clone());
+        }
+    }
+
+    /// A new leader, or the same under a new grant, knows nothing of our machines.
+    fn forget_told(&mut self) {
+        self.number = 0;
+        self.heard = 0;
+        for (id, worker) in &mut self.workers {
+            worker.told = None;
+            self.unsaid.insert(id.clone());
         }
     }
 
+    /// Whether there may be something to write.
+    fn has_news(&self, now: Now) -> bool {
+        let prune = !self.places.done.is_empty() && self.looked.is_none_or(|at| since(now, at) > RELAUNCH);
+        !self.pending.is_empty() || !self.ended.is_empty() || !self.unsure.is_empty() || prune
+    }
+
     fn mark_due(&mut self, machines: impl IntoIterator<Item = MachineId>) {
         for machine in machines {
             if let Some(worker) = self.workers.get_mut(&machine) {
                 worker.due = true;
+                self.due.insert(machine);
             }
         }
     }
 
     fn sync_machines(&mut self, now: Now, view: &View) {
-        self.workers.retain(|machine, _| view.machines.contains_key(machine));
-        for (id, machine) in &view.machines {
-            if machine.value.block == self.id && !self.workers.contains_key(id) {
+        let ours = |id: &MachineId| view.machines.get(id).is_some_and(|machine| machine.block == self.id);
+        let mut known: BTreeSet<MachineId> = self.workers.keys().chain(self.places.on.keys()).cloned().collect();
+        known.extend(view.rosters.get(&self.id).iter().flat_map(|roster| roster.value.on.keys().cloned()));
+        let known: Vec<(MachineId, bool)> = known.into_iter().map(|id| (id.clone(), ours(&id))).collect();
+        for (id, ours) in known {
+            self.sync_machine(now, &id, ours);
+        }
+    }
+
+    fn sync_machine(&mut self, now: Now, id: &MachineId, ours: bool) {
+        if ours {
+            if !self.workers.contains_key(id) {
                 self.workers.insert(id.clone(), Worker::new(now));
+                self.unsaid.insert(id.clone());
             }
+            return;
         }
+        self.workers.remove(id);
         // The record of a machine is removed after the cloud has deleted it: its tasks are gone.
-        let gone: Vec<(MachineId, Attempt)> = self
-            .places
-            .attempts()
-            .filter(|(machine, _)| !view.machines.contains_key(*machine))
-            .map(|(machine, attempt)| (machine.clone(), attempt))
-            .collect();
-        for (machine, attempt) in gone {
-            self.ended.entry((machine, attempt)).or_insert_with(|| {
+        for placed in self.places.on.get(id).into_iter().flatten() {
+            let attempt = placed.0;
+            self.ended.entry((id.clone(), attempt)).or_insert_with(|| {
                 info!(%attempt, proof = "machine deleted", "task lost");
                 End::Gone
             });
@@ -473,6 +550,7 @@
             worker.launches.clear();
             worker.tainted.clear();
         }
+        self.unsaid.insert(report.machine.clone());
         worker.session = report.session;
         worker.seq = report.seq;
         worker.heard = now.steady;
@@ -480,11 +558,23 @@
         worker.reported = true;
         worker.notice = report.notice_s.is_some();
         worker.addr = Some(report.addr);
-        worker.tasks = report
+        let tasks: BTreeMap<TaskId, Seen> = report
             .tasks
             .iter()
             .map(|task| (task.task, Seen { number: task.number, state: task.state, cause: task.cause }))
             .collect();
+        for (task, seen) in tasks.iter().filter(|(_, seen)| seen.state == TaskState::Running) {
+            let attempt = Attempt { task: *task, number: seen.number };
+            let before = worker.tasks.get(task).map(|seen| seen.state);
+            // Launched by us and not seen running before: others' starts happened nobody knows when.
+            if before != Some(TaskState::Running)
+                && worker.launches.contains_key(&attempt)
+                && let Some(open) = view.open.get(&task.job)
+            {
+                self.started.push(open.job.accepted_ms);
+            }
+        }
+        worker.tasks = tasks;
         let raised = report.seal >= seal && worker.seal < seal;
         worker.seal = report.seal;
         if worker.seal < seal || raised {
@@ -544,6 +634,9 @@
                 }
             }
         }
+        if worker.due {
+            self.due.insert(report.machine);
+        }
     }
 
     /// All that the worker should be told now. `session`: for a direct command, else for a report's answer.
@@ -604,6 +697,9 @@
     fn commanded(&mut self, now: Now, machine: &MachineId, body: &Orders, outcome: CommandOutcome, view: &View) {
         let Some(worker) = self.workers.get_mut(machine) else { return };
         worker.busy = false;
+        if worker.due {
+            self.due.insert(machine.clone());
+        }
         let launched = body.orders.iter().filter_map(|order| match order {
             Order::Launch { task, number } => Some(Attempt { task: *task, number: *number }),
             _ => None,
@@ -638,6 +734,7 @@
             CommandOutcome::Unknown => {
                 if let Some((_, failed)) = &mut worker.probed {
                     *failed = true;
+                    self.unsaid.insert(machine.clone());
                 }
             }
         }
@@ -647,8 +744,8 @@
         let mut candidates = Vec::new();
         for (id, worker) in &self.workers {
             let Some(machine) = view.machines.get(id) else { continue };
-            let Some(flavor) = flavors.get(&machine.value.type_name) else { continue };
-            if machine.value.draining || !self.usable(now, worker) {
+            let Some(flavor) = flavors.get(&machine.type_name) else { continue };
+            if machine.draining || !self.usable(now, worker) {
                 continue;
             }
             let mut taken = Room::default();
@@ -656,13 +753,13 @@
                 taken.add(&open.job.need);
             }
             let images = worker.images.iter().cloned().collect();
-            candidates.push(Candidate::new(id, &machine.value, flavor, &taken, images));
+            candidates.push(Candidate::new(id, machine, flavor, &taken, images));
         }
         candidates
     }
 
     fn usable(&self, now: Now, worker: &Worker) -> bool {
-        worker.reported && worker.seal >= self.seal && !worker.notice && since(now, worker.heard) < QUIET
+        usable(now, self.seal, worker)
     }
 
     /// The next transaction: what ended, what is placed, what can be forgotten.
@@ -671,6 +768,7 @@
         if !self.writer.ready(now, view) {
             return None;
         }
+        self.looked = Some(now.steady);
         if unsure {
             // Nothing of ours is under way that our copy does not show, but for a late repeat of the last
             // transaction, which fails once another one has been committed.
@@ -685,6 +783,7 @@
                     self.handled.insert(attempt.number);
                     if let Some(worker) = self.workers.get_mut(machine) {
                         worker.due = true;
+                        self.due.insert(machine.clone());
                     }
                 }
             }
@@ -697,7 +796,8 @@
             }
         }
         prune(&mut draft, view);
-        let mut conditions = BTreeMap::new();
+        let mut size = draft.worst();
+        self.refused.clear();
         let mut unsure = Vec::new();
         if !self.pending.is_empty() {
             let mut candidates = self.candidates(now, view, flavors, &draft);
@@ -705,10 +805,7 @@
                 let Some(open) = view.open.get(&wanted.attempt.task.job).filter(|open| !open.cancelled) else {
                     continue;
                 };
-                if open.done.contains(wanted.attempt.task.index)
-                    || draft.size() + 64 > config.state_limits.value_bytes
-                    || conditions.len() >= MACHINES_PER_WRITE
-                {
+                if open.done.contains(wanted.attempt.task.index) || size + 64 > config.state_limits.value_bytes {
                     continue;
                 }
                 // Where a launch of an earlier attempt may still be on its way, a new attempt would make the
@@ -722,13 +819,14 @@
                     .filter(|c| c.allows(&open.job) && c.free.fits(&open.job.need))
                     .or_else(|| placement::choose(candidates.iter().filter(clear), &open.job, |_| true))
                     .map(|c| c.machine.clone());
-                let Some(machine) = chosen else { continue };
-                let Some(version) = view.machines.get(&machine).map(|m| m.version) else { continue };
+                let Some(machine) = chosen else {
+                    self.refused.push(wanted.attempt.number);
+                    continue;
+                };
                 if let Some(candidate) = candidates.iter_mut().find(|c| c.machine == machine) {
                     candidate.free.take(&open.job.need);
                 }
-                conditions.insert(machine.clone(), version);
-                draft.add(&machine, wanted.attempt);
+                size += draft.add(&machine, wanted.attempt);
                 unsure.push(wanted.attempt.number);
             }
         }
@@ -740,8 +838,9 @@
         let mut txn = Txn::default()
             .when(grant_key(&self.id), self.grant_version)
             .when(places_key(&self.id), self.places_version);
-        for (machine, version) in conditions {
-            txn = txn.when(machine_key(&machine), version);
+        if !unsure.is_empty() {
+            // Nothing is placed on a machine that the leader has begun to drain or has deleted meanwhile.
+            txn = txn.when(roster_key(&self.id), view.rosters.get(&self.id).map_or(0, |roster| roster.version));
         }
         txn = txn.put(places_key(&self.id), &draft);
         self.unsure.extend(unsure);
@@ -785,22 +884,30 @@
         }
     }
 
-    fn status(&self, now: Now, policy: &Policy) -> BlockStatus {
-        let machines = self.workers.iter().map(|(id, worker)| MachineStatus {
-            machine: id.clone(),
-            usable: self.usable(now, worker),
-            seen: worker.reported,
-            silent: worker.silent(now, policy),
-            notice: worker.notice,
-            errors: if worker.failed_jobs.len() > 1 { worker.errors } else { worker.errors.min(2) },
-            images: worker.images.iter().cloned().collect(),
-            running: worker
-                .tasks
-                .values()
-                .filter(|seen| seen.state == TaskState::Running)
-                .map(|seen| seen.number)
-                .collect(),
-        });
+    fn status(&mut self, now: Now, policy: &Policy) -> BlockStatus {
+        self.number += 1;
+        for id in std::mem::take(&mut self.unsaid) {
+            let Some(worker) = self.workers.get(&id) else { continue };
+            let status = MachineStatus {
+                machine: id.clone(),
+                usable: self.usable(now, worker),
+                seen: worker.reported,
+                silent: worker.silent(now, policy),
+                notice: worker.notice,
+                errors: if worker.failed_jobs.len() > 1 { worker.errors } else { worker.errors.min(2) },
+                images: worker.images.iter().cloned().collect(),
+            };
+            let number = self.number;
+            if let Some(worker) = self.workers.get_mut(&id)
+                && worker.told.as_ref().is_none_or(|(told, _)| *told != status)
+            {
+                worker.told = Some((status, number));
+            }
+        }
+        let unheard = |worker: &Worker| match &worker.told {
+            Some((status, number)) if *number > self.heard => Some(status.clone()),
+            _ => None,
+        };
         let mut pending: Vec<u64> = self.pending.iter().map(|wanted| wanted.attempt.number).collect();
         pending.extend(&self.unsure);
         BlockStatus {
@@ -809,9 +916,11 @@
             grant_version: self.grant_version,
             last_work: self.last_work,
             pending,
+            refused: self.refused.clone(),
             revision: self.places_version,
             wants_new_seal: self.blocked_since.is_some_and(|at| since(now, at) > RENEW_AFTER),
-            machines: machines.collect(),
+            number: self.number,
+            machines: self.workers.values().filter_map(unheard).collect(),
         }
     }
 
@@ -824,24 +933,44 @@
 
 impl Fleet {
     /// Housekeeping by the clock.
-    pub fn tick(&mut self, now: Now) {
+    pub fn tick(&mut self, now: Now, config: &Config, policy: &Policy) {
+        if self.reviewed.is_some_and(|at| since(now, at) < REVIEW_EVERY) {
+            return;
+        }
+        self.reviewed = Some(now.steady);
+        let quiet = config.report_every.mul_f64(OVERDUE);
         for block in self.blocks.values_mut() {
             block.note_blocked(now);
-            let placed: HashSet<Attempt> = block.places.attempts().map(|(_, attempt)| attempt).collect();
-            for worker in block.workers.values_mut() {
-                worker.launches.retain(|attempt, _| placed.contains(attempt));
+            let seal = block.seal;
+            for (id, worker) in &mut block.workers {
+                let placed = block.places.on.get(id);
+                worker
+                    .launches
+                    .retain(|attempt, _| placed.is_some_and(|list| list.iter().any(|placed| placed.0 == *attempt)));
                 let overdue = worker
                     .launches
                     .values()
                     .any(|launch| matches!(launch, Launch::Lost { at } if since(now, *at) >= RELAUNCH));
-                if overdue && !worker.busy && since(now, worker.heard) < QUIET {
+                if overdue && since(now, worker.heard) < QUIET {
                     worker.due = true;
                 }
+                if worker.due || worker.probe_due(now, quiet) {
+                    block.due.insert(id.clone());
+                }
+                let silent = worker.silent(now, policy);
+                let usable = usable(now, seal, worker);
+                if worker.told.as_ref().is_none_or(|(told, _)| (told.silent, told.usable) != (silent, usable)) {
+                    block.unsaid.insert(id.clone());
+                }
             }
         }
     }
 }
 
+fn usable(now: Now, seal: u64, worker: &Worker) -> bool {
+    worker.reported && worker.seal >= seal && !worker.notice && since(now, worker.heard) < QUIET
+}
+
 fn still_there(places: &Places, machine: &MachineId, attempt: &Attempt) -> bool {
     places.on.get(machine).is_some_and(|list| list.iter().any(|placed| placed.0 == *attempt))
 }
@@ -852,6 +981,9 @@
         if view.ended.contains_key(job) {
             return false;
         }
+        if view.progress.range((*job, 0)..=(*job, u32::MAX)).next().is_none() {
+            return true;
+        }
         let mut left = Ranges::default();
         for index in done.0.iter().flat_map(Clone::clone) {
             let chunk = index / crate::store::records::CHUNK;
@@ -874,7 +1006,7 @@
     use crate::provisioning::wire::FlavorList;
     use crate::provisioning::wire::tests::flavor;
     use crate::store::Change;
-    use crate::store::records::{Grant, JobRecord, Machine, encode, job_key};
+    use crate::store::records::{Grant, JobRecord, Roster, Rostered, encode, job_key};
     use wire::ReportedTask;
 
     const BOOT: u64 = 7;
@@ -897,17 +1029,10 @@
             flavors.answered(Some(FlavorList { types: vec![flavor()] }));
             let (view, fleet) = (View::following(), Fleet::new());
             let mut holder = Holder { config, flavors, view, fleet, now: Now::read(), version: 0, seq: 0 };
-            for machine in ["m-1", "m-2"] {
-                let record = Machine {
-                    type_name: "large".into(),
-                    zone: "a".into(),
-                    tenure: Tenure::Ordinary,
-                    block: "a.0".into(),
-                    draining: false,
-                    rented_ms: 0,
-                };
-                holder.put(machine_key(&machine.into()), encode(&record));
-            }
+            let entry =
+                || Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
+            let on = ["m-1", "m-2"].map(|machine| (machine.into(), entry()));
+            holder.put(roster_key(&"a.0".into()), encode(&Roster { zone: "a".into(), on: on.into() }));
             holder.put(job_key(JobId(1)), encode(&JobRecord::Open(job)));
             holder.grant(4);
             holder.report("m-1", 4, &[]);
@@ -918,13 +1043,18 @@
         fn put(&mut self, key: String, value: ciborium::Value) {
             self.version += 1;
             self.view.apply(Change { key, version: self.version, value: Some(value) });
+            self.sync();
+        }
+
+        fn sync(&mut self) {
+            let touched = self.view.take_touched();
+            self.fleet.sync(self.now, &self.config, BOOT, &self.view, &touched);
         }
 
         fn grant(&mut self, seal: u64) {
             let holder = self.config.name.clone();
             let grant = Grant { zone: "a".into(), holder, boot: BOOT, seal, term: 3 };
             self.put(grant_key(&"a.0".into()), encode(&grant));
-            self.fleet.sync(self.now, &self.config, BOOT, &self.view);
         }
 
         fn message(&mut self, machine: &str, seal: u64, tasks: &[(u64, TaskState, Option<Cause>)]) -> Report {
@@ -959,13 +1089,14 @@
             let task = TaskId { job: JobId(1), index: 0 };
             let grant_version = self.fleet.grant_version(&"a.0".into());
             let want = vec![Wanted { attempt: Attempt { task, number }, machine: machine.into() }];
-            let work = Work { block: "a.0".into(), grant_version, number: message, want, stop: Vec::new() };
+            let work = Work { block: "a.0".into(), grant_version, number: message, heard: 0, want, stop: Vec::new() };
             assert!(self.fleet.work(work));
         }
 
         /// Writes and commits what is due. Returns where the attempts are then.
         fn write(&mut self) -> Vec<(String, u64)> {
-            for (block, op) in self.fleet.writes(self.now, &self.config, &mut self.view, &self.flavors) {
+            self.now.steady += LOOK_AGAIN;
+            while let Some((block, op)) = self.fleet.write(self.now, &self.config, &mut self.view, &self.flavors) {
                 let Op::Commit(txn) = op else { panic!("{op:?}") };
                 self.version += 1;
                 for change in txn.changes {
@@ -979,6 +1110,11 @@
             places.attempts().map(|(machine, attempt)| (machine.to_string(), attempt.number)).collect()
         }
 
+        fn tick(&mut self) {
+            let policy = Policy::defaults(&self.config);
+            self.fleet.tick(self.now, &self.config, &policy);
+        }
+
         fn commands(&mut self) -> Vec<Command> {
             self.fleet.commands(self.now, &self.config, &self.view)
         }
@@ -1032,9 +1168,9 @@
         assert!(!reaped(holder.report("m-1", 4, &failed)), "the lost launch could start it again");
         holder.want(10, "m-1", 2);
         assert_eq!(holder.write(), [("m-2".to_owned(), 10)], "away from the machine it was meant for");
-        holder.fleet.tick(holder.now);
+        holder.tick();
         holder.now.steady += RENEW_AFTER + Duration::from_secs(1);
-        holder.fleet.tick(holder.now);
+        holder.tick();
         let policy = Policy::defaults(&holder.config);
         assert!(holder.fleet.status(holder.now, &policy)[0].wants_new_seal);
         holder.grant(6);
@@ -1069,7 +1205,7 @@
             let attempt = Attempt { task: TaskId { job: JobId(of), index: 0 }, number };
             let grant_version = holder.fleet.grant_version(&"a.0".into());
             let want = vec![Wanted { attempt, machine: "m-1".into() }];
-            let work = Work { block: "a.0".into(), grant_version, number, want, stop: Vec::new() };
+            let work = Work { block: "a.0".into(), grant_version, number, heard: 0, want, stop: Vec::new() };
             assert!(holder.fleet.work(work));
             holder.write();
             for (state, cause) in [(TaskState::Running, None), (TaskState::Exited, Some(Cause::Error))] {
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -44,7 +44,8 @@
 enum State {
     /// Until our copy is newer than the question.
     Refreshing,
-    Committing,
+    /// The transaction is kept, for it is sent again if the state service refuses it.
+    Committing(Txn),
 }
 
 #[derive(Debug)]
@@ -117,13 +118,18 @@
         }
         let record = JobRecord::Open(job);
         let txn = Txn::default().when(job_key(job_id), 0).put(job_key(job_id), &record);
-        if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn)).is_err() {
+        if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn.clone())).is_err() {
             return Some(later(429, "too many requests"));
         }
         let question = Question::Submit(job_id);
         self.pending.insert(
             id,
-            Pending { question, state: State::Committing, asked: now.steady, deadline: now.steady + SUBMIT_WITHIN },
+            Pending {
+                question,
+                state: State::Committing(txn),
+                asked: now.steady,
+                deadline: now.steady + SUBMIT_WITHIN,
+            },
         );
         None
     }
@@ -195,6 +201,14 @@
             (Question::Cancel(job), Outcome::Committed { .. }) => {
                 Response::State { status: 200, state: JobState { id: *job, status: "cancelled", done: 0, running: 0 } }
             }
+            // Not executed, for all nodes together asked too much just then: most often it goes a moment later.
+            (_, Outcome::Refused) if cx.budget.available(now) && now.steady + LONGEST_QUEUE < pending.deadline => {
+                let State::Committing(txn) = &pending.state else { return None };
+                if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn.clone())).is_ok() {
+                    return None;
+                }
+                later(429, "too many requests")
+            }
             (_, Outcome::Conflict) => {
                 // Somebody was first: see what they did.
                 pending.state = State::Refreshing;
@@ -218,7 +232,7 @@
             .iter()
             .filter(|(_, pending)| match pending.state {
                 State::Refreshing => !available || cx.view.covers(pending.asked) || now.steady >= pending.deadline,
-                State::Committing => now.steady >= pending.deadline,
+                State::Committing(_) => now.steady >= pending.deadline,
             })
             .map(|(id, _)| *id)
             .collect();
@@ -245,14 +259,14 @@
             if matches!(pending.question, Question::Cancel(_)) && !open.cancelled {
                 let record = JobRecord::Cancelled(open.job.clone());
                 let txn = Txn::default().when(job_key(job), open.version).put(job_key(job), &record);
-                pending.state = State::Committing;
+                pending.state = State::Committing(txn.clone());
                 if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn)).is_err() {
                     answers.push((id, later(429, "too many requests")));
                     self.pending.remove(&id);
                 }
                 continue;
             }
-            let running = open.placed.len() as u64;
+            let running = cx.view.placed(job).len() as u64;
             let status = match (open.cancelled, running) {
                 (true, _) => "cancelled",
                 (false, 0) => "queued",
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -6,6 +6,8 @@
 
 use hdrhistogram::Histogram;
 
+use crate::store::Outcome;
+
 /// Longer times are counted as this long.
 const LONGEST_MS: u64 = 3_600_000;
 const SIGNIFICANT_DIGITS: u8 = 2;
@@ -40,12 +42,14 @@
 pub struct Metrics {
     /// From a submission's arrival to its acceptance.
     pub accept_ms: Times,
-    /// From a job's acceptance to each of its tasks running, as the leader sees it.
+    /// From a job's acceptance to each of its tasks running, as their holder sees it.
     pub start_ms: Times,
     /// Processing of one event: a leader's round is the longest kind.
     pub step_us: Times,
     /// Answers to users that were not 200 or 201.
     pub refused: BTreeMap<u16, u64>,
+    /// Transactions, by the slice that sent them and what became of them.
+    pub transactions: BTreeMap<(&'static str, &'static str), u64>,
     /// Values of the moment: queue per team, machines by state.
     pub gauges: BTreeMap<String, f64>,
 }
@@ -57,6 +61,7 @@
             start_ms: Times::new(),
             step_us: Times::new(),
             refused: BTreeMap::new(),
+            transactions: BTreeMap::new(),
             gauges: BTreeMap::new(),
         }
     }
@@ -69,6 +74,16 @@
         *self.refused.entry(status).or_default() += 1;
     }
 
+    pub fn transaction(&mut self, slice: &'static str, outcome: &Outcome) {
+        let became = match outcome {
+            Outcome::Committed { .. } => "committed",
+            Outcome::Conflict => "conflict",
+            Outcome::Refused => "refused",
+            _ => "unknown",
+        };
+        *self.transactions.entry((slice, became)).or_default() += 1;
+    }
+
     /// One value a line.
     pub fn show(&self) -> String {
         let mut text = String::new();
@@ -83,6 +98,9 @@
         for (status, count) in &self.refused {
             let _ = writeln!(text, "refused{{status=\"{status}\"}} {count}");
         }
+        for ((slice, became), count) in &self.transactions {
+            let _ = writeln!(text, "transactions{{slice=\"{slice}\",outcome=\"{became}\"}} {count}");
+        }
         for (name, value) in &self.gauges {
             let _ = writeln!(text, "{name} {value}");
         }
@@ -107,6 +125,7 @@
             metrics.accept_ms.record(value);
         }
         metrics.accept_ms.record(u64::MAX);
+        metrics.transaction("block", &Outcome::Conflict);
         metrics.refused(503);
         metrics.refused(503);
         metrics.gauges.insert("waiting{team=\"red\"}".to_owned(), 3.0);
@@ -116,6 +135,7 @@
             "accept_ms{quantile=\"p50\"} 51",
             "start_ms{quantile=\"p99\"} 0",
             "refused{status=\"503\"} 2",
+            "transactions{slice=\"block\",outcome=\"conflict\"} 1",
             "waiting{team=\"red\"} 3",
         ] {
             assert!(text.lines().any(|shown| shown == line), "{line} is not in\n{text}");
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,7 +16,7 @@
 use crate::intake::{self, Intake, RequestId, Response};
 use crate::leadership::{self, Lead, Leadership};
 use crate::metrics::Metrics;
-use crate::peer::{Message, Status};
+use crate::peer::{Message, Status, Work};
 use crate::policy::Policy;
 use crate::provisioning::{self, Call, CallOutcome, Demand, Flavors, Provisioner};
 use crate::queueing::Queues;
@@ -65,6 +65,8 @@
     provisioner: Provisioner,
     demand: Demand,
     planned: Option<Instant>,
+    /// How long to wait for the next plan, by what the last ones took.
+    pause: Duration,
     summary: Option<Instant>,
 }
 
@@ -95,14 +97,18 @@
     seen_revision: u64,
 }
 
-/// The plan is made anew at most this often.
+/// The plan is made anew at most this often, and at least that often when nothing has changed.
 const PLAN_SPACING: Duration = Duration::from_millis(40);
 const PLAN_AT_LEAST: Duration = Duration::from_millis(500);
+/// The part of the time that plans may take: they look at all there is, and must not hold up answers.
+const PLAN_PART: f64 = 0.2;
+/// ... but however long they take, they are made this often.
+const PLAN_SLOWEST: Duration = Duration::from_secs(2);
 const SUMMARY_EVERY: Duration = Duration::from_secs(60);
 const STATUS_EVERY: Duration = Duration::from_millis(1000);
 /// How long only this controller must be without the state service before users are sent elsewhere.
 const CUT_OFF_AFTER: Duration = Duration::from_secs(3);
-const STATUS_SPACING: Duration = Duration::from_millis(60);
+const STATUS_SPACING: Duration = Duration::from_millis(100);
 
 impl Node {
     pub fn new(config: Config, policy: Policy, seed: u64, now: Now) -> Self {
@@ -111,11 +117,11 @@
         let budget = Budget::new(&config.state_limits, config.controllers(), now);
         Node {
             leadership: Leadership::new(config.name.clone(), boot),
-            config,
             policy,
             boot,
             rng,
-            view: View::new(),
+            view: View::new(&config.state_limits, config.controllers()),
+            config,
             budget,
             granting: Granting::new(),
             flavors: Flavors::default(),
@@ -138,6 +144,16 @@
         &self.view
     }
 
+    /// How long the last event took to handle, as whoever runs this measured it.
+    pub fn took(&mut self, now: Now, took: Duration) {
+        self.metrics.step(took);
+        // The event in which a plan was made: its time is nearly all the plan's.
+        if let Some(leading) = self.leading.as_mut().filter(|leading| leading.planned == Some(now.steady)) {
+            let pause = took.div_f64(PLAN_PART).clamp(PLAN_SPACING, PLAN_SLOWEST);
+            leading.pause = (leading.pause * 3 + pause) / 4;
+        }
+    }
+
     pub fn metrics(&mut self) -> &mut Metrics {
         &mut self.metrics
     }
@@ -147,7 +163,7 @@
             return;
         }
         self.reported = now.steady;
-        let Metrics { accept_ms, start_ms, step_us, refused, .. } = &self.metrics;
+        let Metrics { accept_ms, start_ms, step_us, refused, transactions, .. } = &self.metrics;
         info!(
             accepted = accept_ms.count(),
             accept_p90_ms = accept_ms.quantile(0.9),
@@ -157,6 +173,7 @@
             step_p99_us = step_us.quantile(0.99),
             step_max_us = step_us.quantile(1.0),
             refused = refused.values().sum::<u64>(),
+            ?transactions,
             "metrics"
         );
     }
@@ -178,7 +195,10 @@
         let mut effects = Vec::new();
         match event {
             Event::Tick => {
-                self.fleet.tick(now);
+                self.fleet.tick(now, &self.config, &self.policy);
+                for accepted_ms in self.fleet.take_started() {
+                    self.metrics.start_ms.record(now.unix_ms().saturating_sub(accepted_ms));
+                }
                 self.log_metrics(now);
             }
             Event::Submit { id, body } => {
@@ -238,6 +258,17 @@
 
     fn stored(&mut self, now: Now, tag: StoreTag, sent: Instant, outcome: Outcome, effects: &mut Vec<Effect>) {
         self.budget.note(now, &outcome);
+        let slice = match &tag {
+            StoreTag::View(_) | StoreTag::Leadership(_) => None,
+            StoreTag::Intake(_) => Some("intake"),
+            StoreTag::Granting(_) => Some("granting"),
+            StoreTag::Provisioning(_) => Some("provisioning"),
+            StoreTag::Queueing(_) => Some("queueing"),
+            StoreTag::Block { .. } => Some("block"),
+        };
+        if let Some(slice) = slice {
+            self.metrics.transaction(slice, &outcome);
+        }
         match tag {
             StoreTag::View(tag) => {
                 for (tag, op) in self.view.handle(now, tag, outcome) {
@@ -306,7 +337,7 @@
                         self.granting.wants_new_seal(&block.block, block.seal);
                     }
                     if let Some(leading) = &mut self.leading {
-                        leading.queues.status(now, block, &self.view, &mut self.metrics.start_ms);
+                        leading.queues.status(now, block);
                         self.stale_plan = true;
                     }
                 }
@@ -318,8 +349,10 @@
                     self.peers_reach_state.remove(&node);
                 }
             }
-            Message::Work(work) => {
-                self.fleet.work(work);
+            Message::Work(blocks) => {
+                for work in blocks {
+                    self.fleet.work(work);
+                }
                 self.status_due = true;
             }
         }
@@ -344,17 +377,23 @@
         if self.view.revision != self.seen_revision {
             self.seen_revision = self.view.revision;
             self.stale_plan = true;
-            self.fleet.sync(now, &self.config, self.boot, &self.view);
-            self.fleet.jobs_ended(&self.view);
+            if self.view.ready() {
+                let touched = self.view.take_touched();
+                self.fleet.sync(now, &self.config, self.boot, &self.view, &touched);
+            }
             self.status_due = true;
         }
         for (tag, op) in self.leadership.poll(now, &self.view, &mut self.rng) {
             self.ask(Urgency::Authority, StoreTag::Leadership(tag), op);
         }
         self.lead(now, effects);
-        for (block, op) in self.fleet.writes(now, &self.config, &mut self.view, &self.flavors) {
+        while self.budget.idle(now, Urgency::Work)
+            && let Some((block, op)) = self.fleet.write(now, &self.config, &mut self.view, &self.flavors)
+        {
             let grant_version = self.fleet.grant_version(&block);
             self.ask(Urgency::Work, StoreTag::Block { block, grant_version }, op);
+            let ready = self.budget.take(now);
+            effects.extend(ready.into_iter().map(|(tag, op)| Effect::Store { tag, op }));
         }
         for command in self.fleet.commands(now, &self.config, &self.view) {
             effects.push(Effect::Command(command));
@@ -375,15 +414,19 @@
 
     fn lead(&mut self, now: Now, effects: &mut Vec<Effect>) {
         let Some((term, version)) = self.leadership.leading(&self.view) else {
-            self.leading = None;
+            if self.leading.take().is_some() {
+                self.budget.lead(now, false);
+            }
             return;
         };
         if self.leading.as_ref().is_none_or(|leading| leading.queues.term() != term) {
+            self.budget.lead(now, true);
             self.leading = Some(Leading {
                 queues: Queues::new(now, term),
                 provisioner: Provisioner::new(now, term),
                 demand: Demand::default(),
                 planned: None,
+                pause: PLAN_SPACING,
                 summary: None,
             });
             self.status_due = true;
@@ -396,7 +439,8 @@
         }
         let Some(leading) = &mut self.leading else { return };
         let rested = |pause| leading.planned.is_none_or(|at| since(now, at) >= pause);
-        if !self.flavors.known() || !(rested(PLAN_AT_LEAST) || (self.stale_plan && rested(PLAN_SPACING))) {
+        let pause = if self.stale_plan { leading.pause } else { leading.pause.max(PLAN_AT_LEAST) };
+        if !self.flavors.known() || !rested(pause) {
             for (urgency, tag, op) in ops {
                 self.ask(urgency, tag, op);
             }
@@ -423,22 +467,26 @@
         for (tag, call) in leading.provisioner.calls(now, &self.config, &self.view, &leading.demand) {
             effects.push(Effect::Call { tag, call });
         }
-        let op = leading.queues.write(now, &self.config, version, &mut self.view);
-        ops.extend(op.map(|op| (Urgency::Work, StoreTag::Queueing(term), op)));
+        let most = self.budget.batch(self.config.state_limits.txn_ops);
+        let op = leading.queues.write(now, &self.config, version, &mut self.view, most);
+        ops.extend(op.map(|op| (Urgency::Ends, StoreTag::Queueing(term), op)));
         let op = leading.provisioner.write(now, &lead, &mut self.view, &leading.demand);
         ops.extend(op.map(|op| (Urgency::Work, StoreTag::Provisioning(term), op)));
         let messages = leading.queues.messages(now);
         for (urgency, tag, op) in ops {
             self.ask(urgency, tag, op);
         }
+        let mut by_holder: BTreeMap<NodeName, Vec<Work>> = BTreeMap::new();
         for work in messages {
-            let Some(holder) = self.view.grants.get(&work.block).map(|grant| grant.value.holder.clone()) else {
-                continue;
-            };
+            if let Some(grant) = self.view.grants.get(&work.block) {
+                by_holder.entry(grant.value.holder.clone()).or_default().push(work);
+            }
+        }
+        for (holder, blocks) in by_holder {
             if holder == self.config.name {
-                self.peer(now, Message::Work(work));
+                self.peer(now, Message::Work(blocks));
             } else {
-                effects.push(Effect::Peer { to: holder, message: Message::Work(work) });
+                effects.push(Effect::Peer { to: holder, message: Message::Work(blocks) });
             }
         }
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -11,8 +11,8 @@
     Status(Status),
     /// To everyone: whether this controller reaches the state service.
     Alive { node: NodeName, reaches_state: bool },
-    /// Leader to holder: all the tasks it wants placed in a block.
-    Work(Work),
+    /// Leader to holder: all the tasks it wants placed in those of its blocks where something is new.
+    Work(Vec<Work>),
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -32,9 +32,14 @@
     /// Attempts that may still be recorded as placed. What the leader wanted by `last_work` and is neither
     /// here nor in the block's places of `revision` never will be.
     pub pending: Vec<u64>,
+    /// Those of them for which no machine here has room.
+    pub refused: Vec<u64>,
     pub revision: u64,
     /// The seal must be renewed: a command of unknown outcome stands in the way.
     pub wants_new_seal: bool,
+    /// Rises with every message under a grant. A message that is not newer than the last one is late.
+    pub number: u64,
+    /// The machines that have changed since the last message that the leader is known to have heard.
     pub machines: Vec<MachineStatus>,
 }
 
@@ -51,8 +56,6 @@
     /// Tasks that failed here one after the other, as far as this holder knows.
     pub errors: u32,
     pub images: Vec<Image>,
-    /// Attempts that are running (their image has arrived).
-    pub running: Vec<u64>,
 }
 
 /// The whole of what the leader wants of a block, so that a lost message needs no repeat of its own.
@@ -62,6 +65,8 @@
     pub grant_version: u64,
     /// Rises with every message of a term.
     pub number: u64,
+    /// The last status of this block that the leader has taken in.
+    pub heard: u64,
     pub want: Vec<Wanted>,
     /// Tasks to be stopped, to make room or to drain a machine.
     pub stop: Vec<Attempt>,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::domain::{Image, Job, MachineId, Room, Tenure, TypeName, Zone};
 use crate::provisioning::wire::Flavor;
-use crate::store::records::Machine;
+use crate::store::Machine;
 
 /// A machine that takes tasks, as the leader or its holder knows it.
 #[derive(Debug, Clone)]
@@ -48,10 +48,45 @@
     zone_open: impl Fn(&Zone) -> bool,
 ) -> Option<&'c Candidate> {
     candidates
-        .filter(|c| c.allows(job) && c.free.fits(&job.need) && zone_open(&c.zone))
+        .filter(|c| c.free.fits(&job.need) && c.allows(job) && zone_open(&c.zone))
         .min_by(|a, b| rank(a, job).partial_cmp(&rank(b, job)).unwrap_or(std::cmp::Ordering::Equal))
 }
 
+/// Machines in the order in which tasks of one shape and image go to them, worked out once for many tasks. Room
+/// only shrinks while it is used, so a machine that has become too full is never looked at again.
+#[derive(Debug)]
+pub struct Ranking {
+    order: Vec<usize>,
+    next: usize,
+}
+
+impl Ranking {
+    pub fn new(candidates: &[Candidate], job: &Job, zone_open: impl Fn(&Zone) -> bool) -> Self {
+        let mut ranked: Vec<(f64, bool, f64, usize)> = candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, c)| c.free.fits(&job.need) && c.allows(job) && zone_open(&c.zone))
+            .map(|(index, c)| {
+                let (fetch_s, misplaced, left) = rank(c, job);
+                (fetch_s, misplaced, left, index)
+            })
+            .collect();
+        ranked.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
+        Ranking { order: ranked.into_iter().map(|(_, _, _, index)| index).collect(), next: 0 }
+    }
+
+    /// The first that still has room.
+    pub fn best<'c>(&mut self, candidates: &'c [Candidate], job: &Job) -> Option<&'c Candidate> {
+        while let Some(index) = self.order.get(self.next) {
+            match candidates.get(*index) {
+                Some(candidate) if candidate.free.fits(&job.need) => return Some(candidate),
+                _ => self.next += 1,
+            }
+        }
+        None
+    }
+}
+
 /// Lower is better: no fetch, the kind of machine meant for such work, little left over.
 fn rank(candidate: &Candidate, job: &Job) -> (f64, bool, f64) {
     let fetch_s = if candidate.images.contains(&job.image) { 0.0 } else { job.image_gb * candidate.fetch_s_per_gb };
@@ -118,6 +153,11 @@
         assert_eq!(chosen(&list, &work), Some("m-5".into()));
         work.spot = true;
         assert_eq!(chosen(&list, &work), Some("m-4".into()));
+        let mut ranking = Ranking::new(&list, &work, |_| true);
+        let first = ranking.best(&list, &work).map(|c| c.machine.clone());
+        assert_eq!(first, Some("m-4".into()));
+        list[3].free.cpus = 1.0;
+        assert_eq!(ranking.best(&list, &work).map(|c| c.machine.clone()), Some("m-5".into()));
         work.zone = Some("b".into());
         assert_eq!(chosen(&list, &work), None);
         assert!(choose(list.iter(), &job(1, 2.0), |_| false).is_none());
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -7,19 +7,19 @@
 pub mod rule;
 pub mod wire;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use tracing::{debug, info, warn};
 
 use crate::blocks;
 use crate::config::Config;
-use crate::domain::{Amount, BlockId, Job, MachineId, Now, Tenure, TypeName, Zone, since};
+use crate::domain::{Amount, BlockId, Job, MachineId, Now, Room, Tenure, TypeName, Zone, since};
 use crate::fleet::wire::Report;
 use crate::leadership::Lead;
 use crate::policy::Policy;
-use crate::store::records::{LEADER, Machine, Order, machine_key, order_key};
-use crate::store::{Op, Outcome, Txn, View, Writer};
+use crate::store::records::{DONE_BYTES, LEADER, Order, Roster, Rostered, order_key, roster_key};
+use crate::store::{Machine, Op, Outcome, Txn, View, Writer};
 use wire::{Flavor, FlavorList, ListedMachine, ListedState, MachineList, MachineNames, RentRequest};
 
 /// The machine types, once the cloud has told them.
@@ -125,8 +125,10 @@
     /// The part of it that waits and must be in that zone.
     pub pinned: BTreeMap<(Pool, Zone), f64>,
     /// Machines that have tasks on them or on their way.
-    pub occupied: BTreeSet<MachineId>,
+    pub occupied: HashSet<MachineId>,
     pub runs: BTreeMap<Pool, Runs>,
+    /// The least that any open job's task takes.
+    pub smallest: Option<Room>,
 }
 
 /// What the holders tell about a machine.
@@ -168,6 +170,8 @@
 }
 
 const RETRY: Duration = Duration::from_secs(1);
+/// The protocol's limit for one rental request.
+const MOST_RENTED: i64 = 50;
 const LIST_EVERY: Duration = Duration::from_secs(10);
 /// A machine that takes this many times its usual boot time never comes up.
 const BOOT_PATIENCE: f64 = 3.0;
@@ -180,6 +184,109 @@
     List,
 }
 
+/// Changes to rosters, gathered so that each block's value is written once.
+struct Edits<'v> {
+    view: &'v View,
+    rosters: BTreeMap<BlockId, Roster>,
+    /// Blocks that one transaction may change.
+    most: usize,
+    /// The blocks of each zone, and how full each is for its value: by its machines, and by the tasks they may get.
+    blocks: BTreeMap<Zone, BTreeMap<BlockId, f64>>,
+    value_bytes: f64,
+    tasks: HashMap<TypeName, f64>,
+}
+
+/// How full a block may be before a new one is opened: what a value can't hold can't be placed.
+const BLOCK_FULL: f64 = 0.7;
+/// Tasks expected on a machine before there are any to go by.
+const TASKS_UNKNOWN: f64 = 4.0;
+
+impl<'v> Edits<'v> {
+    fn new(lead: &Lead<'_>, view: &'v View, demand: &Demand) -> Self {
+        let Lead { config, policy, flavors, .. } = *lead;
+        let tasks = flavors
+            .all()
+            .map(|flavor| {
+                let most = demand.smallest.map_or(TASKS_UNKNOWN, |need| f64::from(flavor.room().count_of(&need)));
+                (flavor.name.clone(), most.clamp(1.0, MOST_TASKS))
+            })
+            .collect();
+        let mut edits = Edits {
+            view,
+            rosters: BTreeMap::new(),
+            most: config.state_limits.txn_ops - 1,
+            blocks: BTreeMap::new(),
+            value_bytes: config.state_limits.value_bytes as f64,
+            tasks,
+        };
+        for (block, zone) in blocks::wanted(&flavors.zones(config), config, policy, view) {
+            let fill = view
+                .rosters
+                .get(&block)
+                .map_or(0.0, |roster| roster.value.on.iter().map(|(id, entry)| edits.share(id, entry)).sum());
+            edits.blocks.entry(zone).or_default().insert(block, fill);
+        }
+        edits
+    }
+
+    /// The part of a block's values that a machine may come to need.
+    fn share(&self, id: &MachineId, entry: &Rostered) -> f64 {
+        let tasks = self.tasks.get(&entry.type_name).copied().unwrap_or(TASKS_UNKNOWN);
+        let places = (id.0.len() + 8) as f64 + tasks * TASK_BYTES;
+        (entry.size(id) as f64).max(places) / self.value_bytes
+    }
+
+    /// Puts a machine into the emptiest block of its zone, or a new one if all are full. False: the transaction
+    /// has no room.
+    fn add(&mut self, zone: &Zone, id: &MachineId, entry: Rostered, reserved: usize) -> bool {
+        let share = self.share(id, &entry);
+        let full = self.rosters.len() + reserved >= self.most;
+        let of_zone = self.blocks.entry(zone.clone()).or_default();
+        let usable = of_zone.iter().filter(|(block, _)| !full || self.rosters.contains_key(*block));
+        let emptiest = usable.min_by(|a, b| a.1.total_cmp(b.1)).map(|(block, fill)| (block.clone(), *fill));
+        let block = match emptiest {
+            Some((block, fill)) if fill + share <= BLOCK_FULL => block,
+            _ if full => return false,
+            _ => blocks::name(zone, of_zone.len()),
+        };
+        *of_zone.entry(block.clone()).or_default() += share;
+        let fresh = || self.view.rosters.get(&block).map_or_else(|| Roster::new(zone.clone()), |r| r.value.clone());
+        self.rosters.entry(block.clone()).or_insert_with(fresh).on.insert(id.clone(), entry);
+        true
+    }
+
+    /// Changes the roster that a machine is in. False: the transaction has no room, or there is no such machine.
+    fn change(&mut self, id: &MachineId, change: impl FnOnce(&mut Roster)) -> bool {
+        let Some(block) = self.view.machines.get(id).map(|machine| &machine.block) else { return false };
+        if !self.rosters.contains_key(block) {
+            let Some(roster) = self.view.rosters.get(block).filter(|_| self.rosters.len() < self.most) else {
+                return false;
+            };
+            self.rosters.insert(block.clone(), roster.value.clone());
+        }
+        if let Some(roster) = self.rosters.get_mut(block) {
+            change(roster);
+        }
+        true
+    }
+
+    fn any(&self) -> bool {
+        !self.rosters.is_empty()
+    }
+
+    fn apply(self, mut txn: Txn) -> Txn {
+        for (block, roster) in &self.rosters {
+            let version = self.view.rosters.get(block).map_or(0, |old| old.version);
+            txn = txn.when(roster_key(block), version).put(roster_key(block), roster);
+        }
+        txn
+    }
+}
+
+/// What one placed task takes of its block's value, and the most of them that are reckoned with on one machine.
+const TASK_BYTES: f64 = 24.0 + DONE_BYTES as f64;
+const MOST_TASKS: f64 = 32.0;
+
 impl Provisioner {
     pub fn new(now: Now, term: u64) -> Self {
         Provisioner {
@@ -246,15 +353,15 @@
         self.deleted.retain(|machine| view.machines.contains_key(machine));
         self.buried.retain(|_, at| since(now, *at) < Duration::from_secs(120));
         for (id, machine) in &view.machines {
-            let age = Duration::from_millis(now.unix_ms().saturating_sub(machine.value.rented_ms));
+            let age = Duration::from_millis(now.unix_ms().saturating_sub(machine.rented_s * 1000));
             let Some(health) = health.get(id) else { continue };
-            let boot_s = flavors.get(&machine.value.type_name).map_or(30.0, |flavor| flavor.boot_s.0);
+            let boot_s = flavors.get(&machine.type_name).map_or(30.0, |flavor| flavor.boot_s.0);
             if health.seen && self.up.insert(id.clone()) && age.as_secs_f64() < boot_s * BOOT_PATIENCE {
                 let sample = age.as_secs_f64();
-                let mean = self.boot_mean.entry(machine.value.type_name.clone()).or_insert(boot_s);
+                let mean = self.boot_mean.entry(machine.type_name.clone()).or_insert(boot_s);
                 *mean += 0.2 * (sample - *mean);
             }
-            let occupied = view.places.get(&machine.value.block).is_some_and(|p| p.value.on.contains_key(id));
+            let occupied = view.places.get(&machine.block).is_some_and(|p| p.value.on.contains_key(id));
             let never_up = age.as_secs_f64() > boot_s * BOOT_PATIENCE + 10.0;
             let known_up = self.up.contains(id) || occupied;
             let silent = health.silent && (known_up || never_up);
@@ -303,9 +410,7 @@
                 .machines
                 .iter()
                 .filter(|(id, _)| !self.deleted.contains(*id))
-                .filter(|(id, machine)| {
-                    self.lost.contains(*id) || (machine.value.draining && !demand.occupied.contains(*id))
-                })
+                .filter(|(id, machine)| self.lost.contains(*id) || (machine.draining && !demand.occupied.contains(*id)))
                 .map(|(id, _)| id.clone())
                 .take(100)
                 .collect();
@@ -390,7 +495,7 @@
 
     /// The next write: machines that came or went, or what a round decides.
     pub fn write(&mut self, now: Now, lead: &Lead<'_>, view: &mut View, demand: &Demand) -> Option<Op> {
-        let Lead { config, flavors, .. } = *lead;
+        let Lead { flavors, .. } = *lead;
         self.idle.retain(|id, _| view.machines.contains_key(id) && !demand.occupied.contains(id));
         for id in view.machines.keys().filter(|id| !demand.occupied.contains(*id)) {
             self.idle.entry(id.clone()).or_insert(now.steady);
@@ -400,9 +505,9 @@
         }
         let txn = Txn::default().when(LEADER, lead.version);
         let txn = self
-            .record_rented(now, lead, view, txn.clone())
-            .or_else(|| self.record_deleted(config, view, txn.clone()))
-            .or_else(|| self.record_unexpected(now, lead, view, txn.clone()))
+            .record_rented(now, lead, view, demand, &txn)
+            .or_else(|| self.record_deleted(lead, view, demand, &txn))
+            .or_else(|| self.record_unexpected(now, lead, view, demand, &txn))
             .or_else(|| self.round(now, lead, view, demand, txn))?;
         self.writer.sent();
         Some(Op::Commit(txn))
@@ -412,58 +517,35 @@
         self.writer.answered(now, outcome);
     }
 
-    fn block_for(&self, lead: &Lead<'_>, zone: &Zone, load: &mut BTreeMap<BlockId, usize>) -> Option<BlockId> {
-        let (block, _) = blocks::wanted(&lead.flavors.zones(lead.config), lead.config, lead.policy)
-            .into_iter()
-            .filter(|(_, of)| of == zone)
-            .min_by_key(|(block, _)| load.get(block).copied().unwrap_or(0))?;
-        *load.entry(block.clone()).or_default() += 1;
-        Some(block)
-    }
-
-    fn load(view: &View) -> BTreeMap<BlockId, usize> {
-        let mut load = BTreeMap::new();
-        for machine in view.machines.values() {
-            *load.entry(machine.value.block.clone()).or_default() += 1;
-        }
-        load
-    }
-
-    fn record_rented(&mut self, now: Now, lead: &Lead<'_>, view: &View, mut txn: Txn) -> Option<Txn> {
+    fn record_rented(&mut self, now: Now, lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
         // Recorded already, if our copy no longer has the order.
         self.rented.retain(|name, (_, version, _)| view.orders.get(name).is_some_and(|o| o.version == *version));
         let (name, (order, version, machines)) = self.rented.iter().next()?;
-        let mut load = Self::load(view);
-        txn = txn.when(order_key(name), *version).delete(order_key(name));
-        for machine in machines.iter().take(lead.config.state_limits.txn_ops - 1) {
-            if view.machines.contains_key(machine) {
-                continue;
-            }
-            let record = Machine {
+        let mut edits = Edits::new(lead, view, demand);
+        for machine in machines.iter().filter(|machine| !view.machines.contains_key(*machine)) {
+            let entry = Rostered {
                 type_name: name.clone(),
-                zone: order.zone.clone(),
                 tenure: order.tenure,
-                block: self.block_for(lead, &order.zone, &mut load)?,
                 draining: false,
-                rented_ms: now.unix_ms(),
+                rented_s: now.unix_ms() / 1000,
             };
-            txn = txn.when(machine_key(machine), 0).put(machine_key(machine), &record);
+            // What does not fit this transaction reports, or is listed, and is taken up then.
+            edits.add(&order.zone, machine, entry, 1);
         }
-        Some(txn)
+        Some(edits.apply(txn.clone().when(order_key(name), *version).delete(order_key(name))))
     }
 
-    fn record_deleted(&mut self, config: &Config, view: &View, mut txn: Txn) -> Option<Txn> {
-        let mut any = false;
-        for machine in self.deleted.iter().take(config.state_limits.txn_ops) {
-            if let Some(record) = view.machines.get(machine) {
-                any = true;
-                txn = txn.when(machine_key(machine), record.version).delete(machine_key(machine));
-            }
+    fn record_deleted(&mut self, lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
+        let mut edits = Edits::new(lead, view, demand);
+        for machine in &self.deleted {
+            edits.change(machine, |roster| {
+                roster.on.remove(machine);
+            });
         }
-        any.then_some(txn)
+        edits.any().then(|| edits.apply(txn.clone()))
     }
 
-    fn record_unexpected(&mut self, now: Now, lead: &Lead<'_>, view: &View, mut txn: Txn) -> Option<Txn> {
+    fn record_unexpected(&mut self, now: Now, lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
         self.unexpected.retain(|id, _| !view.machines.contains_key(id));
         // An order under way may explain it.
         let known = |listed: &ListedMachine, at: Instant| {
@@ -473,41 +555,33 @@
             .unexpected
             .values()
             .filter(|(listed, at)| known(listed, *at))
-            .take(lead.config.state_limits.txn_ops)
             .map(|(listed, _)| listed.clone())
             .collect();
-        if take.is_empty() {
-            return None;
-        }
-        let mut load = Self::load(view);
-        let mut any = false;
+        let mut edits = Edits::new(lead, view, demand);
         for listed in take {
-            self.unexpected.remove(&listed.id);
-            let Some(block) = self.block_for(lead, &listed.zone, &mut load) else { continue };
-            info!(machine = %listed.id, type_name = %listed.type_name, "unexpected machine taken up");
-            let record = Machine {
-                type_name: listed.type_name,
-                zone: listed.zone,
+            let entry = Rostered {
+                type_name: listed.type_name.clone(),
                 tenure: Tenure::spot(listed.spot),
-                block,
                 draining: false,
-                rented_ms: now.unix_ms().saturating_sub((listed.age_s.0.clamp(0.0, 1e9) * 1000.0) as u64),
+                rented_s: (now.unix_ms() / 1000).saturating_sub(listed.age_s.0.clamp(0.0, 1e9) as u64),
             };
-            any = true;
-            txn = txn.when(machine_key(&listed.id), 0).put(machine_key(&listed.id), &record);
+            if !edits.add(&listed.zone, &listed.id, entry, 0) {
+                break;
+            }
+            self.unexpected.remove(&listed.id);
+            info!(machine = %listed.id, type_name = %listed.type_name, "unexpected machine taken up");
         }
-        any.then_some(txn)
+        edits.any().then(|| edits.apply(txn.clone()))
     }
 
     /// A line for each pool in the log, and its values among the metrics.
     pub fn summary(&self, view: &View, demand: &Demand, gauges: &mut BTreeMap<String, f64>) {
         for (pool, machines) in self.machines(view) {
-            let of_pool = |id: &MachineId| {
-                view.machines.get(id).is_some_and(|m| (&m.value.type_name, m.value.tenure) == (&pool.0, pool.1))
-            };
+            let of_pool =
+                |id: &MachineId| view.machines.get(id).is_some_and(|m| (&m.type_name, m.tenure) == (&pool.0, pool.1));
             let up = self.up.iter().filter(|id| of_pool(id)).count();
             let idle = self.idle.keys().filter(|id| of_pool(id) && self.up.contains(*id)).count();
-            let draining = view.machines.iter().filter(|(id, m)| m.value.draining && of_pool(id)).count();
+            let draining = view.machines.iter().filter(|(id, m)| m.draining && of_pool(id)).count();
             let demand = demand.machines.get(&pool).copied().unwrap_or(0.0);
             info!(type_name = %pool.0, tenure = ?pool.1, machines, up, idle, draining, demand, "pool");
             for (state, count) in [("all", f64::from(machines)), ("up", up as f64), ("idle", idle as f64)] {
@@ -523,8 +597,8 @@
     pub fn machines(&self, view: &View) -> BTreeMap<Pool, u32> {
         let mut count = BTreeMap::new();
         for (id, machine) in &view.machines {
-            if !machine.value.draining && !self.lost.contains(id) {
-                *count.entry((machine.value.type_name.clone(), machine.value.tenure)).or_default() += 1;
+            if !machine.draining && !self.lost.contains(id) {
+                *count.entry((machine.type_name.clone(), machine.tenure)).or_default() += 1;
             }
         }
         count
@@ -538,6 +612,9 @@
         }
         self.round = Some(now.steady);
         let machines = self.machines(view);
+        let mut edits = Edits::new(lead, view, demand);
+        // One change for each type's order, the rest for the blocks of machines that are returned.
+        edits.most = config.state_limits.txn_ops.saturating_sub(flavors.all().count()).max(1);
         let mut ops = 0;
         for flavor in flavors.all() {
             if view.orders.contains_key(&flavor.name) {
@@ -552,12 +629,14 @@
                 let change = rule::change(n, m, eta, policy.headroom);
                 if change < 0 {
                     let count = usize::try_from(-change).unwrap_or(0);
-                    for (id, machine) in self.returnable(now, lead, &pool, view, demand, count) {
-                        if ops + 2 < config.state_limits.txn_ops {
+                    for id in self.returnable(now, lead, &pool, view, demand, count) {
+                        let drained = edits.change(&id, |roster| {
+                            if let Some(entry) = roster.on.get_mut(&id) {
+                                entry.draining = true;
+                            }
+                        });
+                        if drained {
                             info!(machine = %id, type_name = %flavor.name, ?tenure, n, m, "returning");
-                            ops += 1;
-                            let record = Machine { draining: true, ..machine.value.clone() };
-                            txn = txn.when(machine_key(&id), machine.version).put(machine_key(&id), &record);
                         }
                     }
                 }
@@ -575,19 +654,18 @@
             }
             let Some((count, tenure, zone, wanted)) = best else { continue };
             let Some(zone) = zone.or_else(|| self.zone_for(now, flavor, tenure, wanted, view)) else { continue };
-            let most = i64::try_from(config.state_limits.txn_ops - 1).unwrap_or(1).min(50);
             self.next_request += 1;
             let order = Order {
                 request: format!("r-{}-{}", self.term, self.next_request),
                 zone,
                 tenure,
-                count: u32::try_from(count.min(most)).unwrap_or(1),
+                count: u32::try_from(count.min(MOST_RENTED)).unwrap_or(1),
             };
             info!(request = %order.request, type_name = %flavor.name, zone = %order.zone, ?tenure, count, "order");
             ops += 1;
             txn = txn.when(order_key(&flavor.name), 0).put(order_key(&flavor.name), &order);
         }
-        (ops > 0).then_some(txn)
+        (ops > 0 || edits.any()).then(|| edits.apply(txn))
     }
 
     /// A zone in which tasks wait that may not go elsewhere, and the machines that are not yet on order for them.
@@ -595,7 +673,7 @@
         let coming = |zone: &Zone| {
             let here = |m: &Machine| (&m.type_name, m.tenure, &m.zone) == (&pool.0, pool.1, zone) && !m.draining;
             let booting = |id: &MachineId| !self.up.contains(id) && !self.lost.contains(id);
-            view.machines.iter().filter(|(id, machine)| here(&machine.value) && booting(id)).count() as i64
+            view.machines.iter().filter(|(id, machine)| here(machine) && booting(id)).count() as i64
         };
         demand
             .pinned
@@ -615,15 +693,15 @@
         boot / mean_run
     }
 
-    fn returnable<'v>(
+    fn returnable(
         &self,
         now: Now,
         lead: &Lead<'_>,
         pool: &Pool,
-        view: &'v View,
+        view: &View,
         demand: &Demand,
         count: usize,
-    ) -> Vec<(MachineId, &'v crate::store::Versioned<Machine>)> {
+    ) -> Vec<MachineId> {
         let least_ms = u64::try_from(lead.policy.least_rental.as_millis()).unwrap_or(u64::MAX);
         let boot = lead.flavors.get(&pool.0).map_or(0.0, |flavor| flavor.boot_s.0);
         let patience = Duration::from_secs_f64(boot * lead.policy.idle_boots);
@@ -632,26 +710,26 @@
             .machines
             .iter()
             .filter(|(id, machine)| {
-                machine.value.type_name == pool.0
-                    && machine.value.tenure == pool.1
-                    && !machine.value.draining
+                machine.type_name == pool.0
+                    && machine.tenure == pool.1
+                    && !machine.draining
                     && !demand.occupied.contains(*id)
                     && rested(id)
                     && !self.lost.contains(*id)
-                    && now.unix_ms().saturating_sub(machine.value.rented_ms) >= least_ms
+                    && now.unix_ms().saturating_sub(machine.rented_s * 1000) >= least_ms
             })
             .collect();
         // The newest have the least in their caches.
-        idle.sort_by_key(|(_, machine)| std::cmp::Reverse(machine.value.rented_ms));
+        idle.sort_by_key(|(_, machine)| std::cmp::Reverse(machine.rented_s));
         idle.truncate(count);
-        idle.into_iter().map(|(id, machine)| (id.clone(), machine)).collect()
+        idle.into_iter().map(|(id, _)| id.clone()).collect()
     }
 
     /// The zone with the fewest machines among those that may have some to give. If all have run out, the one
     /// that did so first is asked again, as long as tasks wait.
     fn zone_for(&self, now: Now, flavor: &Flavor, tenure: Tenure, wanted: bool, view: &View) -> Option<Zone> {
         let out_until = |zone: &Zone| self.stockouts.get(&(flavor.name.clone(), zone.clone(), tenure)).copied();
-        let count = |zone: &Zone| view.machines.values().filter(|m| m.value.zone == *zone).count();
+        let count = |zone: &Zone| view.machines.values().filter(|m| m.zone == *zone).count();
         flavor
             .zones
             .iter()
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -3,42 +3,45 @@
 //!
 //! A released task counts as placed until its holder has said that it never will be: see `settle`.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use tracing::{debug, info};
 
 use crate::config::Config;
 use crate::domain::{
-    Attempt, BlockId, Final, Job, JobId, Kind, MachineId, Now, Priority, Room, TaskId, Team, Tenure, Zone, since,
+    Attempt, BlockId, Final, Image, Job, JobId, Kind, MachineId, Now, Priority, Room, TaskId, Team, Tenure, TypeName,
+    Zone, since,
 };
 use crate::leadership::Lead;
-use crate::metrics::Times;
 use crate::peer::{BlockStatus, MachineStatus, Wanted, Work};
-use crate::placement::{self, Candidate};
+use crate::placement::{Candidate, Ranking};
 use crate::provisioning::{Demand, Flavors, Health, Pool, Provisioner, Runs};
 use crate::store::records::{CHUNK, JobRecord, LEADER, Progress, job_key, progress_key};
 use crate::store::view::OpenJob;
-use crate::store::{Op, Outcome, Txn, View, Writer};
+use crate::store::{Machine, Op, Outcome, Txn, View, Writer};
 
 /// An unanswered work message is repeated after this long.
 const RESEND: Duration = Duration::from_millis(400);
 /// A holder's word on its machines is believed this long.
 const STATUS_LIFE: Duration = Duration::from_secs(5);
 /// A release that its holder can't place is taken back after this long.
-const WITHDRAW: Duration = Duration::from_secs(3);
+const WITHDRAW: Duration = Duration::from_secs(10);
+/// ... or after this long, once its holder has said that it found no room.
+const REFUSED_AFTER: Duration = Duration::from_millis(700);
 /// Releases decided in one go, so that a large job can't hold up everything else.
 const RELEASES: usize = 150;
 /// Failures in a row after which a machine is taken for faulty.
 const FAULTY: u32 = 3;
-/// Done tasks of a block are folded into their job's progress when the block's value is this full.
-const FOLD_AT: f64 = 0.4;
+/// Done tasks of a block are folded into their job's progress when the block's value is this full of all that it
+/// may come to hold. Each folded job costs a change, so jobs that are over soon are better left alone.
+const FOLD_AT: f64 = 0.8;
 /// Tasks that may be stopping at a time to make room.
 const STOPS: usize = 40;
 /// Steps in which the waiting tasks of one job are counted.
 const COUNTING_STEPS: u64 = 64;
 /// What one attempt takes of its block's value, at the most.
-const ATTEMPT_BYTES: usize = 48;
+const ATTEMPT_BYTES: usize = 64;
 const LONGEST_BACKOFF: Duration = Duration::from_secs(20);
 
 #[derive(Debug, Clone)]
@@ -56,7 +59,13 @@
     grant_version: u64,
     releases: BTreeMap<u64, Release>,
     stops: BTreeMap<Attempt, Instant>,
+    /// The holder's last word, without its machines: those are kept by name, for it tells only what changed.
     status: Option<(BlockStatus, Instant)>,
+    machines: BTreeMap<MachineId, MachineStatus>,
+    /// The last status taken in, and the last one that the holder was told was heard.
+    heard: u64,
+    /// The holder should be told that its word on machines was heard, else it repeats it.
+    owes_word: bool,
     sent: Option<Instant>,
     last_message: u64,
     dirty: bool,
@@ -68,6 +77,15 @@
     until: Option<Instant>,
 }
 
+#[derive(Debug, Clone)]
+struct PlacedSince {
+    task: TaskId,
+    machine: MachineId,
+    at: Instant,
+    /// The last look in which it was there.
+    look: u64,
+}
+
 #[derive(Debug)]
 pub struct Queues {
     term: u64,
@@ -76,8 +94,8 @@
     desks: BTreeMap<BlockId, Desk>,
     writer: Writer,
     /// Where each attempt was when last looked, to notice those that vanish without being done.
-    placed: HashMap<u64, (TaskId, MachineId, Instant)>,
-    started: HashSet<u64>,
+    placed: HashMap<u64, PlacedSince>,
+    looks: u64,
     strikes: HashMap<JobId, Strikes>,
     runs: BTreeMap<Pool, Runs>,
     measured: Instant,
@@ -85,7 +103,47 @@
 }
 
 /// A way to make room: the work it loses, the machine, and the tasks to be stopped there.
-type Way<'c> = (f64, &'c Candidate, Vec<(Attempt, BlockId)>);
+type Way<'c, 'v> = (f64, &'c Candidate, Vec<Victim<'v>>);
+
+#[derive(Debug, Clone)]
+struct Victim<'v> {
+    lost: f64,
+    attempt: Attempt,
+    block: &'v BlockId,
+    job: &'v Job,
+}
+
+type Victims<'v> = HashMap<&'v MachineId, Vec<Victim<'v>>>;
+
+/// What decides where a task may go: tasks of one shape can go to the same places.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Shape {
+    need: [u64; 3],
+    types: Option<Vec<TypeName>>,
+    zone: Option<Zone>,
+    spot: bool,
+    /// The zones that the job's other tasks leave open.
+    zones: Vec<Zone>,
+}
+
+impl Shape {
+    fn of(job: &Job, zones: &BTreeSet<Zone>, open: impl Fn(&Zone) -> bool) -> Self {
+        Shape {
+            need: [job.need.cpus, job.need.gpus, job.need.memory_gb].map(f64::to_bits),
+            types: job.types.clone(),
+            zone: job.zone.clone(),
+            spot: job.spot,
+            zones: zones.iter().filter(|zone| open(zone)).cloned().collect(),
+        }
+    }
+}
+
+/// What was found not to go while planning, so that it is not tried for each of a thousand jobs alike.
+#[derive(Debug, Default)]
+struct Hopeless {
+    no_room: HashSet<Shape>,
+    no_way: HashSet<(Shape, Team, Priority)>,
+}
 
 /// What a task may have and what it takes, in the order in which it is served.
 struct Waiting<'v> {
@@ -108,7 +166,7 @@
             desks: BTreeMap::new(),
             writer: Writer::Unsure { since: now.steady },
             placed: HashMap::new(),
-            started: HashSet::new(),
+            looks: 0,
             strikes: HashMap::new(),
             runs: BTreeMap::new(),
             measured: now.steady,
@@ -117,29 +175,25 @@
     }
 
     /// A holder's word on one of its blocks.
-    pub fn status(&mut self, now: Now, status: BlockStatus, view: &View, start_ms: &mut Times) {
-        for number in status.machines.iter().flat_map(|machine| &machine.running) {
-            // Only what this leader released: when the others started is not known.
-            let ours = *number >= self.term << 20;
-            if let Some((task, _, _)) = self.placed.get(number).filter(|_| ours)
-                && let Some(open) = view.open.get(&task.job)
-                && self.started.insert(*number)
-            {
-                start_ms.record(now.unix_ms().saturating_sub(open.job.accepted_ms));
-            }
-        }
+    pub fn status(&mut self, now: Now, mut status: BlockStatus) {
         let Some(desk) = self.desks.get_mut(&status.block) else { return };
-        if desk.grant_version == status.grant_version {
-            desk.status = Some((status, now.steady));
+        // A message that comes late holds nothing that the later ones did not say too, or correct.
+        if desk.grant_version != status.grant_version || status.number <= desk.heard {
+            return;
         }
+        desk.heard = status.number;
+        desk.owes_word |= !status.machines.is_empty();
+        for machine in status.machines.drain(..) {
+            desk.machines.insert(machine.machine.clone(), machine);
+        }
+        desk.status = Some((status, now.steady));
     }
 
     fn machines(&self, now: Now) -> impl Iterator<Item = &MachineStatus> {
         self.desks
             .values()
-            .filter_map(|desk| desk.status.as_ref())
-            .filter(move |(_, at)| since(now, *at) < STATUS_LIFE)
-            .flat_map(|(status, _)| status.machines.iter())
+            .filter(move |desk| desk.status.as_ref().is_some_and(|(_, at)| since(now, *at) < STATUS_LIFE))
+            .flat_map(|desk| desk.machines.values())
     }
 
     pub fn health(&self, now: Now) -> BTreeMap<MachineId, Health> {
@@ -169,6 +223,9 @@
                     releases: BTreeMap::new(),
                     stops: BTreeMap::new(),
                     status: None,
+                    machines: BTreeMap::new(),
+                    heard: 0,
+                    owes_word: false,
                     sent: None,
                     last_message: 0,
                     dirty: false,
@@ -176,13 +233,36 @@
                 self.desks.insert(block.clone(), desk);
             }
         }
-        let mut live: HashMap<u64, (TaskId, MachineId, Instant)> = HashMap::new();
-        for (_, machine, attempt) in view.live_places() {
-            let at = self.placed.get(&attempt.number).map_or(now.steady, |(_, _, at)| *at);
-            live.insert(attempt.number, (attempt.task, machine.clone(), at));
+        self.looks += 1;
+        let look = self.looks;
+        let passed = since(now, self.measured);
+        self.measured = now.steady;
+        for live in view.live_places() {
+            let mut count = 0;
+            for attempt in live.attempts() {
+                count += 1;
+                let seen = self.placed.entry(attempt.number).or_insert_with(|| PlacedSince {
+                    task: attempt.task,
+                    machine: live.id.clone(),
+                    at: now.steady,
+                    look,
+                });
+                seen.look = look;
+            }
+            let pool = (live.machine.type_name.clone(), live.machine.tenure);
+            self.runs.entry(pool).or_default().time += passed * count;
         }
-        self.note_ends(now, view, &live);
+        let mut gone = Vec::new();
+        self.placed.retain(|number, seen| {
+            if seen.look != look {
+                gone.push((*number, seen.clone()));
+            }
+            seen.look == look
+        });
+        self.note_ends(now, view, gone);
+        let live = &self.placed;
         for (block, desk) in &mut self.desks {
+            desk.machines.retain(|machine, _| view.machines.contains_key(machine));
             let places = view.places.get(block).map_or(0, |places| places.version);
             let status = desk.status.as_ref().map(|(status, _)| status);
             desk.releases.retain(|number, release| {
@@ -198,7 +278,9 @@
             desk.stops.retain(|attempt, _| live.contains_key(&attempt.number));
             for release in desk.releases.values_mut() {
                 let alive = view.open.get(&release.attempt.task.job).is_some_and(|open| !open.cancelled);
-                let stuck = since(now, release.since) > WITHDRAW;
+                let refused = status.is_some_and(|status| status.refused.contains(&release.attempt.number));
+                let waited = since(now, release.since);
+                let stuck = waited > WITHDRAW || (refused && waited > REFUSED_AFTER);
                 if !release.withdrawn && (!alive || stuck) {
                     release.withdrawn = true;
                     release.message = u64::MAX;
@@ -206,25 +288,15 @@
                 }
             }
         }
-        self.placed = live;
-        let placed = &self.placed;
-        self.started.retain(|number| placed.contains_key(number));
     }
 
-    /// Measures run times, and lets jobs wait whose tasks end again and again without being done.
-    fn note_ends(&mut self, now: Now, view: &View, live: &HashMap<u64, (TaskId, MachineId, Instant)>) {
-        let stopped: BTreeSet<u64> =
-            self.desks.values().flat_map(|desk| desk.stops.keys().map(|attempt| attempt.number)).collect();
-        let passed = since(now, self.measured);
-        self.measured = now.steady;
-        for (number, (task, machine, _)) in &self.placed {
-            let pool = view.machines.get(machine).map(|m| (m.value.type_name.clone(), m.value.tenure));
+    /// Counts tasks that have ended, and lets jobs wait whose tasks end again and again without being done.
+    fn note_ends(&mut self, now: Now, view: &View, gone: Vec<(u64, PlacedSince)>) {
+        for (number, PlacedSince { task, machine, .. }) in gone {
+            let pool = view.machines.get(&machine).map(|m| (m.type_name.clone(), m.tenure));
             let mut unknown = Runs::default();
             let runs = pool.map_or(&mut unknown, |pool| self.runs.entry(pool).or_default());
-            runs.time += passed;
-            if live.contains_key(number) {
-                continue;
-            }
+            let stopped = self.desks.values().any(|desk| desk.stops.contains_key(&Attempt { task, number }));
             let Some(open) = view.open.get(&task.job).filter(|open| !open.cancelled) else {
                 runs.ended += 1;
                 continue;
@@ -232,7 +304,7 @@
             if open.done.contains(task.index) {
                 self.strikes.remove(&task.job);
                 runs.ended += 1;
-            } else if view.machines.contains_key(machine) && !stopped.contains(number) {
+            } else if view.machines.contains_key(&machine) && !stopped {
                 let strikes = self.strikes.entry(task.job).or_default();
                 strikes.count += 1;
                 if strikes.count > 2 {
@@ -249,9 +321,10 @@
 
     fn candidates(&self, now: Now, view: &View, flavors: &Flavors, provisioner: &Provisioner) -> Vec<Candidate> {
         let mut taken: HashMap<&MachineId, Room> = HashMap::new();
-        for (_, machine, attempt) in view.live_places() {
-            if let Some(open) = view.open.get(&attempt.task.job) {
-                taken.entry(machine).or_default().add(&open.job.need);
+        for live in view.live_places() {
+            let taken = taken.entry(live.id).or_default();
+            for open in live.attempts().filter_map(|attempt| view.open.get(&attempt.task.job)) {
+                taken.add(&open.job.need);
             }
         }
         for release in self.desks.values().flat_map(|desk| desk.releases.values()) {
@@ -262,13 +335,13 @@
         let mut candidates = Vec::new();
         for status in self.machines(now).filter(|status| status.usable && status.errors < FAULTY) {
             let Some(machine) = view.machines.get(&status.machine) else { continue };
-            let Some(flavor) = flavors.get(&machine.value.type_name) else { continue };
-            if machine.value.draining || provisioner.is_lost(&status.machine) {
+            let Some(flavor) = flavors.get(&machine.type_name) else { continue };
+            if machine.draining || provisioner.is_lost(&status.machine) {
                 continue;
             }
             let taken = taken.get(&status.machine).copied().unwrap_or_default();
             let images = status.images.clone();
-            candidates.push(Candidate::new(&status.machine, &machine.value, flavor, &taken, images));
+            candidates.push(Candidate::new(&status.machine, machine, flavor, &taken, images));
         }
         candidates
     }
@@ -280,33 +353,41 @@
         let mut usage: BTreeMap<Team, Room> = BTreeMap::new();
         let mut demand = Demand { runs: self.runs.clone(), ..Demand::default() };
         let mut elsewhere: Vec<(&OpenJob, (Pool, f64))> = Vec::new();
-        let mut count = |demand: &mut Demand, machine: &MachineId, open: &'v OpenJob| {
+        let mut usage_elsewhere: Vec<&OpenJob> = Vec::new();
+        let mut count = |demand: &mut Demand, machine: &Machine, open: &'v OpenJob| {
             usage.entry(open.job.team.clone()).or_default().add(&open.job.need);
-            if let Some(record) = view.machines.get(machine)
-                && let Some(flavor) = flavors.get(&record.value.type_name)
-            {
+            if let Some(flavor) = flavors.get(&machine.type_name) {
                 let each = f64::from(flavor.room().count_of(&open.job.need).max(1));
-                let here = ((record.value.type_name.clone(), record.value.tenure), 1.0 / each);
+                let here = ((machine.type_name.clone(), machine.tenure), 1.0 / each);
                 // What could run on spot machines is no reason to have ordinary ones.
-                let misplaced = open.job.spot && !record.value.tenure.is_spot();
+                let misplaced = open.job.spot && !machine.tenure.is_spot();
                 if misplaced {
                     elsewhere.push((open, here));
                 } else {
                     *demand.machines.entry(here.0).or_default() += here.1;
                 }
             }
-            demand.occupied.insert(machine.clone());
         };
-        for (_, machine, attempt) in view.live_places() {
-            if let Some(open) = view.open.get(&attempt.task.job) {
-                count(&mut demand, machine, open);
+        for live in view.live_places() {
+            demand.occupied.insert(live.id.clone());
+            for open in live.attempts().filter_map(|attempt| view.open.get(&attempt.task.job)) {
+                count(&mut demand, live.machine, open);
             }
         }
         for release in self.desks.values().flat_map(|desk| desk.releases.values()) {
-            if let Some(open) = view.open.get(&release.attempt.task.job) {
-                count(&mut demand, &release.machine, open);
+            demand.occupied.insert(release.machine.clone());
+            if let (Some(open), Some(machine)) =
+                (view.open.get(&release.attempt.task.job), view.machines.get(&release.machine))
+            {
+                count(&mut demand, machine, open);
+            } else if let Some(open) = view.open.get(&release.attempt.task.job) {
+                usage_elsewhere.push(open);
             }
         }
+        for open in usage_elsewhere {
+            // Its machine is gone, but its holder may still choose another.
+            usage.entry(open.job.team.clone()).or_default().add(&open.job.need);
+        }
         let stock = Stock { now, flavors, provisioner, machines: provisioner.machines(view) };
         for (open, here) in elsewhere {
             let (pool, share) = stock.cheapest(&open.job, &demand, None).unwrap_or(here);
@@ -317,11 +398,13 @@
         for waiting in &queue {
             *self.waiting.entry(waiting.open.job.team.clone()).or_default() += waiting.left;
         }
+        demand.smallest = smallest(&queue);
+        let all_zones: BTreeSet<Zone> = view.grants.values().map(|grant| grant.value.zone.clone()).collect();
         let mut candidates = self.candidates(now, view, flavors, provisioner);
         // A block's tasks are one value: what does not fit it can't be placed there.
         let mut spaces: BTreeMap<BlockId, usize> = BTreeMap::new();
         for (block, desk) in &self.desks {
-            let size = view.places.get(block).map_or(0, |places| places.value.size());
+            let size = view.places.get(block).map_or(0, |places| places.value.worst());
             let space = config.state_limits.value_bytes.saturating_sub(size) / ATTEMPT_BYTES;
             spaces.insert(block.clone(), space.saturating_sub(desk.releases.len()));
         }
@@ -335,28 +418,50 @@
         // Releases only where all that is placed is known: every block under a grant of this term.
         let complete = !view.grants.is_empty() && view.grants.values().all(|grant| grant.value.term == self.term);
         let mut released = 0;
+        let mut turns = Turns::new(&queue);
+        let mut hopeless = Hopeless::default();
+        let mut rankings: HashMap<(Shape, Image), Ranking> = HashMap::new();
+        let mut victims: Option<Victims<'v>> = None;
         while complete && released < RELEASES {
-            let Some(next) = next_in_turn(&queue, &usage, lead) else { break };
+            let Some(next) = turns.next(&queue, &usage, lead) else { break };
             let Some(waiting) = queue.get_mut(next) else { break };
             let fits = within_limit(config, &waiting.open.job, &usage);
             let zones = &waiting.zones;
             let job = &waiting.open.job;
             let open_zone = |zone: &Zone| zone_open(job, zones, zone);
-            let mut chosen = if fits { placement::choose(candidates.iter(), job, open_zone).cloned() } else { None };
-            if fits && chosen.is_none() {
-                chosen = self.make_room(now, lead, view, &candidates, &mut kept, job, &open_zone);
+            // Jobs alike find no room where one of them found none: room only shrinks while tasks are released.
+            let shape = Shape::of(job, &all_zones, open_zone);
+            let mut chosen = None;
+            if fits && !hopeless.no_room.contains(&shape) {
+                let key = (shape.clone(), job.image.clone());
+                let ranking = rankings.entry(key).or_insert_with(|| Ranking::new(&candidates, job, open_zone));
+                chosen = ranking.best(&candidates, job).cloned();
+                if chosen.is_none() {
+                    hopeless.no_room.insert(shape.clone());
+                }
+            }
+            let urgency = (shape, job.team.clone(), job.priority);
+            if fits && chosen.is_none() && !hopeless.no_way.contains(&urgency) {
+                let victims = victims.get_or_insert_with(|| self.victims(now, view));
+                chosen = self.make_room(now, lead, &candidates, &mut kept, victims, job, &open_zone);
+                if chosen.is_none() {
+                    hopeless.no_way.insert(urgency);
+                }
             }
             let (Some(chosen), Some(index)) = (chosen, waiting.taken.first_gap(job.tasks)) else {
                 waiting.blocked = true;
                 continue;
             };
-            let Some(block) = view.machines.get(&chosen.machine).map(|machine| machine.value.block.clone()) else {
+            let Some(block) = view.machines.get(&chosen.machine).map(|machine| machine.block.clone()) else {
                 waiting.blocked = true;
                 continue;
             };
             let space = spaces.get_mut(&block).filter(|space| **space > 0);
             let (Some(desk), Some(space)) = (self.desks.get_mut(&block), space) else {
-                candidates.retain(|candidate| candidate.machine != chosen.machine);
+                // Its block is full.
+                if let Some(candidate) = candidates.iter_mut().find(|candidate| candidate.machine == chosen.machine) {
+                    candidate.free = Room { cpus: -1.0, gpus: -1.0, memory_gb: -1.0 };
+                }
                 continue;
             };
             *space -= 1;
@@ -398,10 +503,21 @@
         usage: &mut BTreeMap<Team, Room>,
         demand: &mut Demand,
     ) {
+        // Jobs that ask for the same are counted as one, where the first of them stands.
+        let mut groups: Vec<(&Job, Option<Zone>, u64)> = Vec::new();
+        let mut known: HashMap<(Shape, &Team, Option<Zone>), usize> = HashMap::new();
         for waiting in queue {
             let job = &waiting.open.job;
             let pinned = stock.pinned(waiting);
-            let mut left = waiting.left.min(room_within_limit(config, job, usage));
+            let shape = Shape::of(job, &BTreeSet::new(), |_| true);
+            let index = *known.entry((shape, &job.team, pinned.clone())).or_insert_with(|| {
+                groups.push((job, pinned, 0));
+                groups.len() - 1
+            });
+            groups[index].2 += waiting.left;
+        }
+        for (job, pinned, left) in groups {
+            let mut left = left.min(room_within_limit(config, job, usage));
             // A few tasks at a time, but no more than so many steps: jobs have up to 100,000 tasks.
             let step = left.div_ceil(COUNTING_STEPS).max(1);
             while left > 0 {
@@ -425,9 +541,9 @@
         &mut self,
         now: Now,
         lead: &Lead<'_>,
-        view: &View,
         candidates: &'c [Candidate],
         kept: &mut BTreeMap<Team, Room>,
+        victims: &mut Victims<'_>,
         job: &Job,
         zone_open: &impl Fn(&Zone) -> bool,
     ) -> Option<Candidate> {
@@ -436,30 +552,19 @@
         }
         let Lead { config, policy, .. } = *lead;
         let owed = within_guarantee(config, job, kept);
-        let mut victims: HashMap<&MachineId, Vec<(f64, Attempt, &BlockId, &Job)>> = HashMap::new();
-        for (block, machine, attempt) in view.live_places() {
-            let Some(open) = view.open.get(&attempt.task.job).filter(|open| !open.cancelled) else { continue };
-            let other = &open.job;
+        let may_stop = |other: &Job| {
             let beyond = beyond_guarantee(config, other, kept);
-            let stopping = self.desks.get(block).is_none_or(|desk| desk.stops.contains_key(&attempt));
             // A team beyond its guarantee takes nothing from one that is within: what it took would be owed
             // back at once, and the two would stop each other's tasks in turn.
             let lower = other.priority > job.priority;
             let equal = other.priority == job.priority && other.team != job.team;
             let for_priority = policy.preempt_for_priority && lower && (owed || beyond);
             let for_guarantee = policy.preempt_for_guarantee && owed && beyond && equal;
-            // A replica that is stopped is down, which no start is worth.
-            if stopping || !(for_priority || for_guarantee) || other.kind == Kind::Service {
-                continue;
-            }
-            let ran = self.placed.get(&attempt.number).map_or(Duration::ZERO, |(_, _, at)| since(now, *at));
-            let lost = ran.as_secs_f64() * other.need.cpus.max(0.1);
-            victims.entry(machine).or_default().push((lost, attempt, block, other));
-        }
-        let mut best: Option<Way<'c>> = None;
+            for_priority || for_guarantee
+        };
+        let mut best: Option<Way<'c, '_>> = None;
         for candidate in candidates.iter().filter(|c| c.allows(job) && zone_open(&c.zone)) {
-            let Some(there) = victims.get_mut(&candidate.machine) else { continue };
-            there.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let Some(there) = victims.get(&candidate.machine) else { continue };
             let mut free = candidate.free;
             let mut cost = if candidate.images.contains(&job.image) {
                 0.0
@@ -467,25 +572,26 @@
                 job.image_gb * candidate.fetch_s_per_gb * job.need.cpus
             };
             let mut chosen = Vec::new();
-            for (lost, attempt, block, other) in there.iter() {
+            for victim in there.iter().filter(|victim| may_stop(victim.job)) {
                 if free.fits(&job.need) {
                     break;
                 }
-                free.add(&other.need);
-                cost += lost;
-                chosen.push((*attempt, (*block).clone()));
+                free.add(&victim.job.need);
+                cost += victim.lost;
+                chosen.push(victim.clone());
             }
             if free.fits(&job.need) && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
                 best = Some((cost, candidate, chosen));
             }
         }
         let (lost, candidate, chosen) = best?;
-        for (attempt, block) in chosen {
+        if let Some(there) = victims.get_mut(&candidate.machine) {
+            there.retain(|victim| chosen.iter().all(|chosen| chosen.attempt != victim.attempt));
+        }
+        for Victim { attempt, block, job: other, .. } in chosen {
             info!(%attempt, machine = %candidate.machine, class = %job.class, lost, "preempted");
-            if let Some(open) = view.open.get(&attempt.task.job) {
-                kept.entry(open.job.team.clone()).or_default().take(&open.job.need);
-            }
-            if let Some(desk) = self.desks.get_mut(&block) {
+            kept.entry(other.team.clone()).or_default().take(&other.need);
+            if let Some(desk) = self.desks.get_mut(block) {
                 desk.stops.insert(attempt, now.steady);
                 desk.dirty = true;
             }
@@ -493,6 +599,26 @@
         Some(candidate.clone())
     }
 
+    /// Tasks that could be stopped, by machine, the least work first. Replicas are not among them: one that is
+    /// stopped is down, which no start is worth.
+    fn victims<'v>(&self, now: Now, view: &'v View) -> Victims<'v> {
+        let mut victims: Victims<'v> = HashMap::new();
+        for (live, attempt) in view.live_places().flat_map(|live| live.attempts().map(move |attempt| (live, attempt))) {
+            let Some(open) = view.open.get(&attempt.task.job).filter(|open| !open.cancelled) else { continue };
+            let stopping = self.desks.get(live.block).is_none_or(|desk| desk.stops.contains_key(&attempt));
+            if stopping || open.job.kind == Kind::Service {
+                continue;
+            }
+            let ran = self.placed.get(&attempt.number).map_or(Duration::ZERO, |seen| since(now, seen.at));
+            let lost = ran.as_secs_f64() * open.job.need.cpus.max(0.1);
+            victims.entry(live.id).or_default().push(Victim { lost, attempt, block: live.block, job: &open.job });
+        }
+        for there in victims.values_mut() {
+            there.sort_by(|a, b| a.lost.total_cmp(&b.lost));
+        }
+        victims
+    }
+
     fn queue<'v>(&self, now: Now, view: &'v View) -> Vec<Waiting<'v>> {
         let mut released: HashMap<JobId, Vec<(u32, Zone)>> = HashMap::new();
         for (block, desk) in &self.desks {
@@ -504,6 +630,10 @@
                 released.entry(task.job).or_default().push((task.index, zone.clone()));
             }
         }
+        let mut live: HashMap<JobId, u64> = HashMap::new();
+        for attempt in view.live_places().flat_map(|live| live.attempts()) {
+            *live.entry(attempt.task.job).or_default() += 1;
+        }
         let mut queue = Vec::new();
         for (id, open) in &view.open {
             let backed_off =
@@ -511,13 +641,18 @@
             if open.cancelled || backed_off {
                 continue;
             }
+            // Most jobs have all their tasks somewhere: they need no closer look.
+            let somewhere = open.done.len() + live.get(id).copied().unwrap_or(0);
+            if !released.contains_key(id) && somewhere >= u64::from(open.job.tasks) {
+                continue;
+            }
             let mut taken = open.done.clone();
             let mut zones: BTreeMap<Zone, u32> = BTreeMap::new();
-            for ((index, _), place) in &open.placed {
+            for ((index, _), place) in view.placed(*id) {
                 // Places on a machine whose record is gone are void.
                 if let Some(machine) = view.machines.get(&place.machine) {
                     taken.insert(*index);
-                    *zones.entry(machine.value.zone.clone()).or_default() += 1;
+                    *zones.entry(machine.zone.clone()).or_default() += 1;
                 }
             }
             for (index, zone) in released.remove(id).unwrap_or_default() {
@@ -539,12 +674,13 @@
         for (block, desk) in &mut self.desks {
             let acked = desk.status.as_ref().is_some_and(|(status, _)| status.last_work >= desk.last_message);
             let overdue = !acked && desk.sent.is_some_and(|sent| since(now, sent) >= RESEND);
-            if !desk.dirty && !overdue {
+            if !desk.dirty && !overdue && !desk.owes_word {
                 continue;
             }
             self.next_message += 1;
             let number = self.next_message;
             desk.dirty = false;
+            desk.owes_word = false;
             desk.sent = Some(now.steady);
             desk.last_message = number;
             for release in desk.releases.values_mut().filter(|release| release.message == u64::MAX) {
@@ -557,17 +693,30 @@
                 .map(|release| Wanted { attempt: release.attempt, machine: release.machine.clone() })
                 .collect();
             let stop = desk.stops.keys().copied().collect();
-            messages.push(Work { block: block.clone(), grant_version: desk.grant_version, number, want, stop });
+            messages.push(Work {
+                block: block.clone(),
+                grant_version: desk.grant_version,
+                number,
+                heard: desk.heard,
+                want,
+                stop,
+            });
         }
         messages
     }
 
     /// The next write: jobs that are over, and progress to be folded.
-    pub fn write(&mut self, now: Now, config: &Config, leader_version: u64, view: &mut View) -> Option<Op> {
+    pub fn write(
+        &mut self,
+        now: Now,
+        config: &Config,
+        leader_version: u64,
+        view: &mut View,
+        most: usize,
+    ) -> Option<Op> {
         if !self.writer.ready(now, view) {
             return None;
         }
-        let most = config.state_limits.txn_ops;
         let mut txn = Txn::default().when(LEADER, leader_version);
         for (id, open) in &view.open {
             if txn.changes.len() >= most {
@@ -575,7 +724,7 @@
             }
             let tasks = open.job.tasks;
             let end = if open.cancelled {
-                let clear = open.placed.is_empty() && !self.released(*id);
+                let clear = view.placed(*id).is_empty() && !self.released(*id);
                 clear.then_some(Final::Cancelled)
             } else {
                 (open.done.len() >= u64::from(tasks)).then_some(Final::Done)
@@ -593,7 +742,7 @@
             }
         }
         if txn.changes.is_empty() {
-            txn = self.fold(config, view, txn);
+            txn = self.fold(config, view, txn, most);
         }
         if txn.changes.is_empty() {
             return None;
@@ -606,15 +755,18 @@
         self.desks.values().flat_map(|desk| desk.releases.values()).any(|release| release.attempt.task.job == job)
     }
 
-    fn fold(&self, config: &Config, view: &View, mut txn: Txn) -> Txn {
+    fn fold(&self, config: &Config, view: &View, mut txn: Txn, most: usize) -> Txn {
         let full = |size: usize| size as f64 > config.state_limits.value_bytes as f64 * FOLD_AT;
-        for places in view.places.values().filter(|places| full(places.value.size())) {
-            for (job, done) in &places.value.done {
+        for places in view.places.values().filter(|places| full(places.value.worst())) {
+            // The largest sets first: they free the most for one change.
+            let mut sets: Vec<_> = places.value.done.iter().collect();
+            sets.sort_by_key(|(_, done)| std::cmp::Reverse(done.0.len()));
+            for (job, done) in sets {
                 let Some(open) = view.open.get(job) else { continue };
                 let chunks: BTreeSet<u32> =
                     done.0.iter().flat_map(|r| (r.start() / CHUNK)..=(r.end() / CHUNK)).collect();
                 for chunk in chunks {
-                    if txn.changes.len() >= config.state_limits.txn_ops {
+                    if txn.changes.len() >= most {
                         return txn;
                     }
                     let mut progress = Progress::default();
@@ -754,25 +906,58 @@
     used.cpus + job.need.cpus <= limits.cpus_max + slack && used.gpus + job.need.gpus <= limits.gpus_max + slack
 }
 
-/// The job whose task is served next: replicas first, then teams within their guarantee, then by priority, then
-/// the team that has the least for its share.
-fn next_in_turn(queue: &[Waiting<'_>], usage: &BTreeMap<Team, Room>, lead: &Lead<'_>) -> Option<usize> {
-    let Lead { config, policy, .. } = *lead;
-    let mut best: Option<(usize, (bool, bool, Priority, f64))> = None;
-    for (index, waiting) in queue.iter().enumerate().filter(|(_, waiting)| !waiting.blocked && waiting.left > 0) {
-        let job = &waiting.open.job;
-        let Some(limits) = config.team(&job.team) else { continue };
-        let used = usage.get(&job.team).copied().unwrap_or_default();
-        let beyond = !within_guarantee(config, job, usage);
-        let weight = policy.team_shares.get(&job.team).copied().unwrap_or(1.0);
-        let share = (used.cpus / limits.cpus.max(1.0) + used.gpus / limits.gpus.max(1.0)) / weight;
-        let replica = job.kind == Kind::Service && job.priority == Priority::Production;
-        let rank = (!replica, beyond, job.priority, share);
-        if best.as_ref().is_none_or(|(_, least)| rank < *least) {
-            best = Some((index, rank));
+/// The least that any waiting task takes, each resource for itself.
+fn smallest(queue: &[Waiting<'_>]) -> Option<Room> {
+    let needs = queue.iter().map(|waiting| waiting.open.job.need);
+    needs.reduce(|a, b| Room {
+        cpus: a.cpus.min(b.cpus),
+        gpus: a.gpus.min(b.gpus),
+        memory_gb: a.memory_gb.min(b.memory_gb),
+    })
+}
+
+/// Whose turn it is: replicas first, then teams within their guarantee, then by priority, then the team that has
+/// the least for its share. Jobs of one team, priority and kind are served in their order, so only the first of
+/// each such line has to be compared.
+struct Turns {
+    lines: Vec<VecDeque<usize>>,
+}
+
+impl Turns {
+    fn new(queue: &[Waiting<'_>]) -> Self {
+        let mut lines: BTreeMap<(&Team, Priority, bool), VecDeque<usize>> = BTreeMap::new();
+        for (index, waiting) in queue.iter().enumerate() {
+            let job = &waiting.open.job;
+            lines.entry((&job.team, job.priority, is_replica(job))).or_default().push_back(index);
         }
+        Turns { lines: lines.into_values().collect() }
     }
-    best.map(|(index, _)| index)
+
+    fn next(&mut self, queue: &[Waiting<'_>], usage: &BTreeMap<Team, Room>, lead: &Lead<'_>) -> Option<usize> {
+        let Lead { config, policy, .. } = *lead;
+        let mut best: Option<(usize, (bool, bool, Priority, f64))> = None;
+        for line in &mut self.lines {
+            while line.front().is_some_and(|index| queue[*index].blocked || queue[*index].left == 0) {
+                line.pop_front();
+            }
+            let Some(index) = line.front().copied() else { continue };
+            let job = &queue[index].open.job;
+            let Some(limits) = config.team(&job.team) else { continue };
+            let used = usage.get(&job.team).copied().unwrap_or_default();
+            let beyond = !within_guarantee(config, job, usage);
+            let weight = policy.team_shares.get(&job.team).copied().unwrap_or(1.0);
+            let share = (used.cpus / limits.cpus.max(1.0) + used.gpus / limits.gpus.max(1.0)) / weight;
+            let rank = (!is_replica(job), beyond, job.priority, share);
+            if best.as_ref().is_none_or(|(_, least)| rank < *least) {
+                best = Some((index, rank));
+            }
+        }
+        best.map(|(index, _)| index)
+    }
+}
+
+fn is_replica(job: &Job) -> bool {
+    job.kind == Kind::Service && job.priority == Priority::Production
 }
 
 #[cfg(test)]
@@ -784,7 +969,7 @@
     use crate::provisioning::wire::FlavorList;
     use crate::provisioning::wire::tests::flavor;
     use crate::store::Change;
-    use crate::store::records::{Grant, Machine, Places, encode, grant_key, job_key, machine_key, places_key};
+    use crate::store::records::{Grant, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key};
 
     struct Desktop {
         config: Config,
@@ -809,7 +994,7 @@
             let mut desktop = Desktop {
                 policy: Policy::defaults(&config),
                 flavors,
-                view: View::new(),
+                view: View::following(),
                 now,
                 version: 0,
                 queues: Queues::new(now, TERM),
@@ -819,17 +1004,7 @@
             let holder = desktop.config.name.clone();
             let grant = Grant { zone: "a".into(), holder, boot: 1, seal: 4, term: TERM };
             desktop.put(grant_key(&"a.0".into()), encode(&grant));
-            for n in 0..machines {
-                let record = Machine {
-                    type_name: "large".into(),
-                    zone: "a".into(),
-                    tenure: Tenure::Ordinary,
-                    block: "a.0".into(),
-                    draining: false,
-                    rented_ms: 0,
-                };
-                desktop.put(machine_key(&name(n)), encode(&record));
-            }
+            desktop.roster(0..machines);
             desktop.plan();
             desktop.status(machines, 0, &[]);
             desktop
@@ -841,6 +1016,13 @@
             self.version
         }
 
+        fn roster(&mut self, machines: std::ops::Range<u32>) {
+            let entry =
+                || Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
+            let on = machines.map(|n| (name(n), entry())).collect();
+            self.put(roster_key(&"a.0".into()), encode(&Roster { zone: "a".into(), on }));
+        }
+
         fn job(&mut self, id: u64, job: Job) {
             self.put(job_key(JobId(id)), encode(&JobRecord::Open(job)));
         }
@@ -853,8 +1035,10 @@
                 grant_version: grant.version,
                 last_work,
                 pending: pending.to_vec(),
+                refused: Vec::new(),
                 revision: self.view.places.get(&"a.0".into()).map_or(0, |places| places.version),
                 wants_new_seal: false,
+                number: self.version * 1000 + last_work + 1,
                 machines: (0..machines)
                     .map(|n| MachineStatus {
                         machine: name(n),
@@ -864,12 +1048,10 @@
                         notice: false,
                         errors: 0,
                         images: vec!["img".into()],
-                        running: Vec::new(),
                     })
                     .collect(),
             };
-            let mut times = crate::metrics::Metrics::new().start_ms;
-            self.queues.status(self.now, status, &self.view, &mut times);
+            self.queues.status(self.now, status);
         }
 
         fn plan(&mut self) -> (Demand, Vec<Work>) {
@@ -901,10 +1083,9 @@
         desktop.job(1, job(1, 4.0));
         let (_, work) = desktop.plan();
         let [wanted] = work[0].want.as_slice() else { panic!("{work:?}") };
-        desktop.version += 1;
-        let change = Change { key: machine_key(&wanted.machine), version: desktop.version, value: None };
-        desktop.view.apply(change);
         let number = wanted.attempt.number;
+        // The machine it was meant for goes.
+        desktop.roster(if wanted.machine == name(0) { 1..2 } else { 0..1 });
         for (last_work, pending) in [(0, vec![]), (work[0].number, vec![number])] {
             desktop.status(2, last_work, &pending);
             assert!(desktop.plan().1.iter().all(|work| work.want.iter().all(|w| w.attempt.number == number)));
--- a/src/service.rs
+++ b/src/service.rs
@@ -99,7 +99,7 @@
     fn handle(&mut self, event: Event) {
         let began = Now::read();
         let effects = self.node.handle(began, event);
-        self.node.metrics().step(began.steady.elapsed());
+        self.node.took(began, began.steady.elapsed());
         for effect in effects {
             self.perform(effect);
         }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 pub use records::{Change, Record, Records};
-pub use view::{Versioned, View};
+pub use view::{Machine, Versioned, View};
 pub use writer::Writer;
 
 /// A request to the state service.
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -25,8 +25,8 @@
 pub fn places_key(block: &BlockId) -> String {
     format!("{ROOT}places/{block}")
 }
-pub fn machine_key(machine: &MachineId) -> String {
-    format!("{ROOT}machine/{machine}")
+pub fn roster_key(block: &BlockId) -> String {
+    format!("{ROOT}machines/{block}")
 }
 pub fn order_key(name: &TypeName) -> String {
     format!("{ROOT}order/{name}")
@@ -77,21 +77,93 @@
     pub term: u64,
 }
 
+/// The machines of a block. One value for each block, so that many rented or returned at once are few changes:
+/// with a record for each, a few hundred machines took the state service's writes for half a minute.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Machine {
-    #[serde(rename = "ty")]
-    pub type_name: TypeName,
-    #[serde(rename = "z")]
+#[serde(try_from = "RosterText", into = "RosterText")]
+pub struct Roster {
     pub zone: Zone,
-    #[serde(rename = "t")]
+    pub on: BTreeMap<MachineId, Rostered>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rostered {
+    pub type_name: TypeName,
     pub tenure: Tenure,
-    #[serde(rename = "b")]
-    pub block: BlockId,
     /// Takes no new tasks: it is to be returned.
-    #[serde(rename = "d")]
     pub draining: bool,
-    #[serde(rename = "at")]
-    pub rented_ms: u64,
+    /// Seconds since the epoch.
+    pub rented_s: u64,
+}
+
+/// A roster as it is stored: each machine as `0s1800000000`, which is the number of its type, its tenure (`s` for
+/// spot, `o` for ordinary, in capitals if it is draining) and when it was rented. With every name in full, the
+/// rosters needed more blocks than the tasks did, and each block costs a change of its own.
+#[derive(Clone, Serialize, Deserialize)]
+struct RosterText {
+    #[serde(rename = "z")]
+    zone: Zone,
+    #[serde(rename = "ty")]
+    types: Vec<TypeName>,
+    #[serde(rename = "on")]
+    on: BTreeMap<MachineId, String>,
+}
+
+impl From<Roster> for RosterText {
+    fn from(roster: Roster) -> Self {
+        let mut types: Vec<TypeName> = Vec::new();
+        let mut on = BTreeMap::new();
+        for (id, machine) in roster.on {
+            let index = types.iter().position(|known| *known == machine.type_name).unwrap_or_else(|| {
+                types.push(machine.type_name.clone());
+                types.len() - 1
+            });
+            let tenure = match (machine.tenure, machine.draining) {
+                (Tenure::Spot, false) => 's',
+                (Tenure::Spot, true) => 'S',
+                (Tenure::Ordinary, false) => 'o',
+                (Tenure::Ordinary, true) => 'O',
+            };
+            on.insert(id, format!("{index}{tenure}{}", machine.rented_s));
+        }
+        RosterText { zone: roster.zone, types, on }
+    }
+}
+
+impl TryFrom<RosterText> for Roster {
+    type Error = &'static str;
+
+    fn try_from(text: RosterText) -> Result<Self, Self::Error> {
+        let malformed = "malformed machine";
+        let mut on = BTreeMap::new();
+        for (id, entry) in text.on {
+            let at = entry.find(|c: char| c.is_ascii_alphabetic()).ok_or(malformed)?;
+            let (index, rest) = entry.split_at(at);
+            let (tenure, rented) = rest.split_at(1);
+            let index: usize = index.parse().map_err(|_| malformed)?;
+            let machine = Rostered {
+                type_name: text.types.get(index).ok_or(malformed)?.clone(),
+                tenure: Tenure::spot(tenure.eq_ignore_ascii_case("s")),
+                draining: tenure.bytes().all(|b| b.is_ascii_uppercase()),
+                rented_s: rented.parse().map_err(|_| malformed)?,
+            };
+            on.insert(id, machine);
+        }
+        Ok(Roster { zone: text.zone, on })
+    }
+}
+
+impl Roster {
+    pub fn new(zone: Zone) -> Self {
+        Roster { zone, on: BTreeMap::new() }
+    }
+}
+
+impl Rostered {
+    /// What a machine takes of its roster's value, in the form that the state service counts.
+    pub fn size(&self, id: &MachineId) -> usize {
+        id.0.len() + 10 + digits(self.rented_s)
+    }
 }
 
 /// A rental request that may have been sent. Written before it is.
@@ -118,8 +190,13 @@
         self.on.iter().flat_map(|(machine, list)| list.iter().map(move |placed| (machine, placed.0)))
     }
 
-    pub fn add(&mut self, machine: &MachineId, attempt: Attempt) {
-        self.on.entry(machine.clone()).or_default().push(PlacedText(attempt));
+    /// Returns by how much the value may have grown, the task's end included.
+    pub fn add(&mut self, machine: &MachineId, attempt: Attempt) -> usize {
+        let placed = PlacedText(attempt);
+        let list = self.on.entry(machine.clone()).or_default();
+        let entry = if list.is_empty() { machine.0.len() + 8 } else { 0 };
+        list.push(placed);
+        entry + placed.size() + DONE_BYTES
     }
 
     pub fn remove(&mut self, machine: &MachineId, attempt: Attempt) -> bool {
@@ -133,6 +210,13 @@
         removed
     }
 
+    /// The most that this value can come to measure once all its tasks are done, each of another job. Tasks are
+    /// placed only as long as this fits: a value that has grown too large could never be written again.
+    pub fn worst(&self) -> usize {
+        let attempts: usize = self.on.values().map(Vec::len).sum();
+        self.size() + attempts * DONE_BYTES
+    }
+
     /// The most that this value can measure in the form that the state service counts: quotes, commas and
     /// names included.
     pub fn size(&self) -> usize {
@@ -143,6 +227,9 @@
     }
 }
 
+/// By how much a task takes more when it is done than when it is placed, at the most.
+pub const DONE_BYTES: usize = 24;
+
 /// An attempt as `412/3:17`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlacedText(pub Attempt);
@@ -275,7 +362,7 @@
 macro_rules! records {
     ($($name:ident),*) => { $(impl Record for $name {})* };
 }
-records!(Leader, Seal, Member, Grant, Machine, Order, Places, JobRecord, Progress);
+records!(Leader, Seal, Member, Grant, Roster, Order, Places, JobRecord, Progress);
 
 /// A changed key.
 #[derive(Debug, Clone, PartialEq)]
@@ -294,7 +381,7 @@
     Member(NodeName),
     Grant(BlockId),
     Places(BlockId),
-    Machine(MachineId),
+    Roster(BlockId),
     Order(TypeName),
     Job(JobId),
     Progress(JobId, u32),
@@ -310,7 +397,7 @@
             Some(("node", rest)) => Some(Records::Member(rest.into())),
             Some(("grant", rest)) => Some(Records::Grant(rest.into())),
             Some(("places", rest)) => Some(Records::Places(rest.into())),
-            Some(("machine", rest)) => Some(Records::Machine(rest.into())),
+            Some(("machines", rest)) => Some(Records::Roster(rest.into())),
             Some(("order", rest)) => Some(Records::Order(rest.into())),
             Some(("job", rest)) => rest.parse().ok().map(Records::Job),
             Some(("progress", rest)) => {
@@ -357,6 +444,23 @@
         assert!(encode_text(&worst).len() < 2000);
     }
 
+    /// Guards against a block that can't be written any more: ends of tasks need room too.
+    #[test]
+    fn a_block_never_outgrows_its_worst_case_by_ends_of_tasks() {
+        let mut places = Places::default();
+        for n in 0..200u32 {
+            let attempt = Attempt { task: TaskId { job: JobId(u64::from(n) + 999_000), index: 99_000 + n }, number: 1 };
+            places.add(&"m-000001".into(), attempt);
+        }
+        let worst = places.worst();
+        let attempts: Vec<Attempt> = places.attempts().map(|(_, attempt)| attempt).collect();
+        for attempt in attempts {
+            places.remove(&"m-000001".into(), attempt);
+            places.done.entry(attempt.task.job).or_default().insert(attempt.task.index);
+            assert!(places.size() <= worst, "{} > {worst}", places.size());
+        }
+    }
+
     #[test]
     fn the_size_of_places_is_never_underestimated() {
         let mut places = Places::default();
@@ -372,12 +476,33 @@
         assert!(json <= places.size(), "{json} > {}", places.size());
     }
 
+    #[test]
+    fn a_roster_is_kept_as_it_was_and_its_size_is_not_underestimated() {
+        let mut roster = Roster::new("zone".into());
+        for n in 0..50u32 {
+            let type_name = if n % 2 == 0 { "small" } else { "type-of-a-long-name" };
+            let tenure = Tenure::spot(n % 3 == 0);
+            let rented_s = 1_800_000_000 + u64::from(n);
+            let entry = Rostered { type_name: type_name.into(), tenure, draining: n % 5 == 0, rented_s };
+            roster.on.insert(format!("m-{n:06}").as_str().into(), entry);
+        }
+        let value = encode(&roster);
+        assert_eq!(value.deserialized::<Roster>().ok(), Some(roster.clone()));
+        let names = 100;
+        let size: usize = names + roster.on.iter().map(|(id, entry)| entry.size(id)).sum::<usize>();
+        assert!(json_size(&value) <= size, "{} > {size}", json_size(&value));
+        assert!(size < 50 * 40, "{size}");
+        let wrong = RosterText { on: [("m-1".into(), "7s1".to_owned())].into(), ..RosterText::from(roster) };
+        assert!(Roster::try_from(wrong).is_err());
+    }
+
     fn json_size(value: &ciborium::Value) -> usize {
         match value {
             ciborium::Value::Text(text) => text.len() + 2,
             ciborium::Value::Array(list) => 2 + list.iter().map(|v| json_size(v) + 1).sum::<usize>(),
             ciborium::Value::Map(map) => 2 + map.iter().map(|(k, v)| json_size(k) + json_size(v) + 2).sum::<usize>(),
-            _ => 24,
+            ciborium::Value::Bool(_) => 5,
+            _ => 20,
         }
     }
 }
