Returns and deletions gathered by block; a block's worst size counted by its jobs

Cause: jobs were told done 3 s (median) to 48 s after their last task had ended, since the leader's writes went to the rosters of every block each second (drained and deleted machines), and blocks were twice as many as needed, for each task was reckoned to bring its job's name. Ruled out: processor (0.36 of the leader's share).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use crate::placement::{self, Candidate};
 use crate::policy::Policy;
 use crate::provisioning::Flavors;
-use crate::store::records::{Places, Ranges, grant_key, places_key, roster_key};
+use crate::store::records::{Places, Ranges, done_entry, grant_key, places_key, roster_key};
 use crate::store::view::Touched;
 use crate::store::{Op, Outcome, Txn, View, Writer};
 use wire::{Cause, Order, Orders, Report, TaskState};
@@ -797,6 +797,7 @@
         }
         prune(&mut draft, view);
         let mut size = draft.worst();
+        let mut named: HashSet<JobId> = HashSet::new();
         self.refused.clear();
         let mut unsure = Vec::new();
         if !self.pending.is_empty() {
@@ -827,6 +828,9 @@
                     candidate.free.take(&open.job.need);
                 }
                 size += draft.add(&machine, wanted.attempt);
+                if named.insert(wanted.attempt.task.job) {
+                    size += done_entry(wanted.attempt.task.job);
+                }
                 unsure.push(wanted.attempt.number);
             }
         }
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -32,6 +32,8 @@
     pub term: u64,
     /// The leader record's version: the authority of every write.
     pub version: u64,
+    /// The changes that one transaction should not exceed, by the state service's rate.
+    pub batch: usize,
 }
 
 /// A hold and the record attached to it.
--- a/src/node.rs
+++ b/src/node.rs
@@ -431,7 +431,8 @@
             });
             self.status_due = true;
         }
-        let lead = Lead { config: &self.config, policy: &self.policy, flavors: &self.flavors, term, version };
+        let batch = self.budget.batch(self.config.state_limits.txn_ops);
+        let lead = Lead { config: &self.config, policy: &self.policy, flavors: &self.flavors, term, version, batch };
         let mut ops = Vec::new();
         if self.flavors.known() {
             let op = self.granting.poll(now, &lead, &mut self.view);
@@ -467,8 +468,7 @@
         for (tag, call) in leading.provisioner.calls(now, &self.config, &self.view, &leading.demand) {
             effects.push(Effect::Call { tag, call });
         }
-        let most = self.budget.batch(self.config.state_limits.txn_ops);
-        let op = leading.queues.write(now, &self.config, version, &mut self.view, most);
+        let op = leading.queues.write(now, &lead, &mut self.view);
         ops.extend(op.map(|op| (Urgency::Ends, StoreTag::Queueing(term), op)));
         let op = leading.provisioner.write(now, &lead, &mut self.view, &leading.demand);
         ops.extend(op.map(|op| (Urgency::Work, StoreTag::Provisioning(term), op)));
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -18,7 +18,7 @@
 use crate::fleet::wire::Report;
 use crate::leadership::Lead;
 use crate::policy::Policy;
-use crate::store::records::{DONE_BYTES, LEADER, Order, Roster, Rostered, order_key, roster_key};
+use crate::store::records::{LEADER, Order, Roster, Rostered, order_key, roster_key};
 use crate::store::{Machine, Op, Outcome, Txn, View, Writer};
 use wire::{Flavor, FlavorList, ListedMachine, ListedState, MachineList, MachineNames, RentRequest};
 
@@ -170,6 +170,8 @@
 }
 
 const RETRY: Duration = Duration::from_secs(1);
+/// How long the record of a deleted machine that was empty may wait for others.
+const FORGET_AFTER: Duration = Duration::from_secs(4);
 /// The protocol's limit for one rental request.
 const MOST_RENTED: i64 = 50;
 const LIST_EVERY: Duration = Duration::from_secs(10);
@@ -196,8 +198,9 @@
     tasks: HashMap<TypeName, f64>,
 }
 
-/// How full a block may be before a new one is opened: what a value can't hold can't be placed.
-const BLOCK_FULL: f64 = 0.7;
+/// How full a block may be of what its machines may hold before a new one is opened: what a value can't hold can't
+/// be placed. The rest is for finished tasks of arrays that are spread over many blocks.
+const BLOCK_FULL: f64 = 0.6;
 /// Tasks expected on a machine before there are any to go by.
 const TASKS_UNKNOWN: f64 = 4.0;
 
@@ -284,7 +287,7 @@
 }
 
 /// What one placed task takes of its block's value, and the most of them that are reckoned with on one machine.
-const TASK_BYTES: f64 = 24.0 + DONE_BYTES as f64;
+const TASK_BYTES: f64 = 24.0;
 const MOST_TASKS: f64 = 32.0;
 
 impl Provisioner {
@@ -506,7 +509,7 @@
         let txn = Txn::default().when(LEADER, lead.version);
         let txn = self
             .record_rented(now, lead, view, demand, &txn)
-            .or_else(|| self.record_deleted(lead, view, demand, &txn))
+            .or_else(|| self.record_deleted(now, lead, view, demand, &txn))
             .or_else(|| self.record_unexpected(now, lead, view, demand, &txn))
             .or_else(|| self.round(now, lead, view, demand, txn))?;
         self.writer.sent();
@@ -535,9 +538,21 @@
         Some(edits.apply(txn.clone().when(order_key(name), *version).delete(order_key(name))))
     }
 
-    fn record_deleted(&mut self, lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
+    fn record_deleted(&mut self, now: Now, lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
+        let with_tasks = |id: &MachineId| {
+            let block = view.machines.get(id).map(|machine| &machine.block);
+            block.and_then(|block| view.places.get(block)).is_some_and(|places| places.value.on.contains_key(id))
+        };
+        let waits = |id: &MachineId| self.buried.get(id).is_some_and(|at| since(now, *at) < FORGET_AFTER);
+        // Tasks wait for the proof that a lost machine is gone. Nothing waits for an empty one: those are gathered,
+        // since each block costs a change.
+        let (lost, empty): (Vec<_>, Vec<_>) = self.deleted.iter().partition(|id| with_tasks(id));
+        if lost.is_empty() && empty.iter().all(|id| waits(id)) {
+            return None;
+        }
         let mut edits = Edits::new(lead, view, demand);
-        for machine in &self.deleted {
+        edits.most = lead.batch;
+        for machine in lost.into_iter().chain(empty) {
             edits.change(machine, |roster| {
                 roster.on.remove(machine);
             });
@@ -558,6 +573,7 @@
             .map(|(listed, _)| listed.clone())
             .collect();
         let mut edits = Edits::new(lead, view, demand);
+        edits.most = lead.batch;
         for listed in take {
             let entry = Rostered {
                 type_name: listed.type_name.clone(),
@@ -606,7 +622,7 @@
 
     /// One round of the rule.
     fn round(&mut self, now: Now, lead: &Lead<'_>, view: &View, demand: &Demand, mut txn: Txn) -> Option<Txn> {
-        let Lead { config, policy, flavors, .. } = *lead;
+        let Lead { policy, flavors, .. } = *lead;
         if !view.covers(self.term_since) || self.round.is_some_and(|at| since(now, at) < policy.round) {
             return None;
         }
@@ -614,7 +630,7 @@
         let machines = self.machines(view);
         let mut edits = Edits::new(lead, view, demand);
         // One change for each type's order, the rest for the blocks of machines that are returned.
-        edits.most = config.state_limits.txn_ops.saturating_sub(flavors.all().count()).max(1);
+        edits.most = lead.batch.saturating_sub(flavors.all().count()).max(1);
         let mut ops = 0;
         for flavor in flavors.all() {
             if view.orders.contains_key(&flavor.name) {
@@ -719,8 +735,15 @@
                     && now.unix_ms().saturating_sub(machine.rented_s * 1000) >= least_ms
             })
             .collect();
-        // The newest have the least in their caches.
-        idle.sort_by_key(|(_, machine)| std::cmp::Reverse(machine.rented_s));
+        // From the blocks with the most of them, since each block costs a change; there the newest, which have the
+        // least in their caches.
+        let mut of_block: BTreeMap<&BlockId, usize> = BTreeMap::new();
+        for (_, machine) in &idle {
+            *of_block.entry(&machine.block).or_default() += 1;
+        }
+        idle.sort_by_key(|(_, machine)| {
+            (std::cmp::Reverse(of_block[&machine.block]), &machine.block, std::cmp::Reverse(machine.rented_s))
+        });
         idle.truncate(count);
         idle.into_iter().map(|(id, _)| id.clone()).collect()
     }
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -706,14 +706,8 @@
     }
 
     /// The next write: jobs that are over, and progress to be folded.
-    pub fn write(
-        &mut self,
-        now: Now,
-        config: &Config,
-        leader_version: u64,
-        view: &mut View,
-        most: usize,
-    ) -> Option<Op> {
+    pub fn write(&mut self, now: Now, lead: &Lead<'_>, view: &mut View) -> Option<Op> {
+        let (config, leader_version, most) = (lead.config, lead.version, lead.batch);
         if !self.writer.ready(now, view) {
             return None;
         }
@@ -1056,7 +1050,7 @@
 
         fn plan(&mut self) -> (Demand, Vec<Work>) {
             let Desktop { config, policy, flavors, view, now, queues, provisioner, .. } = self;
-            let lead = Lead { config, policy, flavors, term: TERM, version: 1 };
+            let lead = Lead { config, policy, flavors, term: TERM, version: 1, batch: 16 };
             let demand = queues.plan(*now, &lead, view, provisioner);
             (demand, queues.messages(*now))
         }
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -1,6 +1,6 @@
 //! The records this service keeps in the state service. One key prefix for each.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 
 use rangemap::RangeInclusiveSet;
@@ -190,13 +190,13 @@
         self.on.iter().flat_map(|(machine, list)| list.iter().map(move |placed| (machine, placed.0)))
     }
 
-    /// Returns by how much the value may have grown, the task's end included.
+    /// Returns by how much the value may have grown.
     pub fn add(&mut self, machine: &MachineId, attempt: Attempt) -> usize {
         let placed = PlacedText(attempt);
         let list = self.on.entry(machine.clone()).or_default();
         let entry = if list.is_empty() { machine.0.len() + 8 } else { 0 };
         list.push(placed);
-        entry + placed.size() + DONE_BYTES
+        entry + placed.size()
     }
 
     pub fn remove(&mut self, machine: &MachineId, attempt: Attempt) -> bool {
@@ -210,11 +210,13 @@
         removed
     }
 
-    /// The most that this value can come to measure once all its tasks are done, each of another job. Tasks are
-    /// placed only as long as this fits: a value that has grown too large could never be written again.
+    /// The most that this value can come to measure while its tasks end. A finished task takes less than a placed
+    /// one, but the first of its job brings the job's name along. Tasks are placed only as long as this fits: a value
+    /// that has grown too large could never be written again.
     pub fn worst(&self) -> usize {
-        let attempts: usize = self.on.values().map(Vec::len).sum();
-        self.size() + attempts * DONE_BYTES
+        let jobs: BTreeSet<JobId> = self.attempts().map(|(_, attempt)| attempt.task.job).collect();
+        let names: usize = jobs.iter().filter(|job| !self.done.contains_key(job)).map(|job| done_entry(*job)).sum();
+        self.size() + names
     }
 
     /// The most that this value can measure in the form that the state service counts: quotes, commas and
@@ -222,13 +224,15 @@
     pub fn size(&self) -> usize {
         let on: usize =
             self.on.iter().map(|(m, list)| m.0.len() + 8 + list.iter().map(PlacedText::size).sum::<usize>()).sum();
-        let done: usize = self.done.values().map(|ranges| 24 + ranges.size()).sum();
+        let done: usize = self.done.iter().map(|(job, ranges)| done_entry(*job) + ranges.size()).sum();
         32 + on + done
     }
 }
 
-/// By how much a task takes more when it is done than when it is placed, at the most.
-pub const DONE_BYTES: usize = 24;
+/// What a job's entry among the done ones takes, without the tasks: `"j-000412":"",`.
+pub fn done_entry(job: JobId) -> usize {
+    digits(job.0).max(6) + 8
+}
 
 /// An attempt as `412/3:17`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
