--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -74,6 +74,9 @@
     busy: bool,
     /// Something to tell the worker that should not wait for its next report.
     due: bool,
+    /// Since when commands have gone unanswered. Its reports may still come: then what we say does not reach it,
+    /// its lease runs out whatever we answer, and a task that is launched there never starts.
+    deaf: Option<Instant>,
     /// Asked for a sign of life since its last report: when, and whether it failed to give one.
     probed: Option<(Instant, bool)>,
     /// Tasks that failed since one was done here, and the jobs they were of. A job with a mistake fails on
@@ -100,6 +103,7 @@
             tainted: HashSet::new(),
             busy: false,
             due: false,
+            deaf: None,
             probed: None,
             errors: 0,
             failed_jobs: BTreeSet::new(),
@@ -108,10 +112,10 @@
         }
     }
 
-    /// Whether it should be asked for a sign of life: its report is overdue.
+    /// Whether it should be asked for a sign of life: its report is overdue, or it did not answer lately.
     fn probe_due(&self, now: Now, quiet: Duration) -> bool {
         self.reported
-            && since(now, self.heard) > quiet
+            && (since(now, self.heard) > quiet || self.deaf.is_some())
             && self.probed.is_none_or(|(at, _)| since(now, at) > PROBE_AGAIN)
     }
 
@@ -119,7 +123,8 @@
     fn silent(&self, now: Now, policy: &Policy) -> bool {
         let unanswered = self.probed.is_some_and(|(_, failed)| failed);
         let patience = if unanswered { policy.silent_after } else { policy.unheard_after };
-        since(now, self.heard) >= patience
+        let deaf = self.deaf.is_some_and(|at| since(now, at) >= policy.unheard_after);
+        since(now, self.heard) >= patience || deaf
     }
 
     /// Whether a launch of this attempt may still be on its way.
@@ -200,6 +205,8 @@
 pub struct Fleet {
     blocks: BTreeMap<BlockId, Block>,
     reviewed: Option<Instant>,
+    /// Machines and tasks looked at so far: what an event costs must follow from what it changes.
+    looked: u64,
 }
 
 impl Fleet {
@@ -217,6 +224,7 @@
                 block.sync_machines(now, view);
             }
         }
+        self.looked += touched.machines.len() as u64;
         for id in &touched.machines {
             let home = view.machines.get(id).map(|machine| &machine.block);
             for block in self.blocks.values_mut() {
@@ -315,6 +323,8 @@
             return Answer::Elsewhere(None);
         }
         let id = report.machine.clone();
+        let here = block.places.on.get(&id).map_or(0, Vec::len);
+        self.looked += (1 + report.tasks.len() + here) as u64;
         block.take_report(now, report, view);
         match block.workers.get(&id) {
             Some(_) => Answer::Orders(block.orders(now, &id, view, None)),
@@ -380,7 +390,9 @@
         waiting.sort();
         for (_, id) in waiting {
             let Some(block) = self.blocks.get_mut(&id) else { continue };
+            self.looked += (block.pending.len() + block.ended.len()) as u64;
             if let Some(op) = block.write(now, config, view, flavors) {
+                self.looked += block.places.attempts().count() as u64;
                 return Some((id, op));
             }
         }
@@ -402,6 +414,7 @@
         let quiet = config.report_every.mul_f64(OVERDUE);
         let mut commands = Vec::new();
         for block in self.blocks.values_mut() {
+            self.looked += block.due.len() as u64;
             for machine in std::mem::take(&mut block.due) {
                 let Some(worker) = block.workers.get(&machine) else { continue };
                 let reachable = worker.addr.is_some() && worker.session > 0;
@@ -448,7 +461,13 @@
         self.blocks.values_mut().flat_map(|block| std::mem::take(&mut block.started))
     }
 
+    /// Machines and tasks looked at so far.
+    pub fn looked(&self) -> u64 {
+        self.looked
+    }
+
     pub fn status(&mut self, now: Now, policy: &Policy) -> Vec<BlockStatus> {
+        self.looked += self.blocks.values().map(|block| block.unsaid.len() as u64).sum::<u64>();
         self.blocks.values_mut().map(|block| block.status(now, policy)).collect()
     }
 }
@@ -554,7 +573,9 @@
         worker.session = report.session;
         worker.seq = report.seq;
         worker.heard = now.steady;
-        worker.probed = None;
+        if worker.deaf.is_none() {
+            worker.probed = None;
+        }
         worker.reported = true;
         worker.notice = report.notice_s.is_some();
         worker.addr = Some(report.addr);
@@ -728,14 +749,14 @@
         match outcome {
             CommandOutcome::Executed(report) | CommandOutcome::Rejected(report) => {
                 if report.machine == *machine {
+                    worker.deaf = None;
                     self.take_report(now, report, view);
                 }
             }
             CommandOutcome::Unknown => {
-                if let Some((_, failed)) = &mut worker.probed {
-                    *failed = true;
-                    self.unsaid.insert(machine.clone());
-                }
+                worker.deaf.get_or_insert(now.steady);
+                worker.probed = Some((worker.probed.map_or(now.steady, |(at, _)| at), true));
+                self.unsaid.insert(machine.clone());
             }
         }
     }
@@ -942,6 +963,7 @@
             return;
         }
         self.reviewed = Some(now.steady);
+        self.looked += self.blocks.values().map(|block| block.workers.len() as u64).sum::<u64>();
         let quiet = config.report_every.mul_f64(OVERDUE);
         for block in self.blocks.values_mut() {
             block.note_blocked(now);
@@ -972,7 +994,8 @@
 }
 
 fn usable(now: Now, seal: u64, worker: &Worker) -> bool {
-    worker.reported && worker.seal >= seal && !worker.notice && since(now, worker.heard) < QUIET
+    let reachable = worker.seal >= seal && worker.deaf.is_none();
+    worker.reported && reachable && !worker.notice && since(now, worker.heard) < QUIET
 }
 
 fn still_there(places: &Places, machine: &MachineId, attempt: &Attempt) -> bool {
@@ -1181,6 +1204,42 @@
         assert!(reaped(holder.report("m-1", 6, &failed)));
     }
 
+    /// Reports arrive, but neither answers nor commands reach the machine: nothing more is placed there, and it is
+    /// given up although it is heard all the time.
+    #[test]
+    fn a_machine_that_reports_but_does_not_answer_is_noticed() {
+        let mut holder = Holder::new(job(1, 1.0));
+        let policy = Policy::defaults(&holder.config);
+        holder.want(9, "m-1", 1);
+        holder.write();
+        let usable = |holder: &mut Holder| {
+            let status = holder.fleet.status(holder.now, &policy).remove(0);
+            status.machines.iter().find(|m| &*m.machine.0 == "m-1").map(|m| (m.usable, m.silent))
+        };
+        assert_eq!(usable(&mut holder), Some((true, false)));
+        let command = holder.commands().remove(0);
+        holder.answer(&command, CommandOutcome::Unknown);
+        holder.report("m-1", 4, &[]);
+        assert_eq!(usable(&mut holder), Some((false, false)));
+        let mut asked = 0;
+        for _ in 0..20 {
+            holder.now.steady += Duration::from_secs(1);
+            holder.report("m-1", 4, &[]);
+            holder.report("m-2", 4, &[]);
+            holder.tick();
+            for command in holder.commands() {
+                asked += 1;
+                holder.answer(&command, CommandOutcome::Unknown);
+            }
+        }
+        assert!(asked > 2, "asked {asked} times");
+        assert_eq!(usable(&mut holder), Some((false, true)));
+        // An answer settles it, and all is as before.
+        let shown = holder.message("m-1", 4, &[]);
+        holder.answer(&command, CommandOutcome::Executed(shown));
+        assert_eq!(usable(&mut holder), Some((true, false)));
+    }
+
     #[test]
     fn what_a_report_does_not_list_is_gone_only_if_unwanted_and_fenced() {
         let mut holder = Holder::new(job(1, 1.0));
--- a/src/node.rs
+++ b/src/node.rs
@@ -95,6 +95,7 @@
     cut_off: Option<Instant>,
     status_due: bool,
     seen_revision: u64,
+    plans: u64,
 }
 
 /// The plan is made anew at most this often, and at least that often when nothing has changed.
@@ -137,6 +138,7 @@
             cut_off: None,
             status_due: true,
             seen_revision: 0,
+            plans: 0,
         }
     }
 
@@ -154,6 +156,11 @@
         }
     }
 
+    /// Machines and tasks looked at so far, the leader's plans apart, and the plans made.
+    pub fn looked(&self) -> (u64, u64) {
+        (self.fleet.looked(), self.plans)
+    }
+
     pub fn metrics(&mut self) -> &mut Metrics {
         &mut self.metrics
     }
@@ -448,6 +455,7 @@
             return;
         }
         leading.planned = Some(now.steady);
+        self.plans += 1;
         if leading.summary.is_none_or(|at| since(now, at) >= SUMMARY_EVERY) {
             leading.summary = Some(now.steady);
             let gauges = &mut self.metrics.gauges;
--- a/tests/simulation/machine.rs
+++ b/tests/simulation/machine.rs
@@ -28,6 +28,8 @@
     pub up: bool,
     pub dead: bool,
     pub hung_until: Option<Duration>,
+    /// Until then its reports arrive, but answers and commands don't reach it.
+    pub deaf_until: Duration,
     pub notice: Option<Duration>,
     pub faulty: bool,
     pub session: u64,
@@ -219,6 +221,11 @@
         if now <= self.lease_from + lease {
             return Vec::new();
         }
+        self.restart(now)
+    }
+
+    /// Off and on again: its tasks are gone and it goes on with the next session.
+    pub fn restart(&mut self, now: Duration) -> Vec<Happened> {
         self.session += 1;
         self.lease_from = now;
         self.report = None;
--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use world::{Faults, World};
+use world::{Faults, Size, World};
 
 const CALM_FROM: Duration = Duration::from_secs(150);
 const END: Duration = Duration::from_secs(420);
@@ -18,7 +18,7 @@
     if let Some(level) = std::env::var("LOG_LEVEL").ok().and_then(|level| level.parse::<tracing::Level>().ok()) {
         let _ = tracing_subscriber::fmt().with_max_level(level).without_time().with_ansi(false).try_init();
     }
-    let mut world = World::new(seed, faults, CALM_FROM, 30);
+    let mut world = World::new(seed, faults, CALM_FROM, Size::SMALL);
     world.run_until(END);
     world
 }
@@ -33,6 +33,7 @@
     assert_eq!(world.rules.running(), 0, "seed {seed}: tasks of jobs that are over");
     assert_eq!(world.listed(), 0, "seed {seed}: workers list tasks of jobs that are over");
     assert!(world.jobs_told() > 20, "seed {seed}: {} jobs accepted", world.jobs_told());
+    assert_eq!(world.rules.unserved(), [] as [&str; 0], "seed {seed}");
 }
 
 #[test]
@@ -87,6 +88,57 @@
     }
 }
 
+#[test]
+fn answers_do_not_reach_machines() {
+    for seed in 60..=64 {
+        check(seed, Faults { machine_deaf: 12.0, machine_restarts: 25.0, copies: 0.05, ..Faults::default() });
+    }
+}
+
+#[test]
+fn a_controller_hears_its_workers_only() {
+    for seed in 70..=74 {
+        check(seed, Faults { island: 20.0, copies: 0.05, crash: 60.0, held: 0.01, ..Faults::default() });
+    }
+}
+
+/// Hundreds of machines and thousands of tasks: what an event costs follows from what it changes, and what is stored
+/// and said stays within bounds.
+#[test]
+fn at_the_grown_size() {
+    let faults = Faults {
+        crash: 60.0,
+        machine_dies: 20.0,
+        machine_deaf: 40.0,
+        spot_taken: 10.0,
+        zone_cut: 90.0,
+        copies: 0.02,
+        held: 0.002,
+        ..Faults::default()
+    };
+    let mut world = World::new(7, faults, Duration::from_secs(90), Size::GROWN);
+    let end = Duration::from_secs(240);
+    world.run_until(end);
+    let seconds = end.as_secs_f64();
+    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+    assert_eq!(world.rules.unfinished(), [], "accepted and neither done nor cancelled");
+    assert_eq!(world.rules.unserved(), [] as [&str; 0]);
+    assert!(world.most_machines > 200, "{} machines", world.most_machines);
+    assert!(world.rules.started > 3000, "{} tasks started", world.rules.started);
+    let (looked, plans) = world.looked();
+    let each = looked as f64 / world.events_handled as f64;
+    // Far below the number of machines: a pass over them for each event would fail this.
+    assert!(each < 8.0, "{each:.1} machines and tasks looked at for each event");
+    assert!(plans as f64 / seconds < 25.0, "{plans} plans");
+    let changes = world.state().changes as f64 / seconds;
+    assert!(changes < 25.0, "{changes:.1} changes of the state service a second");
+    let bytes = world.peer_bytes as f64 / seconds;
+    assert!(bytes < 60_000.0, "{bytes:.0} bytes between controllers a second");
+    // The stand-in refuses values above the limit; so many tasks must need most of it, or they are not packed.
+    let largest = world.state().largest;
+    assert!(largest > 2000, "the largest value has {largest} bytes");
+}
+
 #[test]
 fn everything_at_once() {
     // The last ones once failed.
--- a/tests/simulation/rules.rs
+++ b/tests/simulation/rules.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use dappleshore::domain::{Job, JobId, Room, TaskId, Team, Tenure, TypeName, Zone};
+use dappleshore::domain::{Job, JobId, Kind, Room, TaskId, Team, Tenure, TypeName, Zone};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Told {
@@ -28,6 +28,20 @@
     cancel_told: Option<Duration>,
     done: BTreeSet<u32>,
     on: BTreeMap<u32, Vec<Place>>,
+    accepted: Option<Duration>,
+    /// When its first task started.
+    began: Option<Duration>,
+    /// Since when its user's questions have gone unanswered.
+    unanswered: Option<Duration>,
+}
+
+/// Troubles over, a job with no question answered for this long is forgotten.
+const ANSWER_WITHIN: Duration = Duration::from_secs(75);
+/// The largest jobs begin within this.
+const BEGIN_WITHIN: Duration = Duration::from_secs(240);
+
+fn size(job: &Job) -> f64 {
+    job.need.cpus * f64::from(job.tasks)
 }
 
 #[derive(Debug)]
@@ -35,13 +49,15 @@
     jobs: BTreeMap<JobId, Known>,
     limits: BTreeMap<Team, f64>,
     cancel_within: Duration,
+    /// From here on there are no troubles, and every question must get an answer soon.
+    calm: Duration,
     pub started: usize,
     pub broken: Vec<String>,
 }
 
 impl Rules {
-    pub fn new(limits: BTreeMap<Team, f64>, cancel_within: Duration) -> Self {
-        Rules { jobs: BTreeMap::new(), limits, cancel_within, started: 0, broken: Vec::new() }
+    pub fn new(limits: BTreeMap<Team, f64>, cancel_within: Duration, calm: Duration) -> Self {
+        Rules { jobs: BTreeMap::new(), limits, cancel_within, calm, started: 0, broken: Vec::new() }
     }
 
     fn break_rule(&mut self, now: Duration, text: String) {
@@ -56,6 +72,9 @@
             cancel_told: None,
             done: BTreeSet::new(),
             on: BTreeMap::new(),
+            accepted: None,
+            began: None,
+            unanswered: None,
         });
     }
 
@@ -68,6 +87,9 @@
     /// A task has its image and is on its machine.
     pub fn starts(&mut self, now: Duration, task: TaskId, place: Place) {
         self.started += 1;
+        if let Some(known) = self.jobs.get_mut(&task.job) {
+            known.began.get_or_insert(now);
+        }
         let Some(known) = self.jobs.get(&task.job) else {
             return self.break_rule(now, format!("invented: {task} starts but was never submitted"));
         };
@@ -123,8 +145,60 @@
         }
     }
 
+    /// A user asks about a job.
+    pub fn asked(&mut self, now: Duration, id: JobId) {
+        if let Some(known) = self.jobs.get_mut(&id) {
+            known.unanswered.get_or_insert(now);
+        }
+    }
+
+    /// Classes, teams and largest jobs of a class of which less than half was served, or begun in time. A job is
+    /// served when it is done, or for a service when all its tasks have started; what its user cancelled before it
+    /// was accepted for long is left out.
+    pub fn unserved(&self) -> Vec<String> {
+        let mut groups: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+        let mut classes: BTreeMap<&str, Vec<&Known>> = BTreeMap::new();
+        for known in self.jobs.values().filter(|known| known.accepted.is_some()) {
+            let early = |told: Duration| known.accepted.is_some_and(|at| told < at + BEGIN_WITHIN);
+            let cancelled = known.began.is_none() && known.cancel_told.is_some_and(early);
+            if cancelled {
+                continue;
+            }
+            let all = known.done.len() == known.job.tasks as usize;
+            let served = all || known.began.is_some() && (known.job.kind == Kind::Service || known.cancel_asked);
+            for group in [format!("class {}", known.job.class), format!("team {}", known.job.team)] {
+                let (of, count) = groups.entry(group).or_default();
+                *of += 1;
+                *count += usize::from(served);
+            }
+            classes.entry(&known.job.class).or_default().push(known);
+        }
+        for (class, mut jobs) in classes {
+            jobs.sort_by(|a, b| size(&b.job).total_cmp(&size(&a.job)));
+            jobs.truncate(jobs.len().div_ceil(10));
+            let in_time = |known: &&&Known| match (known.accepted, known.began) {
+                (Some(accepted), Some(began)) => began <= accepted + BEGIN_WITHIN,
+                _ => false,
+            };
+            let begun = jobs.iter().filter(in_time).count();
+            groups.insert(format!("largest of {class}"), (jobs.len(), begun));
+        }
+        groups
+            .into_iter()
+            .filter(|(_, (of, count))| count * 2 < *of)
+            .map(|(group, (of, count))| format!("{group}: {count} of {of}"))
+            .collect()
+    }
+
     /// Called after each step.
     pub fn check(&mut self, now: Duration) {
+        let calm = self.calm;
+        let silent = |known: &Known| known.unanswered.is_some_and(|at| now > at.max(calm) + ANSWER_WITHIN);
+        let unheard: Vec<JobId> =
+            self.jobs.iter().filter(|(_, k)| k.told.is_some() && silent(k)).map(|(id, _)| *id).collect();
+        for id in unheard {
+            self.break_rule(now, format!("forgotten: no question about {id} was answered for long"));
+        }
         let within = self.cancel_within;
         let late: Vec<JobId> = self
             .jobs
@@ -159,6 +233,8 @@
             Some(_) => Told::Accepted,
         };
         known.told = Some(new);
+        known.unanswered = None;
+        known.accepted.get_or_insert(now);
         let cancel_asked = known.cancel_asked;
         if new == Told::Cancelled && known.cancel_told.is_none() {
             known.cancel_told = Some(now);
@@ -197,7 +273,7 @@
 /// Each rule, broken on purpose.
 #[test]
 fn every_rule_can_be_broken() {
-    use dappleshore::domain::{Kind, Priority};
+    use dappleshore::domain::Priority;
     let job = |tasks, cpus| Job {
         class: "class".into(),
         team: "red".into(),
@@ -223,7 +299,7 @@
     let task = |index| TaskId { job: JobId(1), index };
     let at = Duration::from_secs;
     let broken = |job: Job, play: &dyn Fn(&mut Rules)| {
-        let mut rules = Rules::new([("red".into(), 8.0)].into(), at(50));
+        let mut rules = Rules::new([("red".into(), 8.0)].into(), at(50), at(5));
         rules.submitted(JobId(1), job);
         play(&mut rules);
         rules.check(at(100));
@@ -262,6 +338,24 @@
     };
     expect("forgotten", accepted_then(&|r| r.told(at(2), JobId(1), None)));
     expect("forgotten", accepted_then(&|r| r.refused(at(2), JobId(1), 422)));
+    expect("forgotten", accepted_then(&|r| r.asked(at(3), JobId(1))));
+    let answered = |r: &mut Rules| {
+        r.asked(at(3), JobId(1));
+        r.told(at(70), JobId(1), Some("queued"));
+        r.asked(at(75), JobId(1));
+    };
+    assert_eq!(accepted_then(&answered), None);
+    let unserved = |began: u64, done: bool| {
+        let mut rules = Rules::new([("red".into(), 8.0)].into(), at(50), at(5));
+        rules.submitted(JobId(1), job(1, 1.0));
+        rules.told(at(1), JobId(1), Some("queued"));
+        rules.starts(at(began), task(0), place("a", ordinary));
+        rules.ends(task(0), "a", done);
+        rules.unserved()
+    };
+    assert_eq!(unserved(200, true), [] as [&str; 0]);
+    assert_eq!(unserved(200, false), ["class class: 0 of 1", "team red: 0 of 1"]);
+    assert_eq!(unserved(242, true), ["largest of class: 0 of 1"]);
     expect("invented", accepted_then(&|r| r.told(at(2), JobId(2), Some("queued"))));
     expect("not_done", accepted_then(&|r| r.told(at(2), JobId(1), Some("done"))));
     expect("went_back", accepted_then(&|r| r.told(at(2), JobId(1), Some("cancelled"))));
--- a/tests/simulation/state.rs
+++ b/tests/simulation/state.rs
@@ -24,6 +24,7 @@
     writes: (f64, Duration),
     pub refused: usize,
     pub largest: usize,
+    pub changes: usize,
 }
 
 fn bucket(slot: &mut (f64, Duration), now: Duration, rate: f64, cost: f64) -> bool {
@@ -49,6 +50,7 @@
             limits,
             refused: 0,
             largest: 0,
+            changes: 0,
         }
     }
 
@@ -154,6 +156,7 @@
             return Outcome::Invalid;
         }
         self.revision += 1;
+        self.changes += cost;
         for change in &txn.changes {
             match change {
                 Put { key, value, hold } => {
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -50,6 +50,14 @@
     /// A zone is cut off: what crosses its border is held and delivered when the cut is over.
     pub zone_cut: f64,
     pub faulty_machines: f64,
+    /// A machine's reports arrive, but answers and commands don't reach it for up to a minute.
+    pub machine_deaf: f64,
+    /// A machine is off and on again within a moment.
+    pub machine_restarts: f64,
+    /// Of all reports: a copy comes up to three leases later, to any controller.
+    pub copies: f64,
+    /// A controller loses the state service and its peers, but not its workers.
+    pub island: f64,
     /// A launch is also executed by another machine: breaks a rule on purpose.
     pub sabotage: bool,
 }
@@ -70,23 +78,74 @@
             peers_cut: 70.0,
             zone_cut: 80.0,
             faulty_machines: 0.1,
+            machine_deaf: 50.0,
+            machine_restarts: 60.0,
+            copies: 0.02,
+            island: 80.0,
             sabotage: false,
         }
     }
 }
 
 enum Ev {
-    Tick { node: usize, boot: u64 },
-    Restart { node: usize },
+    Tick {
+        node: usize,
+        boot: u64,
+    },
+    Restart {
+        node: usize,
+    },
     Step,
-    Store { node: usize, boot: u64, tag: StoreTag, sent: Instant, op: Op, answer: bool },
-    Watch { id: u64 },
-    Deliver { node: usize, boot: u64, event: Box<Event> },
-    Peer { node: usize, message: Message },
-    Command { node: usize, boot: u64, command: Command, answer: bool },
-    Call { node: usize, boot: u64, tag: CallTag, call: Call, answer: bool },
-    Report { node: usize, report: Box<Report> },
-    Answered { machine: String, session: u64, seq: u64, sent: Duration, node: usize, answer: Option<Answer> },
+    Store {
+        node: usize,
+        boot: u64,
+        tag: StoreTag,
+        sent: Instant,
+        op: Op,
+        answer: bool,
+    },
+    Watch {
+        id: u64,
+    },
+    Deliver {
+        node: usize,
+        boot: u64,
+        event: Box<Event>,
+    },
+    Peer {
+        node: usize,
+        message: Message,
+    },
+    Command {
+        node: usize,
+        boot: u64,
+        command: Command,
+        answer: bool,
+    },
+    Call {
+        node: usize,
+        boot: u64,
+        tag: CallTag,
+        call: Call,
+        answer: bool,
+    },
+    Report {
+        node: usize,
+        report: Box<Report>,
+    },
+    /// A late copy: whoever sent the report no longer waits for its answer.
+    Copy {
+        node: usize,
+        report: Box<Report>,
+    },
+    Answered {
+        machine: String,
+        session: u64,
+        seq: u64,
+        sent: Duration,
+        node: usize,
+        answer: Option<Answer>,
+    },
     Fault(Fault),
 }
 
@@ -102,6 +161,26 @@
     CloudOutage,
     PeersCut,
     ZoneCut,
+    MachineDeaf,
+    MachineRestarts,
+    Island,
+}
+
+/// How much there is of everything.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    pub jobs: usize,
+    /// Machines of the small and the large type that each zone has, of each tenure.
+    pub stock: [usize; 2],
+    /// Tasks of a large array.
+    pub tasks: u32,
+    /// The teams' guarantees and limits, as multiples of the sample's.
+    pub teams: f64,
+}
+
+impl Size {
+    pub const SMALL: Size = Size { jobs: 30, stock: [5, 2], tasks: 16, teams: 1.0 };
+    pub const GROWN: Size = Size { jobs: 220, stock: [50, 25], tasks: 60, teams: 30.0 };
 }
 
 struct Slot {
@@ -112,6 +191,8 @@
     /// Drift of its steady clock.
     drift: f64,
     cut_until: Duration,
+    /// Until then it hears no peers either.
+    island_until: Duration,
 }
 
 #[derive(Clone)]
@@ -174,8 +255,16 @@
     results: BTreeSet<TaskId>,
     pub rules: Rules,
     pub rented: usize,
+    size: Size,
+    pub events_handled: u64,
+    /// What controllers said to each other, as it goes over the wire.
+    pub peer_bytes: usize,
+    pub most_machines: usize,
 }
 
+/// Cuts, hangs and held messages last for up to a minute after the last fault.
+const LAST_TROUBLES: Duration = Duration::from_secs(60);
+
 fn flavors() -> FlavorList {
     let flavor = |name: &str, cpus: f64, price: f64| Flavor {
         name: name.into(),
@@ -193,9 +282,13 @@
 }
 
 impl World {
-    pub fn new(seed: u64, faults: Faults, calm_from: Duration, jobs: usize) -> Self {
+    pub fn new(seed: u64, faults: Faults, calm_from: Duration, size: Size) -> Self {
         let text = include_str!("../data/settings.toml");
-        let config = Config::parse("settings.toml", text).expect("the sample is valid");
+        let mut config = Config::parse("settings.toml", text).expect("the sample is valid");
+        for team in &mut config.teams {
+            team.cpus *= size.teams;
+            team.cpus_max *= size.teams;
+        }
         let limits = config.teams.iter().map(|team| (team.name.clone(), team.cpus_max)).collect();
         let mut rng = SmallRng::seed_from_u64(seed);
         let slots = (0..NODES)
@@ -206,6 +299,7 @@
                 waiting: HashMap::new(),
                 drift: rng.random_range(-0.0005..0.0005),
                 cut_until: Duration::ZERO,
+                island_until: Duration::ZERO,
             })
             .collect();
         let mut world = World {
@@ -230,8 +324,12 @@
             users: Vec::new(),
             jobs: BTreeMap::new(),
             results: BTreeSet::new(),
-            rules: Rules::new(limits, config.cancel_within),
+            rules: Rules::new(limits, config.cancel_within, calm_from + LAST_TROUBLES),
             rented: 0,
+            size,
+            events_handled: 0,
+            peer_bytes: 0,
+            most_machines: 0,
             config,
             rng,
         };
@@ -251,6 +349,9 @@
             (Fault::CloudOutage, faults.cloud_outage),
             (Fault::PeersCut, faults.peers_cut),
             (Fault::ZoneCut, faults.zone_cut),
+            (Fault::MachineDeaf, faults.machine_deaf),
+            (Fault::MachineRestarts, faults.machine_restarts),
+            (Fault::Island, faults.island),
         ] {
             if mean > 0.0 {
                 let mut at = 0.0;
@@ -263,7 +364,7 @@
                 }
             }
         }
-        for n in 0..jobs {
+        for n in 0..size.jobs {
             world.add_user(n);
         }
         world
@@ -275,11 +376,11 @@
         let service = rng.random_bool(0.3);
         let zone = ZONES[rng.random_range(0..NODES)];
         let job = Job {
-            class: "class".into(),
+            class: (if service { "service" } else { "array" }).into(),
             team: Team::from(if rng.random_bool(0.5) { "red" } else { "blue" }),
             kind: if service { Kind::Service } else { Kind::Array },
             priority: if service { Priority::Production } else { Priority::Standard },
-            tasks: if service { rng.random_range(1..4) } else { rng.random_range(1..16) },
+            tasks: if service { rng.random_range(1..4) } else { rng.random_range(1..self.size.tasks) },
             need: Room { cpus: [1.0, 2.0, 4.0][rng.random_range(0..3)], gpus: 0.0, memory_gb: 2.0 },
             types: rng.random_bool(0.2).then(|| vec!["large".into()]),
             zone: rng.random_bool(0.1).then(|| Zone::from(zone)),
@@ -371,6 +472,7 @@
         let now = self.clock(node);
         let Some(machine) = &mut self.slots[node].node else { return };
         let at = self.now.as_secs_f64();
+        self.events_handled += 1;
         let effects = tracing::info_span!("node", node, at).in_scope(|| machine.handle(now, event));
         let boot = self.slots[node].boot;
         for effect in effects {
@@ -409,7 +511,11 @@
             Effect::Peer { to, message } => {
                 let target = to.0.trim_start_matches("node-").parse().unwrap_or(0);
                 let (at, _) = self.fate();
-                if self.now >= self.peers_cut_until {
+                let island = |node: usize| self.now < self.slots[node].island_until;
+                if self.size.jobs > Size::SMALL.jobs {
+                    self.peer_bytes += dappleshore::http::write(&message).len();
+                }
+                if self.now >= self.peers_cut_until && !island(node) && !island(target) {
                     self.at(at, Ev::Peer { node: target, message });
                 }
             }
@@ -419,7 +525,9 @@
                 }
             }
             Effect::AnswerWorker { id, answer } => {
-                if let Some(Asker::Worker { machine, session, seq, sent }) = self.slots[node].waiting.remove(&id) {
+                if let Some(Asker::Worker { machine, session, seq, sent }) = self.slots[node].waiting.remove(&id)
+                    && self.machines.get(&machine).is_none_or(|machine| self.now >= machine.deaf_until)
+                {
                     let (at, answered) = self.fate();
                     if answered {
                         let answer = Some(answer);
@@ -506,6 +614,12 @@
                 slot.waiting.insert(id, asker);
                 self.handle(node, Event::Report { id, report: *report });
             }
+            Ev::Copy { node, report } => {
+                let slot = &mut self.slots[node];
+                slot.next_request += 1;
+                let id = slot.next_request;
+                self.handle(node, Event::Report { id, report: *report });
+            }
             Ev::Answered { machine, session, seq, sent, node, answer } => {
                 self.answered(&machine, session, seq, sent, node, answer);
             }
@@ -670,6 +784,12 @@
             }
             return;
         };
+        if self.now < machine.deaf_until {
+            if answer {
+                self.unanswered(node, boot, &command);
+            }
+            return;
+        }
         if !machine.runs(self.now) {
             if machine.hung_until.is_some() && !machine.dead {
                 machine.backlog.push(command.body.clone());
@@ -735,7 +855,7 @@
                 }
                 let tenure = Tenure::spot(rent.spot);
                 let alike = |m: &&Machine| m.type_name == rent.type_name && m.zone == rent.zone && m.tenure == tenure;
-                let stock: usize = if &*rent.type_name.0 == "small" { 5 } else { 2 };
+                let stock = self.size.stock[usize::from(&*rent.type_name.0 != "small")];
                 let left = stock.saturating_sub(self.machines.values().filter(alike).count());
                 let count = left.min(rent.count as usize);
                 if count == 0 {
@@ -777,6 +897,7 @@
 
     fn rent(&mut self, type_name: &str, zone: &str, tenure: Tenure) -> String {
         self.rented += 1;
+        self.most_machines = self.most_machines.max(self.machines.len() + 1);
         self.next_machine += 1;
         let id = format!("m-{:06}", self.next_machine);
         let boot = Duration::from_secs_f64(self.rng.random_range(0.5..10.0));
@@ -794,6 +915,7 @@
             up: false,
             dead: false,
             hung_until: None,
+            deaf_until: Duration::ZERO,
             notice: None,
             faulty,
             session: 1,
@@ -874,6 +996,11 @@
             let up = self.slots[node].node.is_some();
             let (session, seq) = (report.session, report.seq);
             self.happened(id, happened);
+            if now < self.calm_from && self.rng.random_bool(self.faults.copies) {
+                let late = Duration::from_secs_f64(self.rng.random_range(1.0..lease.as_secs_f64() * 3.0));
+                let node = self.rng.random_range(0..NODES);
+                self.at(now + late, Ev::Copy { node, report: Box::new(report.clone()) });
+            }
             if up {
                 let (at, _) = self.fate();
                 self.at(at, Ev::Report { node, report: Box::new(report) });
@@ -937,6 +1064,7 @@
             return;
         }
         let job = user.job;
+        self.rules.asked(now, job);
         let told = self.rules.told_state(job);
         let cancel = user.cancel_at.is_some_and(|at| now >= at);
         let asked = match told {
@@ -1012,13 +1140,23 @@
                 let node = self.rng.random_range(0..NODES);
                 self.slots[node].cut_until = self.now + long(&mut self.rng, 40.0);
             }
+            Fault::Island => {
+                let node = self.rng.random_range(0..NODES);
+                let until = self.now + long(&mut self.rng, 60.0);
+                self.slots[node].cut_until = until;
+                self.slots[node].island_until = until;
+            }
             Fault::CloudOutage => self.cloud_out_until = self.now + long(&mut self.rng, 30.0),
             Fault::ZoneCut => {
                 let zone = Zone::from(ZONES[self.rng.random_range(0..NODES)]);
                 self.zone_cut = (zone, self.now + long(&mut self.rng, 60.0));
             }
             Fault::PeersCut => self.peers_cut_until = self.now + long(&mut self.rng, 20.0),
-            Fault::MachineDies | Fault::MachineHangs | Fault::SpotTaken => {
+            Fault::MachineDies
+            | Fault::MachineHangs
+            | Fault::SpotTaken
+            | Fault::MachineDeaf
+            | Fault::MachineRestarts => {
                 let spot = fault == Fault::SpotTaken;
                 let fits = |m: &&Machine| m.up && !m.dead && (!spot || m.tenure.is_spot());
                 let ids: Vec<String> = self.machines.values().filter(fits).map(|m| m.id.clone()).collect();
@@ -1036,6 +1174,11 @@
                         self.happened(&id, happened);
                     }
                     Fault::MachineHangs => machine.hung_until = Some(self.now + hang),
+                    Fault::MachineDeaf => machine.deaf_until = self.now + hang,
+                    Fault::MachineRestarts => {
+                        let happened = machine.restart(self.now);
+                        self.happened(&id, happened);
+                    }
                     _ => {
                         machine.notice = Some(self.now + notice);
                         machine.changed = true;
@@ -1045,6 +1188,16 @@
         }
     }
 
+    /// Machines and tasks that all controllers have looked at, and the plans that they made.
+    pub fn looked(&self) -> (u64, u64) {
+        let all = self.slots.iter().filter_map(|slot| slot.node.as_ref()).map(Node::looked);
+        all.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+    }
+
+    pub fn state(&self) -> &StateService {
+        &self.state
+    }
+
     pub fn jobs_told(&self) -> usize {
         self.users.iter().filter(|user| self.rules.told_state(user.job).is_some()).count()
     }
