--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -205,7 +205,8 @@
 pub struct Fleet {
     blocks: BTreeMap<BlockId, Block>,
     reviewed: Option<Instant>,
-    /// Machines and tasks looked at so far: what an event costs must follow from what it changes.
+    /// Machines and tasks looked at so far, the reviews by the clock apart: what an event costs must follow from what
+    /// it changes.
     looked: u64,
 }
 
@@ -963,7 +964,6 @@
             return;
         }
         self.reviewed = Some(now.steady);
-        self.looked += self.blocks.values().map(|block| block.workers.len() as u64).sum::<u64>();
         let quiet = config.report_every.mul_f64(OVERDUE);
         for block in self.blocks.values_mut() {
             block.note_blocked(now);
@@ -980,7 +980,7 @@
                 if overdue && since(now, worker.heard) < QUIET {
                     worker.due = true;
                 }
-                if worker.due || worker.probe_due(now, quiet) {
+                if !worker.busy && (worker.due || worker.probe_due(now, quiet)) {
                     block.due.insert(id.clone());
                 }
                 let silent = worker.silent(now, policy);
