--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -149,6 +149,8 @@
     term_since: Instant,
     next_request: u64,
     stockouts: HashMap<(TypeName, Zone, Tenure), Instant>,
+    /// When a type that has run out was last asked for all the same.
+    asked_again: BTreeMap<TypeName, Instant>,
     renting: BTreeMap<TypeName, Instant>,
     rent_retry: BTreeMap<TypeName, Instant>,
     /// Rented machines that are not yet recorded.
@@ -177,6 +179,9 @@
 const CUT_MARGIN: Duration = Duration::from_secs(2);
 /// Fewer silent machines than this are no sign of a cut.
 const CUT_LEAST: usize = 4;
+/// What has run out everywhere is asked for again this often: the design's own round. Each request costs the state
+/// service two changes, and in a stock-out of all types that was most of what the leader may write.
+const ASK_AGAIN: Duration = Duration::from_secs(5);
 /// How long the record of a deleted machine that was empty may wait for others.
 const FORGET_AFTER: Duration = Duration::from_secs(4);
 /// The protocol's limit for one rental request.
@@ -226,18 +231,31 @@
 
 /// How full a block may be of what its machines may hold before a new one is opened: what a value can't hold can't
 /// be placed. The rest is for finished tasks of arrays that are spread over many blocks.
-const BLOCK_FULL: f64 = 0.6;
+const BLOCK_FULL: f64 = 0.7;
 /// Tasks expected on a machine before there are any to go by.
 const TASKS_UNKNOWN: f64 = 4.0;
+/// From so many machines on, what they have tells how many tasks to expect, with so much to spare.
+const ENOUGH_SEEN: usize = 10;
+const TASKS_SPARE: f64 = 1.25;
 
 impl<'v> Edits<'v> {
     fn new(lead: &Lead<'_>, view: &'v View, demand: &Demand) -> Self {
         let Lead { config, policy, flavors, .. } = *lead;
+        let mut seen: HashMap<&TypeName, (usize, usize)> = HashMap::new();
+        for live in view.live_places() {
+            let (machines, tasks) = seen.entry(&live.machine.type_name).or_default();
+            *machines += 1;
+            *tasks += live.attempts().count();
+        }
         let tasks = flavors
             .all()
             .map(|flavor| {
                 let most = demand.smallest.map_or(TASKS_UNKNOWN, |need| f64::from(flavor.room().count_of(&need)));
-                (flavor.name.clone(), most.clamp(1.0, MOST_TASKS))
+                let usual = seen
+                    .get(&flavor.name)
+                    .filter(|(machines, _)| *machines >= ENOUGH_SEEN)
+                    .map_or(most, |(machines, tasks)| *tasks as f64 / *machines as f64 * TASKS_SPARE);
+                (flavor.name.clone(), usual.min(most).clamp(1.0, MOST_TASKS))
             })
             .collect();
         let mut edits = Edits {
@@ -313,7 +331,7 @@
 }
 
 /// What one placed task takes of its block's value, and the most of them that are reckoned with on one machine.
-const TASK_BYTES: f64 = 24.0;
+const TASK_BYTES: f64 = 22.0;
 const MOST_TASKS: f64 = 32.0;
 
 impl Provisioner {
@@ -325,6 +343,7 @@
             term_since: now.steady,
             next_request: 0,
             stockouts: HashMap::new(),
+            asked_again: BTreeMap::new(),
             renting: BTreeMap::new(),
             rent_retry: BTreeMap::new(),
             rented: BTreeMap::new(),
@@ -707,6 +726,13 @@
             }
             let Some((count, tenure, zone, wanted)) = best else { continue };
             let Some(zone) = zone.or_else(|| self.zone_for(now, flavor, tenure, wanted, view)) else { continue };
+            if !self.available(now, &flavor.name, &zone, tenure) {
+                let again = self.asked_again.get(&flavor.name);
+                if again.is_some_and(|at| since(now, *at) < ASK_AGAIN) {
+                    continue;
+                }
+                self.asked_again.insert(flavor.name.clone(), now.steady);
+            }
             self.next_request += 1;
             let order = Order {
                 request: format!("r-{}-{}", self.term, self.next_request),
