--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -170,6 +170,8 @@
     heard: u64,
     /// When it was last looked for something to write.
     looked: Option<Instant>,
+    /// When it last wrote: whose turn it is when the rate does not suffice for all.
+    wrote: Option<Instant>,
     /// When the jobs were accepted whose tasks were seen to have started, for the metrics.
     started: Vec<u64>,
 }
@@ -295,6 +297,7 @@
                         number: 0,
                         heard: 0,
                         looked: None,
+                        wrote: None,
                         started: Vec::new(),
                     };
                     block.sync_machines(now, view);
@@ -386,13 +389,14 @@
             .blocks
             .values()
             .filter(|block| block.has_news(now) && due(block))
-            .map(|block| (block.looked, block.id.clone()))
+            .map(|block| (block.wrote, block.id.clone()))
             .collect();
         waiting.sort();
         for (_, id) in waiting {
             let Some(block) = self.blocks.get_mut(&id) else { continue };
             self.looked += (block.pending.len() + block.ended.len()) as u64;
             if let Some(op) = block.write(now, config, view, flavors) {
+                block.wrote = Some(now.steady);
                 self.looked += block.places.attempts().count() as u64;
                 return Some((id, op));
             }
@@ -1205,6 +1209,41 @@
         assert!(reaped(holder.report("m-1", 6, &failed)));
     }
 
+    /// Found on the bench: blocks that the leader kept sending work to went first each time, and the ends of another
+    /// block's tasks were not recorded for over a minute.
+    #[test]
+    fn no_block_waits_for_others_that_have_more_to_write() {
+        let mut holder = Holder::new(Job { tasks: 50, ..job(1, 0.1) });
+        let entry = Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
+        let roster = Roster { zone: "a".into(), on: [("m-3".into(), entry)].into() };
+        holder.put(roster_key(&"a.1".into()), encode(&roster));
+        let grant = Grant { zone: "a".into(), holder: holder.config.name.clone(), boot: BOOT, seal: 5, term: 3 };
+        holder.put(grant_key(&"a.1".into()), encode(&grant));
+        holder.report("m-3", 5, &[]);
+        // Each round brings new work for both, but only one write can be sent.
+        let mut written: HashMap<BlockId, usize> = HashMap::new();
+        for round in 0..8 {
+            for (block, machine) in [("a.0", "m-1"), ("a.1", "m-3")] {
+                let grant_version = holder.fleet.grant_version(&block.into());
+                let index = round * 2 + u32::from(block == "a.1");
+                let attempt = Attempt { task: TaskId { job: JobId(1), index }, number: u64::from(index) + 20 };
+                let want = vec![Wanted { attempt, machine: machine.into() }];
+                let number = u64::from(round) + 1;
+                let block = block.into();
+                assert!(holder.fleet.work(Work { block, grant_version, number, heard: 0, want, stop: Vec::new() }));
+            }
+            holder.now.steady += LOOK_AGAIN;
+            let next = holder.fleet.write(holder.now, &holder.config, &mut holder.view, &holder.flavors);
+            let (block, _) = next.expect("there is work");
+            let grant_version = holder.fleet.grant_version(&block);
+            *written.entry(block.clone()).or_default() += 1;
+            holder.version += 1;
+            let revision = holder.version;
+            holder.fleet.written(holder.now, &block, grant_version, &Outcome::Committed { revision });
+        }
+        assert_eq!(written.values().min(), Some(&4), "{written:?}");
+    }
+
     /// Reports arrive, but neither answers nor commands reach the machine: nothing more is placed there, and it is
     /// given up although it is heard all the time.
     #[test]
