A zone whose controllers were never heard is not taken for cut off; connections to workers kept 2 s

Nobody answers its workers, their tasks are gone after a lease, but the leader waited for a grant life more.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -51,10 +51,6 @@
 /// No answer that we ask for is larger: a watch has no limit, but this much is more than it can hold.
 const LARGEST_REPLY: usize = 16 << 20;
 const CONNECT_WITHIN: Duration = Duration::from_millis(1000);
-/// Idle connections are kept for this long. A controller that takes over for others talks to every worker, which also
-/// talks to it: with 20 s it held 2,000 sockets of its 2,500.
-const IDLE: Duration = Duration::from_secs(5);
-
 const MOST_IDLE: usize = 4;
 
 #[derive(Clone)]
@@ -63,13 +59,14 @@
 }
 
 impl Client {
-    pub fn new() -> Self {
+    /// `idle`: how long connections are kept that nothing goes over.
+    pub fn new(idle: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_WITHIN));
         let inner = HyperClient::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE)
+            .pool_idle_timeout(idle)
             .pool_max_idle_per_host(MOST_IDLE)
             // A request is sent once: what to do about a lost answer is for the slices to decide.
             .retry_canceled_requests(false)
@@ -95,9 +92,3 @@
         tokio::time::timeout(request.timeout, exchange).await.ok().flatten()
     }
 }
-
-impl Default for Client {
-    fn default() -> Self {
-        Client::new()
-    }
-}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,7 +1,7 @@
 //! One controller: all slices together, as one state machine. Events come in, effects go out; it reads no clock
 //! and does no I/O, so the tests drive whole services of it through simulated time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
@@ -10,7 +10,7 @@
 
 use crate::blocks::Granting;
 use crate::config::Config;
-use crate::domain::{BlockId, MachineId, NodeName, Now, since};
+use crate::domain::{BlockId, MachineId, NodeName, Now, Zone, since};
 use crate::fleet::wire::{Orders, Report};
 use crate::fleet::{Answer, Command, CommandOutcome, Fleet};
 use crate::intake::{self, Intake, RequestId, Response};
@@ -91,6 +91,8 @@
     told_all: Option<Instant>,
     /// When each of the others last said that it reaches the state service.
     peers_reach_state: BTreeMap<NodeName, Instant>,
+    /// Zones of which a controller has spoken to this process.
+    heard_zones: BTreeSet<Zone>,
     /// Since when we don't.
     cut_off: Option<Instant>,
     status_due: bool,
@@ -135,6 +137,7 @@
             told: None,
             told_all: None,
             peers_reach_state: BTreeMap::new(),
+            heard_zones: BTreeSet::new(),
             cut_off: None,
             status_due: true,
             seen_revision: 0,
@@ -350,6 +353,8 @@
                 }
             }
             Message::Alive { node, reaches_state } => {
+                let zone = self.config.peers.iter().find(|peer| peer.name == node).map(|peer| peer.zone.clone());
+                self.heard_zones.extend(zone);
                 if reaches_state {
                     self.peers_reach_state.insert(node, now.steady);
                 } else {
@@ -471,7 +476,7 @@
         }
         self.stale_plan = false;
         let health = leading.queues.health(now);
-        leading.provisioner.observe(now, &lead, &self.view, &health);
+        leading.provisioner.observe(now, &lead, &self.view, &health, &self.heard_zones);
         leading.demand = leading.queues.plan(now, &lead, &self.view, &leading.provisioner);
         for (tag, call) in leading.provisioner.calls(now, &self.config, &self.view, &leading.demand) {
             effects.push(Effect::Call { tag, call });
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -396,9 +396,18 @@
     }
 
     /// Takes in how the machines are.
-    pub fn observe(&mut self, now: Now, lead: &Lead<'_>, view: &View, health: &BTreeMap<MachineId, Health>) {
+    pub fn observe(
+        &mut self,
+        now: Now,
+        lead: &Lead<'_>,
+        view: &View,
+        health: &BTreeMap<MachineId, Health>,
+        heard: &BTreeSet<Zone>,
+    ) {
         let Lead { config, policy, flavors, .. } = *lead;
-        let cut_off = cut_off(view, health);
+        // Where no controller was heard since this process began, all may have ended together, and nobody answers the
+        // workers there: their leases are over by the time that they are called silent.
+        let cut_off: BTreeSet<Zone> = cut_off(view, health).intersection(heard).cloned().collect();
         // A holder in a zone that is cut off renews its workers' leases for the life of its grant, and they keep their
         // tasks for a lease longer. It takes at least `silent_after` until they are called silent.
         let patience = (policy.grant_life + config.lease + CUT_MARGIN).saturating_sub(policy.silent_after);
@@ -855,7 +864,7 @@
         }
         let lead = Lead { config: &config, policy: &policy, flavors: &flavors, term: 1, version: 1, batch: 16 };
         let silent = |id: &MachineId, zones: &[&str]| zones.iter().any(|zone| id.0[2..].starts_with(zone));
-        let given_up = |zones: &[&str], after: Duration| {
+        let given_up_if = |zones: &[&str], after: Duration, heard: &BTreeSet<Zone>| {
             let mut provisioner = Provisioner::new(start, 1);
             for (passed, zones) in [(Duration::ZERO, &[] as &[&str]), (Duration::from_secs(1), zones), (after, zones)] {
                 let now = Now { steady: start.steady + passed, ..start };
@@ -863,13 +872,17 @@
                     let silent = silent(id, zones);
                     (id.clone(), Health { seen: true, silent, faulty: false, usable: !silent })
                 });
-                provisioner.observe(now, &lead, &view, &health.collect());
+                provisioner.observe(now, &lead, &view, &health.collect(), heard);
             }
             provisioner.lost.len()
         };
+        let heard: BTreeSet<Zone> = ["a".into(), "b".into()].into();
+        let given_up = |zones: &[&str], after: Duration| given_up_if(zones, after, &heard);
         let survive = policy.grant_life + config.lease - policy.silent_after;
         assert_eq!(given_up(&["a"], survive), 0, "may be a cut");
         assert_eq!(given_up(&["a"], survive + Duration::from_secs(4)), 6, "their tasks are gone by then");
+        let only_b = [Zone::from("b")].into();
+        assert_eq!(given_up_if(&["a"], Duration::from_secs(2), &only_b), 6, "nobody answers them");
         assert_eq!(given_up(&["a0", "a1"], Duration::from_secs(2)), 2, "some of a zone: they are dead");
         assert_eq!(given_up(&["a", "b"], Duration::from_secs(2)), 12, "all zones: nothing speaks for a cut");
     }
--- a/src/service.rs
+++ b/src/service.rs
@@ -21,6 +21,11 @@
 const TICK: Duration = Duration::from_millis(40);
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(3);
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+/// The few that all controllers talk to.
+const IDLE: Duration = Duration::from_secs(20);
+/// A controller that takes over for others talks to every worker, and each of them to it: kept for 20 s, that was
+/// 2,000 sockets of 2,500.
+const WORKER_IDLE: Duration = Duration::from_secs(2);
 /// Sockets kept for what we call ourselves.
 const OWN_SOCKETS: usize = 300;
 
@@ -33,6 +38,8 @@
 struct Runner {
     node: Node,
     client: Client,
+    /// For commands to workers.
+    workers: Client,
     results: mpsc::UnboundedSender<Event>,
     waiting: HashMap<RequestId, Waiting>,
     next: RequestId,
@@ -50,7 +57,8 @@
     let between = server::serve(config.peer_listen, OWN_SOCKETS / 4, server::between_controllers(incoming));
     info!(node = %config.name, zone = %config.zone, listen = %config.listen, "starting");
     let mut runner = Runner {
-        client: Client::new(),
+        client: Client::new(IDLE),
+        workers: Client::new(WORKER_IDLE),
         results,
         waiting: HashMap::new(),
         next: 0,
@@ -130,14 +138,14 @@
             Effect::Store { tag, op } => {
                 let sent = Now::read().steady;
                 let request = store::wire::request(&op);
-                self.exchange(self.state, request, move |reply| {
+                self.exchange(&self.client, self.state, request, move |reply| {
                     let outcome = store::wire::outcome(&op, reply.as_ref());
                     Event::Store { tag, sent, outcome }
                 });
             }
             Effect::Call { tag, call } => {
                 let request = provisioning::wire::request(&call);
-                self.exchange(self.cloud, request, move |reply| {
+                self.exchange(&self.client, self.cloud, request, move |reply| {
                     let outcome = provisioning::wire::outcome(&call, reply.as_ref());
                     Event::Called { tag, outcome }
                 });
@@ -148,7 +156,7 @@
                     return;
                 };
                 let request = Request::post("/commands".to_owned(), write(&command.body), COMMAND_TIMEOUT);
-                self.exchange(addr, request, move |reply| {
+                self.exchange(&self.workers, addr, request, move |reply| {
                     let outcome = match reply {
                         Some(reply) => match (reply.status, read::<Report>(&reply.body)) {
                             (200, Some(report)) => CommandOutcome::Executed(report),
@@ -172,11 +180,12 @@
 
     fn exchange(
         &self,
+        client: &Client,
         addr: SocketAddr,
         request: Request,
         event: impl FnOnce(Option<crate::http::Reply>) -> Event + Send + 'static,
     ) {
-        let client = self.client.clone();
+        let client = client.clone();
         let results = self.results.clone();
         tokio::spawn(async move {
             let reply = client.send(addr, request).await;
