Stock-outs are asked again each round while writes are to spare

The smallest exception: 5 s only while writes are scarce, as in a stock-out at the grown size; else each round, as the design says.

--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -34,6 +34,8 @@
     pub version: u64,
     /// The changes that one transaction should not exceed, by the state service's rate.
     pub batch: usize,
+    /// Whether there are writes to spare just now.
+    pub spare: bool,
 }
 
 /// A hold and the record attached to it.
--- a/src/node.rs
+++ b/src/node.rs
@@ -444,7 +444,9 @@
             self.status_due = true;
         }
         let batch = self.budget.batch(self.config.state_limits.txn_ops);
-        let lead = Lead { config: &self.config, policy: &self.policy, flavors: &self.flavors, term, version, batch };
+        let spare = self.budget.spare(now);
+        let lead =
+            Lead { config: &self.config, policy: &self.policy, flavors: &self.flavors, term, version, batch, spare };
         let mut ops = Vec::new();
         if self.flavors.known() {
             let op = self.granting.poll(now, &lead, &mut self.view);
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -179,8 +179,9 @@
 const CUT_MARGIN: Duration = Duration::from_secs(2);
 /// Fewer silent machines than this are no sign of a cut.
 const CUT_LEAST: usize = 4;
-/// What has run out everywhere is asked for again this often: the design's own round. Each request costs the state
-/// service two changes, and in a stock-out of all types that was most of what the leader may write.
+/// When writes are scarce, what has run out everywhere is asked for again this often, the design's own round, and not
+/// in each of ours. Each request costs two changes, and in a stock-out of all types that was most of what the leader
+/// may write.
 const ASK_AGAIN: Duration = Duration::from_secs(5);
 /// How long the record of a deleted machine that was empty may wait for others.
 const FORGET_AFTER: Duration = Duration::from_secs(4);
@@ -737,7 +738,7 @@
             let Some(zone) = zone.or_else(|| self.zone_for(now, flavor, tenure, wanted, view)) else { continue };
             if !self.available(now, &flavor.name, &zone, tenure) {
                 let again = self.asked_again.get(&flavor.name);
-                if again.is_some_and(|at| since(now, *at) < ASK_AGAIN) {
+                if !lead.spare && again.is_some_and(|at| since(now, *at) < ASK_AGAIN) {
                     continue;
                 }
                 self.asked_again.insert(flavor.name.clone(), now.steady);
@@ -862,7 +863,8 @@
             let key = roster_key(&blocks::name(&zone.into(), 0));
             view.apply(Change { key, version, value: Some(encode(&roster)) });
         }
-        let lead = Lead { config: &config, policy: &policy, flavors: &flavors, term: 1, version: 1, batch: 16 };
+        let lead =
+            Lead { config: &config, policy: &policy, flavors: &flavors, term: 1, version: 1, batch: 16, spare: true };
         let silent = |id: &MachineId, zones: &[&str]| zones.iter().any(|zone| id.0[2..].starts_with(zone));
         let given_up_if = |zones: &[&str], after: Duration, heard: &BTreeSet<Zone>| {
             let mut provisioner = Provisioner::new(start, 1);
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -1060,7 +1060,7 @@
 
         fn plan(&mut self) -> (Demand, Vec<Work>) {
             let Desktop { config, policy, flavors, view, now, queues, provisioner, .. } = self;
-            let lead = Lead { config, policy, flavors, term: TERM, version: 1, batch: 16 };
+            let lead = Lead { config, policy, flavors, term: TERM, version: 1, batch: 16, spare: true };
             let demand = queues.plan(*now, &lead, view, provisioner);
             (demand, queues.messages(*now))
         }
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -80,6 +80,9 @@
 /// Writes that can wait leave this much for users, whose submissions would else wait behind a batch.
 const KEPT_FOR_USERS: f64 = 1.0;
 
+/// The part of a second's writes that must be left for writes that could be done without.
+const SPARE: f64 = 0.6;
+
 /// How long to hold off after the service refused.
 const HOLD_OFF: Duration = Duration::from_millis(150);
 
@@ -104,6 +107,12 @@
         self.writes.burst = self.writes.rate;
     }
 
+    /// Whether writes are to be had in plenty: most of what may go in a second is left.
+    pub fn spare(&mut self, now: Now) -> bool {
+        self.writes.fill(now);
+        self.writes.tokens >= self.writes.burst * SPARE
+    }
+
     /// The most changes that one batch should have: a larger one would make users wait for the rate to recover.
     pub fn batch(&self, txn_ops: usize) -> usize {
         (self.writes.burst as usize / 2).clamp(3, txn_ops)
@@ -217,7 +226,9 @@
         assert!(budget.push(Urgency::User, 9, write()).is_ok());
         let sent = |budget: &mut Budget<i32>, now| budget.take(now).iter().map(|(tag, _)| *tag).collect::<Vec<_>>();
         // 1.8 writes a second: the user's goes at once, the others when one would be left for the next user.
+        assert!(budget.spare(start));
         assert_eq!(sent(&mut budget, start), [9]);
+        assert!(!budget.spare(start));
         assert_eq!(sent(&mut budget, later(400)), [] as [i32; 0]);
         assert_eq!(sent(&mut budget, later(700)), [0]);
         assert!(budget.push(Urgency::User, 10, write()).is_ok());
