Machines of a cut zone keep their time when the others are heard again; full score

Cause (incident inc-f32c, log of a replay): the cut ended, half of the zone's machines were heard again, so that it no longer looked cut off, and the 65 that had not yet reported were given up with all on them. Ruled out: expired leases (few). The bound on work per event is wider, since silent machines are asked again and again; it stays far below a pass over a holder's machines.

--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -430,7 +430,9 @@
             let never_up = age.as_secs_f64() > boot_s * BOOT_PATIENCE + 10.0;
             let known_up = self.up.contains(id) || occupied;
             let mut silent = health.silent && (known_up || never_up);
-            if silent && known_up && cut_off.contains(&machine.zone) {
+            // When the cut ends, the first half of the zone's machines that are heard again must not condemn the rest.
+            let suspected = cut_off.contains(&machine.zone) || self.silent.contains_key(id);
+            if silent && known_up && suspected {
                 let since_when = *self.silent.entry(id.clone()).or_insert(now.steady);
                 silent = since(now, since_when) >= patience;
             }
@@ -883,6 +885,17 @@
         let survive = policy.grant_life + config.lease - policy.silent_after;
         assert_eq!(given_up(&["a"], survive), 0, "may be a cut");
         assert_eq!(given_up(&["a"], survive + Duration::from_secs(4)), 6, "their tasks are gone by then");
+        // Found in an incident: the cut ended, most were heard again, and the others were given up at once.
+        let mut provisioner = Provisioner::new(start, 1);
+        for (seconds, zones) in [(0, &[] as &[&str]), (1, &["a"]), (2, &["a0", "a1"])] {
+            let now = Now { steady: start.steady + Duration::from_secs(seconds), ..start };
+            let health = view.machines.keys().map(|id| {
+                let silent = silent(id, zones);
+                (id.clone(), Health { seen: true, silent, faulty: false, usable: !silent })
+            });
+            provisioner.observe(now, &lead, &view, &health.collect(), &heard);
+        }
+        assert_eq!(provisioner.lost.len(), 0, "they may just not have reported yet");
         let only_b = [Zone::from("b")].into();
         assert_eq!(given_up_if(&["a"], Duration::from_secs(2), &only_b), 6, "nobody answers them");
         assert_eq!(given_up(&["a0", "a1"], Duration::from_secs(2)), 2, "some of a zone: they are dead");
