--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -39,11 +39,23 @@
     heard: BTreeMap<NodeName, (u64, Instant)>,
     /// Blocks whose holder asked for a new seal.
     renew: BTreeMap<BlockId, u64>,
+    /// Controllers that could not do a holder's work: until when they get no blocks, and how often in a row.
+    unfit: BTreeMap<NodeName, (Instant, u32)>,
 }
 
+/// How long a controller that could not do a holder's work gets no blocks: doubled each time that it fails again.
+const UNFIT_FOR: Duration = Duration::from_secs(30);
+const UNFIT_DOUBLINGS: u32 = 4;
+
 impl Granting {
     pub fn new() -> Self {
-        Granting { writer: Writer::Idle, leading_since: None, heard: BTreeMap::new(), renew: BTreeMap::new() }
+        Granting {
+            writer: Writer::Idle,
+            leading_since: None,
+            heard: BTreeMap::new(),
+            renew: BTreeMap::new(),
+            unfit: BTreeMap::new(),
+        }
     }
 
     pub fn heard_from(&mut self, now: Now, node: &NodeName, boot: u64) {
@@ -55,6 +67,29 @@
         self.renew.insert(block.clone(), seal);
     }
 
+    /// This process stood still: what it did not hear meanwhile is no silence of the others.
+    pub fn stood_still(&mut self, gap: Duration) {
+        for (_, at) in self.heard.values_mut() {
+            *at += gap;
+        }
+        if let Some((_, at)) = &mut self.leading_since {
+            *at += gap;
+        }
+    }
+
+    /// A holder that hears hardly any of its machines, while others hear them. Its blocks go to others, and it does
+    /// not win them back at once, or they would go to and fro.
+    pub fn unfit(&mut self, now: Now, node: &NodeName) {
+        let (until, times) = self.unfit.get(node).copied().unwrap_or((now.steady, 0));
+        if now.steady < until {
+            return;
+        }
+        let times = if since(now, until) < UNFIT_FOR * 4 { times } else { 0 };
+        let pause = UNFIT_FOR * 2u32.pow(times.min(UNFIT_DOUBLINGS));
+        info!(holder = %node, ?pause, "holder can't reach its machines");
+        self.unfit.insert(node.clone(), (now.steady + pause, times + 1));
+    }
+
     fn trusted(&self, now: Now, node: &NodeName, config: &Config, policy: &Policy, view: &View) -> bool {
         if *node == config.name {
             return true;
@@ -75,13 +110,18 @@
             self.leading_since = Some((term, now.steady));
             self.heard.clear();
             self.renew.clear();
+            self.unfit.clear();
             self.writer = Writer::Unsure { since: now.steady };
         }
         if !self.writer.ready(now, view) {
             return None;
         }
-        let members: Vec<NodeName> =
+        let mut members: Vec<NodeName> =
             view.members.keys().filter(|node| self.trusted(now, node, config, policy, view)).cloned().collect();
+        let fit = |node: &NodeName| self.unfit.get(node).is_none_or(|(until, _)| now.steady >= *until);
+        if members.iter().any(fit) {
+            members.retain(fit);
+        }
         let boot_of = |node: &NodeName| view.members.get(node).map(|member| member.value.boot);
         let mut held: BTreeMap<&NodeName, usize> = members.iter().map(|node| (node, 0)).collect();
         for grant in view.grants.values() {
@@ -185,3 +225,70 @@
         Granting::new()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::tests::SETTINGS;
+    use crate::provisioning::Flavors;
+    use crate::provisioning::wire::FlavorList;
+    use crate::provisioning::wire::tests::flavor;
+    use crate::store::records::{Member, encode, member_key};
+    use crate::store::{Change, TxnChange};
+
+    /// A controller that can't do a holder's work must not win blocks back at once: they would go to and fro.
+    #[test]
+    fn blocks_leave_a_holder_that_is_cut_off_and_stay_away_longer_each_time() {
+        let config = Config::parse("s.toml", SETTINGS).expect("valid");
+        let policy = Policy::defaults(&config);
+        let mut flavors = Flavors::default();
+        flavors.answered(Some(FlavorList { types: vec![flavor()] }));
+        let start = Now::read();
+        let at = |seconds: u64| Now { steady: start.steady + Duration::from_secs(seconds), ..start };
+        let mut view = View::following();
+        let other = config.peers[0].name.clone();
+        for (version, node) in [(1, &config.name), (2, &other)] {
+            let change = Change { key: member_key(node), version, value: Some(encode(&Member { boot: 1 })) };
+            view.apply(change);
+        }
+        let mut granting = Granting::new();
+        let mut version = 2;
+        // Grants what is due and commits it. Returns how many blocks the other one holds.
+        let mut grant = |granting: &mut Granting, now: Now| {
+            let lead = Lead {
+                config: &config,
+                policy: &policy,
+                flavors: &flavors,
+                term: 1,
+                version: 1,
+                batch: 16,
+                spare: true,
+            };
+            for _ in 0..40 {
+                granting.heard_from(now, &other, 1);
+                granting.writer = Writer::Idle;
+                let Some(Op::Commit(txn)) = granting.poll(now, &lead, &mut view) else { break };
+                version += 1;
+                for change in txn.changes {
+                    let TxnChange::Put { key, value, .. } = change else { panic!("{change:?}") };
+                    view.apply(Change { key, version, value: Some(value) });
+                }
+            }
+            view.grants.values().filter(|grant| grant.value.holder == other).count()
+        };
+        grant(&mut granting, at(0));
+        granting.writer = Writer::Idle;
+        assert!(grant(&mut granting, at(1)) > 0);
+        granting.unfit(at(10), &other);
+        assert_eq!(grant(&mut granting, at(10)), 0);
+        assert_eq!(grant(&mut granting, at(39)), 0);
+        assert!(grant(&mut granting, at(41)) > 0);
+        granting.unfit(at(50), &other);
+        assert_eq!(grant(&mut granting, at(100)), 0, "twice as long");
+        assert!(grant(&mut granting, at(111)) > 0);
+        // If nobody can do it, things stay as they are.
+        granting.unfit(at(120), &other);
+        granting.unfit(at(120), &config.name);
+        assert!(grant(&mut granting, at(121)) > 0);
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -34,6 +34,13 @@
 /// How often the clock alone is looked at: overdue reports, launches to be repeated.
 const REVIEW_EVERY: Duration = Duration::from_millis(400);
 /// A block that found nothing to write looks again after this long.
+/// The part of our sockets that direct commands may hold: one in so many. Others wait for their turn.
+pub const COMMAND_PART: usize = 8;
+/// Ended tasks that a worker remembers, so that no copy of a launch starts them again, before a new seal lets it forget
+/// them. Each makes its reports longer.
+const MOST_REMEMBERED: usize = 40;
+/// Strays named in one message.
+const MOST_STRAYS: usize = 64;
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
 /// How a launch under the present seal and session went.
@@ -70,6 +77,10 @@
     /// Attempts of which some launch went unanswered: it may still be executed, minutes later, as long as
     /// seal and session stay the same. Only the worker's memory of the attempt keeps it from starting again.
     tainted: HashSet<Attempt>,
+    /// Every attempt that was launched under the present seal and session. Copies of a launch may come late though it
+    /// was answered, so those that did not end as done are remembered by the worker until the seal has changed: a
+    /// finished task ends again at once, any other would run a second time.
+    launched: HashSet<Attempt>,
     /// A direct command is on its way.
     busy: bool,
     /// Something to tell the worker that should not wait for its next report.
@@ -101,6 +112,7 @@
             tasks: BTreeMap::new(),
             launches: HashMap::new(),
             tainted: HashSet::new(),
+            launched: HashSet::new(),
             busy: false,
             due: false,
             deaf: None,
@@ -114,7 +126,7 @@
 
     /// Whether it should be asked for a sign of life: its report is overdue, or it did not answer lately.
     fn probe_due(&self, now: Now, quiet: Duration) -> bool {
-        self.reported
+        (self.reported || self.addr.is_some())
             && (since(now, self.heard) > quiet || self.deaf.is_some())
             && self.probed.is_none_or(|(at, _)| since(now, at) > PROBE_AGAIN)
     }
@@ -122,11 +134,23 @@
     /// Whether it gives no sign of life: reports are missing and a question went unanswered.
     fn silent(&self, now: Now, policy: &Policy) -> bool {
         let unanswered = self.probed.is_some_and(|(_, failed)| failed);
-        let patience = if unanswered { policy.silent_after } else { policy.unheard_after };
+        let patience = match (unanswered, &self.addr) {
+            (true, _) => policy.silent_after,
+            (false, Some(_)) => policy.unheard_after,
+            // Nobody knows where it is, so it can't be asked, and the block's last holder, if it lost only the state
+            // service, answers its reports for the life of its grant.
+            (false, None) => policy.unheard_after.max(policy.grant_life + policy.silent_after),
+        };
         let deaf = self.deaf.is_some_and(|at| since(now, at) >= policy.unheard_after);
         since(now, self.heard) >= patience || deaf
     }
 
+    /// Whether a worker may forget an attempt that has ended: no launch of it, nor a copy of one, could start it again.
+    fn may_forget(&self, attempt: &Attempt, cause: Option<Cause>) -> bool {
+        let harmless = cause == Some(Cause::Done) || !self.launched.contains(attempt);
+        harmless && !self.may_start_late(attempt)
+    }
+
     /// Whether a launch of this attempt may still be on its way.
     fn may_start_late(&self, attempt: &Attempt) -> bool {
         self.tainted.contains(attempt) || matches!(self.launches.get(attempt), Some(Launch::Sent { .. }))
@@ -162,6 +186,10 @@
     ended: BTreeMap<(MachineId, Attempt), End>,
     draft: Option<Places>,
     blocked_since: Option<Instant>,
+    /// A task waits for a machine of ours that must not forget an earlier attempt of it yet.
+    fenced: bool,
+    /// Workers whose reports are overdue, when last counted.
+    overdue: u32,
     /// Workers with something to be told, or to be told of; so that no event costs a look at all of them.
     due: BTreeSet<MachineId>,
     unsaid: BTreeSet<MachineId>,
@@ -207,6 +235,10 @@
 pub struct Fleet {
     blocks: BTreeMap<BlockId, Block>,
     reviewed: Option<Instant>,
+    /// Machines of others' blocks that have reported here, and when they did last.
+    strays: HashMap<MachineId, Instant>,
+    /// Direct commands on their way: each holds a socket.
+    in_flight: usize,
     /// Machines and tasks looked at so far, the reviews by the clock apart: what an event costs must follow from what
     /// it changes.
     looked: u64,
@@ -292,6 +324,8 @@
                         ended: BTreeMap::new(),
                         draft: None,
                         blocked_since: None,
+                        fenced: false,
+                        overdue: 0,
                         due: BTreeSet::new(),
                         unsaid: BTreeSet::new(),
                         number: 0,
@@ -320,6 +354,7 @@
         let block_id = &machine.block;
         let Some(block) = self.blocks.get_mut(block_id) else {
             let holder = view.grants.get(block_id).map(|grant| grant.value.holder.clone());
+            self.strays.insert(report.machine, now.steady);
             return Answer::Elsewhere(holder.filter(|holder| *holder != config.name));
         };
         if report.seal > block.seal {
@@ -345,6 +380,7 @@
         outcome: CommandOutcome,
         view: &View,
     ) {
+        self.in_flight = self.in_flight.saturating_sub(1);
         let Some(block) = self.blocks.get_mut(block) else { return };
         block.commanded(now, machine, body, outcome, view);
     }
@@ -370,6 +406,13 @@
             .filter(|wanted| !block.handled.contains(&wanted.attempt.number))
             .filter(|wanted| !placed.contains(&wanted.attempt.number))
             .collect();
+        for (machine, addr) in work.addresses {
+            if let Some(worker) = block.workers.get_mut(&machine).filter(|worker| worker.addr.is_none()) {
+                worker.addr = Some(addr);
+                worker.due = true;
+                block.due.insert(machine);
+            }
+        }
         block.stops = work.stop.into_iter().collect();
         let touched: BTreeSet<MachineId> = block
             .places
@@ -417,18 +460,29 @@
     /// Commands that should not wait for the next report.
     pub fn commands(&mut self, now: Now, config: &Config, view: &View) -> Vec<Command> {
         let quiet = config.report_every.mul_f64(OVERDUE);
+        let most = (config.max_sockets / COMMAND_PART).max(1);
         let mut commands = Vec::new();
         for block in self.blocks.values_mut() {
+            if self.in_flight >= most {
+                break;
+            }
             self.looked += block.due.len() as u64;
             for machine in std::mem::take(&mut block.due) {
                 let Some(worker) = block.workers.get(&machine) else { continue };
-                let reachable = worker.addr.is_some() && worker.session > 0;
                 let probe = worker.probe_due(now, quiet);
-                if worker.busy || !reachable || !(worker.due || probe) {
+                if worker.busy || worker.addr.is_none() || !(worker.due || probe) {
                     // It comes back here with its answer, or its first report.
                     continue;
                 }
-                let session = worker.session;
+                // Those that did not answer last time may hold their sockets for long: they leave half to the others.
+                let most = if worker.deaf.is_some() { most / 2 } else { most };
+                if self.in_flight + commands.len() >= most {
+                    block.due.insert(machine);
+                    continue;
+                }
+                // Of a worker that has not reported yet only the address is known. If its session is another than the
+                // first, it says so, and executes nothing.
+                let session = worker.session.max(1);
                 let body = block.orders(now, &machine, view, Some(session));
                 let id = block.id.clone();
                 let seal = block.seal;
@@ -445,9 +499,25 @@
                 commands.push(Command { block: id, machine, addr, body });
             }
         }
+        self.in_flight += commands.len();
         commands
     }
 
+    /// This process stood still: what it did not hear meanwhile is no silence of its workers.
+    pub fn stood_still(&mut self, gap: Duration) {
+        for worker in self.blocks.values_mut().flat_map(|block| block.workers.values_mut()) {
+            worker.heard += gap;
+            worker.deaf = worker.deaf.map(|at| at + gap);
+        }
+    }
+
+    /// Some of the machines of others' blocks that have reported here lately.
+    pub fn strays(&mut self, now: Now, config: &Config) -> Vec<MachineId> {
+        let lately = stray_for(config);
+        self.strays.retain(|_, at| since(now, *at) < lately);
+        self.strays.keys().take(MOST_STRAYS).cloned().collect()
+    }
+
     /// Tells workers at once when jobs end that have tasks on them.
     fn jobs_ended(&mut self, view: &View, touched: &Touched) {
         for (task, place) in touched.ended.iter().flat_map(|job| {
@@ -477,6 +547,12 @@
     }
 }
 
+/// How long a machine that has reported to another controller than its holder counts as heard there: a worker whose
+/// holder does not answer comes round once in its time-out (4 s), a second's pause and the way there and back.
+pub fn stray_for(config: &Config) -> Duration {
+    config.report_every + Duration::from_secs(8)
+}
+
 /// Whether a job's tasks should run at all.
 fn wanted_alive(view: &View, job: JobId) -> bool {
     view.open.get(&job).is_some_and(|open| !open.cancelled)
@@ -496,9 +572,11 @@
         info!(block = %self.id, old = self.seal, seal, "new seal");
         self.seal = seal;
         self.blocked_since = None;
+        self.fenced = false;
         for (id, worker) in &mut self.workers {
             worker.launches.clear();
             worker.tainted.clear();
+            worker.launched.clear();
             worker.due = true;
             self.due.insert(id.clone());
             self.unsaid.insert(id.clone());
@@ -573,6 +651,7 @@
             info!(machine = %report.machine, session = report.session, "worker's lease had expired");
             worker.launches.clear();
             worker.tainted.clear();
+            worker.launched.clear();
         }
         self.unsaid.insert(report.machine.clone());
         worker.session = report.session;
@@ -682,7 +761,7 @@
                 let wanted = recorded && wanted_alive(view, task.job) && !self.stops.contains(&attempt);
                 match seen.state {
                     // Reaped only once its end is recorded, and never while an old launch of it may come late.
-                    TaskState::Exited if !recorded && !worker.may_start_late(&attempt) => {
+                    TaskState::Exited if !recorded && worker.may_forget(&attempt, seen.cause) => {
                         orders.push(Order::Reap { task: *task, number: seen.number });
                     }
                     TaskState::Exited => {}
@@ -712,6 +791,7 @@
                     if !there && !recent && wanted && !ended {
                         debug!(%attempt, %machine, seal, worker.session, "launch");
                         worker.launches.insert(attempt, Launch::Sent { at: now.steady });
+                        worker.launched.insert(attempt);
                         orders.push(Order::Launch { task: *task, number: *number });
                     }
                 }
@@ -825,6 +905,7 @@
         let mut size = draft.worst();
         let mut named: HashSet<JobId> = HashSet::new();
         self.refused.clear();
+        let mut fenced = false;
         let mut unsure = Vec::new();
         if !self.pending.is_empty() {
             let mut candidates = self.candidates(now, view, flavors, &draft);
@@ -835,11 +916,11 @@
                 if open.done.contains(wanted.attempt.task.index) || size + 64 > config.state_limits.value_bytes {
                     continue;
                 }
-                // Where a launch of an earlier attempt may still be on its way, a new attempt would make the
-                // worker forget that one, and it could start beside the new one.
+                // Where a launch of an earlier attempt, or a copy of one, may still be on its way, a new attempt
+                // would make the worker forget that one, and it could start beside the new one.
                 let task = wanted.attempt.task;
                 let clear = |c: &&Candidate| {
-                    self.workers.get(&c.machine).is_some_and(|w| w.tainted.iter().all(|attempt| attempt.task != task))
+                    self.workers.get(&c.machine).is_some_and(|w| w.launched.iter().all(|attempt| attempt.task != task))
                 };
                 let hinted = candidates.iter().filter(clear).find(|c| c.machine == wanted.machine);
                 let chosen = hinted
@@ -847,6 +928,8 @@
                     .or_else(|| placement::choose(candidates.iter().filter(clear), &open.job, |_| true))
                     .map(|c| c.machine.clone());
                 let Some(machine) = chosen else {
+                    // Only a machine that must remember an earlier attempt has room: a new seal lets it forget.
+                    fenced |= candidates.iter().any(|c| c.allows(&open.job) && c.free.fits(&open.job.need));
                     self.refused.push(wanted.attempt.number);
                     continue;
                 };
@@ -860,6 +943,7 @@
                 unsure.push(wanted.attempt.number);
             }
         }
+        self.fenced = fenced;
         // A write of unknown outcome is made sure of by the next one, needed or not.
         if draft == self.places && self.unsure.is_empty() {
             self.ended.retain(|(machine, attempt), _| still_there(&self.places, machine, attempt));
@@ -950,6 +1034,8 @@
             ended: self.ended.keys().map(|(_, attempt)| attempt.number).collect(),
             revision: self.places_version,
             wants_new_seal: self.blocked_since.is_some_and(|at| since(now, at) > RENEW_AFTER),
+            expected: self.workers.values().filter(|worker| worker.addr.is_some()).count() as u32,
+            overdue: self.overdue,
             number: self.number,
             machines: self.workers.values().filter_map(unheard).collect(),
         }
@@ -957,7 +1043,10 @@
 
     /// Notes whether launches of unknown outcome are about, which only a new seal settles.
     fn note_blocked(&mut self, now: Now) {
-        let blocked = self.workers.values().any(|worker| !worker.tainted.is_empty());
+        let full = |worker: &Worker| {
+            worker.tasks.values().filter(|seen| seen.state == TaskState::Exited).count() > MOST_REMEMBERED
+        };
+        let blocked = self.fenced || self.workers.values().any(|worker| !worker.tainted.is_empty() || full(worker));
         self.blocked_since = self.blocked_since.filter(|_| blocked).or_else(|| blocked.then_some(now.steady));
     }
 }
@@ -973,7 +1062,9 @@
         for block in self.blocks.values_mut() {
             block.note_blocked(now);
             let seal = block.seal;
+            block.overdue = 0;
             for (id, worker) in &mut block.workers {
+                block.overdue += u32::from(worker.addr.is_some() && since(now, worker.heard) > quiet);
                 let placed = block.places.on.get(id);
                 worker
                     .launches
@@ -1121,7 +1212,7 @@
             let task = TaskId { job: JobId(1), index: 0 };
             let grant_version = self.fleet.grant_version(&"a.0".into());
             let want = vec![Wanted { attempt: Attempt { task, number }, machine: machine.into() }];
-            let work = Work { block: "a.0".into(), grant_version, number: message, heard: 0, want, stop: Vec::new() };
+            let work = work_of(grant_version, message, want);
             assert!(self.fleet.work(work));
         }
 
@@ -1157,6 +1248,11 @@
         }
     }
 
+    fn work_of(grant_version: u64, number: u64, want: Vec<Wanted>) -> Work {
+        let (stop, addresses) = (Vec::new(), Vec::new());
+        Work { block: "a.0".into(), grant_version, number, heard: 0, want, stop, addresses }
+    }
+
     fn launches(commands: &[Command]) -> usize {
         let orders = commands.iter().flat_map(|command| &command.body.orders);
         orders.filter(|order| matches!(order, Order::Launch { .. })).count()
@@ -1229,8 +1325,8 @@
                 let attempt = Attempt { task: TaskId { job: JobId(1), index }, number: u64::from(index) + 20 };
                 let want = vec![Wanted { attempt, machine: machine.into() }];
                 let number = u64::from(round) + 1;
-                let block = block.into();
-                assert!(holder.fleet.work(Work { block, grant_version, number, heard: 0, want, stop: Vec::new() }));
+                let work = Work { block: block.into(), ..work_of(grant_version, number, want) };
+                assert!(holder.fleet.work(work));
             }
             holder.now.steady += LOOK_AGAIN;
             let next = holder.fleet.write(holder.now, &holder.config, &mut holder.view, &holder.flavors);
@@ -1280,6 +1376,111 @@
         assert_eq!(usable(&mut holder), Some((true, false)));
     }
 
+    /// A launch was answered and its task stopped; then a copy of the launch comes. A worker that has been told to forget
+    /// the attempt would start it again beside the next one.
+    #[test]
+    fn an_attempt_that_could_be_launched_by_a_copy_is_remembered_until_a_new_seal() {
+        let mut holder = Holder::new(job(1, 1.0));
+        holder.want(9, "m-1", 1);
+        holder.write();
+        let command = holder.commands().remove(0);
+        let running = holder.message("m-1", 4, &[(9, TaskState::Running, None)]);
+        holder.answer(&command, CommandOutcome::Executed(running));
+        let stopped = [(9, TaskState::Exited, Some(Cause::Stopped))];
+        holder.report("m-1", 4, &stopped);
+        assert_eq!(holder.write(), []);
+        let reaped = |answer: Answer| match answer {
+            Answer::Orders(orders) => orders.orders.iter().any(|order| matches!(order, Order::Reap { .. })),
+            other => panic!("{other:?}"),
+        };
+        assert!(!reaped(holder.report("m-1", 4, &stopped)));
+        holder.want(10, "m-1", 2);
+        assert_eq!(holder.write(), [("m-2".to_owned(), 10)], "the worker keeps one attempt of a task in mind");
+        holder.tick();
+        holder.now.steady += RENEW_AFTER * 2;
+        holder.tick();
+        let policy = Policy::defaults(&holder.config);
+        assert!(!holder.fleet.status(holder.now, &policy)[0].wants_new_seal, "nothing waits for it");
+        holder.grant(6);
+        assert!(reaped(holder.report("m-1", 6, &stopped)));
+        // What is done ends again at once, so it may be forgotten.
+        let command = holder.commands().into_iter().find(|command| &*command.machine.0 == "m-2").expect("raised");
+        let running = holder.message("m-2", 6, &[(10, TaskState::Running, None)]);
+        holder.answer(&command, CommandOutcome::Executed(running));
+        let done = [(10, TaskState::Exited, Some(Cause::Done))];
+        holder.report("m-2", 6, &done);
+        holder.write();
+        assert!(reaped(holder.report("m-2", 6, &done)));
+    }
+
+    /// Found on the bench: a controller that lost the state service went on answering its workers for the life of its
+    /// grant, the new holder knew none of their addresses and heard nothing, and they were given up with all on them.
+    #[test]
+    fn a_new_holder_raises_the_seal_of_workers_that_it_was_told_of() {
+        let mut holder = Holder::new(job(1, 1.0));
+        let policy = Policy::defaults(&holder.config);
+        holder.put(grant_key(&"a.0".into()), ciborium::Value::Null);
+        holder.grant(6);
+        assert_eq!(holder.commands(), [], "nothing is known of them");
+        holder.now.steady += policy.unheard_after + Duration::from_secs(1);
+        assert!(holder.fleet.status(holder.now, &policy)[0].machines.iter().all(|machine| !machine.silent));
+        let grant_version = holder.fleet.grant_version(&"a.0".into());
+        let addresses = vec![("m-1".into(), "10.1.0.1:9000".to_owned())];
+        assert!(holder.fleet.work(Work { addresses, ..work_of(grant_version, 1, Vec::new()) }));
+        let command = holder.commands().remove(0);
+        assert_eq!((command.body.seal, command.body.session, command.body.orders.len()), (6, Some(1), 0));
+        // Its session is another: it says so, and is asked again.
+        let mut shown = holder.message("m-1", 4, &[]);
+        shown.session = 3;
+        holder.answer(&command, CommandOutcome::Rejected(shown));
+        let command = holder.commands().remove(0);
+        assert_eq!((command.body.seal, command.body.session), (6, Some(3)));
+    }
+
+    /// Found on the bench: a controller that had stood still took all its workers for silent when it went on, and
+    /// machines that nothing was wrong with were deleted.
+    #[test]
+    fn time_in_which_a_holder_stood_still_is_no_silence_of_its_workers() {
+        let mut holder = Holder::new(job(1, 1.0));
+        let policy = Policy::defaults(&holder.config);
+        let silent = |holder: &mut Holder| {
+            holder.tick();
+            let status = holder.fleet.status(holder.now, &policy).remove(0);
+            status.machines.iter().filter(|machine| machine.silent).count()
+        };
+        let gap = policy.unheard_after * 2;
+        holder.now.steady += gap;
+        holder.fleet.stood_still(gap);
+        assert_eq!(silent(&mut holder), 0);
+        holder.now.steady += gap;
+        assert_eq!(silent(&mut holder), 2);
+    }
+
+    /// A controller that takes over for others has something to tell every worker at once, and each command holds a
+    /// socket, for long if its worker does not answer.
+    #[test]
+    fn commands_under_way_are_bounded_and_those_without_answers_leave_room_for_others() {
+        let mut holder = Holder::new(job(1, 1.0));
+        let most = holder.config.max_sockets / COMMAND_PART;
+        let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
+        let names: Vec<String> = (0..most * 3).map(|n| format!("m-{n:06}")).collect();
+        let on = names.iter().map(|name| (name.as_str().into(), entry())).collect();
+        holder.put(roster_key(&"a.0".into()), encode(&Roster { zone: "a".into(), on }));
+        for name in &names {
+            holder.report(name, 3, &[]);
+        }
+        let first = holder.commands();
+        assert_eq!((first.len(), holder.commands().len()), (most, 0));
+        for command in &first {
+            holder.answer(command, CommandOutcome::Unknown);
+        }
+        holder.now.steady += PROBE_AGAIN * 2;
+        holder.tick();
+        let again: BTreeSet<MachineId> = holder.commands().into_iter().map(|command| command.machine).collect();
+        let deaf = first.iter().filter(|command| again.contains(&command.machine)).count();
+        assert_eq!((again.len(), deaf), (most, most / 2));
+    }
+
     #[test]
     fn what_a_report_does_not_list_is_gone_only_if_unwanted_and_fenced() {
         let mut holder = Holder::new(job(1, 1.0));
@@ -1288,7 +1489,7 @@
         let command = holder.commands().remove(0);
         holder.report("m-1", 4, &[]);
         assert_eq!(holder.write().len(), 1, "its launch is on its way");
-        holder.put(job_key(JobId(1)), encode(&JobRecord::Cancelled(job(1, 1.0))));
+        holder.put(job_key(JobId(1)), encode(&JobRecord::Cancelled(job(1, 1.0), 0)));
         holder.report("m-1", 4, &[]);
         assert_eq!(holder.write().len(), 1, "cancelled, but the launch may still come");
         let empty = holder.message("m-1", 4, &[]);
@@ -1308,8 +1509,7 @@
             let attempt = Attempt { task: TaskId { job: JobId(of), index: 0 }, number };
             let grant_version = holder.fleet.grant_version(&"a.0".into());
             let want = vec![Wanted { attempt, machine: "m-1".into() }];
-            let work = Work { block: "a.0".into(), grant_version, number, heard: 0, want, stop: Vec::new() };
-            assert!(holder.fleet.work(work));
+            assert!(holder.fleet.work(work_of(grant_version, number, want)));
             holder.write();
             for (state, cause) in [(TaskState::Running, None), (TaskState::Exited, Some(Cause::Error))] {
                 let mut report = holder.message("m-1", 4, &[(number, state, cause)]);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -19,15 +19,17 @@
     pub path: String,
     pub body: Vec<u8>,
     pub timeout: Duration,
+    /// Whether the connection is of no more use afterwards.
+    pub close: bool,
 }
 
 impl Request {
     pub fn get(path: String, timeout: Duration) -> Self {
-        Request { post: false, path, body: Vec::new(), timeout }
+        Request { post: false, path, body: Vec::new(), timeout, close: false }
     }
 
     pub fn post(path: String, body: Vec<u8>, timeout: Duration) -> Self {
-        Request { post: true, path, body, timeout }
+        Request { post: true, path, body, timeout, close: false }
     }
 }
 
@@ -77,12 +79,14 @@
     /// None: no answer. The request may have been executed, or may still be.
     pub async fn send(&self, addr: SocketAddr, request: Request) -> Option<Reply> {
         let method = if request.post { hyper::Method::POST } else { hyper::Method::GET };
-        let built = hyper::Request::builder()
+        let mut built = hyper::Request::builder()
             .method(method)
             .uri(format!("http://{addr}{}", request.path))
-            .header(hyper::header::CONTENT_TYPE, "application/cbor")
-            .body(Full::new(Bytes::from(request.body)))
-            .ok()?;
+            .header(hyper::header::CONTENT_TYPE, "application/cbor");
+        if request.close {
+            built = built.header(hyper::header::CONNECTION, "close");
+        }
+        let built = built.body(Full::new(Bytes::from(request.body))).ok()?;
         let exchange = async {
             let response = self.inner.request(built).await.ok()?;
             let status = response.status().as_u16();
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -9,13 +10,14 @@
 use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tracing::{debug, warn};
 use warp::http::StatusCode;
 use warp::reply::Response as HttpResponse;
 use warp::{Filter, Rejection, Reply};
 
 use super::{read, write};
+use crate::domain::Now;
 use crate::fleet::Answer;
 use crate::fleet::wire::{Redirect, Report};
 use crate::intake::Response;
@@ -28,7 +30,8 @@
     Poll(String, oneshot::Sender<Response>),
     Cancel(String, oneshot::Sender<Response>),
     Health(oneshot::Sender<bool>),
-    Report(Report, oneshot::Sender<Answer>),
+    /// The answer comes with the time until which it may be given.
+    Report(Report, oneshot::Sender<(Answer, Instant)>),
     Peer(Message),
     Metrics(oneshot::Sender<String>),
 }
@@ -90,7 +93,31 @@
     warp::body::content_length_limit(limit).and(warp::body::bytes())
 }
 
-pub fn public(events: mpsc::Sender<Incoming>) -> impl Filter<Extract = (HttpResponse,), Error = Infallible> + Clone {
+/// How many connections may be open at a time.
+#[derive(Debug, Clone)]
+pub struct Door {
+    open: Arc<Semaphore>,
+    limit: usize,
+}
+
+/// The part of all connections beyond which workers are asked to close theirs after each answer. There are more workers
+/// than sockets when one controller stands in for others, and users and health checks must still get in.
+const CROWDED: f64 = 0.7;
+
+impl Door {
+    pub fn new(limit: usize) -> Self {
+        Door { open: Arc::new(Semaphore::new(limit)), limit }
+    }
+
+    fn crowded(&self) -> bool {
+        (self.open.available_permits() as f64) < self.limit as f64 * (1.0 - CROWDED)
+    }
+}
+
+pub fn public(
+    events: mpsc::Sender<Incoming>,
+    door: Door,
+) -> impl Filter<Extract = (HttpResponse,), Error = Infallible> + Clone {
     let with = warp::any().map(move || events.clone());
     let submit = warp::path!("submissions")
         .and(warp::post())
@@ -113,15 +140,28 @@
         .and(warp::post())
         .and(body(LARGEST_BODY))
         .and(with)
-        .and_then(|body: Bytes, events| take_report(body, events).into_rejection());
+        .and_then(move |body: Bytes, events| take_report(body, events, door.clone()).into_rejection());
     report.or(poll).unify().or(submit).unify().or(health).unify().or(cancel).unify().recover(refused).unify()
 }
 
-async fn take_report(body: Bytes, events: mpsc::Sender<Incoming>) -> Result<HttpResponse, Infallible> {
-    match read::<Report>(&body) {
-        Some(report) => ask(events, |reply| Incoming::Report(report, reply), answer_worker).await,
-        None => Ok(reply_cbor(400, &Problem { error: "malformed report" })),
+async fn take_report(body: Bytes, events: mpsc::Sender<Incoming>, door: Door) -> Result<HttpResponse, Infallible> {
+    let Some(report) = read::<Report>(&body) else {
+        return Ok(reply_cbor(400, &Problem { error: "malformed report" }));
+    };
+    // We may have stood still since the answer was decided: a worker's lease is not renewed on an authority that is over.
+    let show = |(answer, until)| {
+        answer_worker(if Now::read().steady < until || !matches!(answer, Answer::Orders(_)) {
+            answer
+        } else {
+            Answer::Unavailable
+        })
+    };
+    let mut response = ask(events, |reply| Incoming::Report(report, reply), show).await?;
+    if door.crowded() {
+        let close = warp::http::HeaderValue::from_static("close");
+        response.headers_mut().insert(warp::http::header::CONNECTION, close);
     }
+    Ok(response)
 }
 
 fn answer_worker(answer: Answer) -> HttpResponse {
@@ -185,15 +225,14 @@
     Ok(reply_cbor(status, &Problem { error }))
 }
 
-/// Accepts connections until the process ends. More than `limit` at a time are closed at once.
-pub async fn serve<F>(addr: SocketAddr, limit: usize, routes: F) -> std::io::Result<()>
+/// Accepts connections until the process ends. More than the door lets in are closed at once.
+pub async fn serve<F>(addr: SocketAddr, door: Door, routes: F) -> std::io::Result<()>
 where
     F: Filter<Error = Infallible> + Clone + Send + Sync + 'static,
     F::Extract: Reply,
 {
     let listener = TcpListener::bind(addr).await?;
     let service = warp::service(routes);
-    let open = std::sync::Arc::new(tokio::sync::Semaphore::new(limit));
     let mut warned: Option<Instant> = None;
     loop {
         let (stream, from) = match listener.accept().await {
@@ -208,7 +247,7 @@
                 continue;
             }
         };
-        let Ok(permit) = open.clone().try_acquire_owned() else {
+        let Ok(permit) = door.open.clone().try_acquire_owned() else {
             debug!(%from, "too many connections");
             continue;
         };
@@ -246,7 +285,10 @@
                     Incoming::Submit(_, reply) => reply.send(wait).is_ok(),
                     Incoming::Poll(_, reply) | Incoming::Cancel(_, reply) => reply.send(found).is_ok(),
                     Incoming::Health(reply) => reply.send(true).is_ok(),
-                    Incoming::Report(_, reply) => reply.send(Answer::Elsewhere(Some("node-2".into()))).is_ok(),
+                    Incoming::Report(_, reply) => {
+                        let until = Instant::now() + Duration::from_secs(9);
+                        reply.send((Answer::Elsewhere(Some("node-2".into())), until)).is_ok()
+                    }
                     Incoming::Metrics(reply) => reply.send("accept_ms_count 0\n".to_owned()).is_ok(),
                     Incoming::Peer(_) => true,
                 };
@@ -257,7 +299,7 @@
 
     #[tokio::test]
     async fn bad_requests_are_refused_at_the_edge_and_refusals_say_when_to_come_back() {
-        let routes = public(events());
+        let routes = public(events(), Door::new(10));
         let large = vec![0u8; 64 * 1024 + 1];
         let cases: [(&str, &str, &[u8], u16); 10] = [
             ("POST", "/submissions", b"x", 503),
@@ -279,14 +321,81 @@
         }
     }
 
-    #[tokio::test]
-    async fn a_report_for_another_holder_is_sent_there() {
+    fn report() -> Vec<u8> {
         let report = cbor!({
             "berth" => "m-000231", "endpoint" => "10.1.0.232:9000", "berthKind" => "g8", "wing" => "a",
             "loaner" => true, "shift" => 1, "folio" => 88, "seal" => 41, "entries" => []
         });
-        let body = write(&report.expect("valid"));
-        let reply = warp::test::request().method("POST").path("/v1/report").body(body).reply(&public(events())).await;
+        write(&report.expect("valid"))
+    }
+
+    /// At one and a half times the fleets' machines one controller for all has more workers than sockets.
+    #[tokio::test]
+    async fn workers_are_asked_to_close_when_connections_run_short() {
+        let door = Door::new(10);
+        let routes = public(events(), door.clone());
+        let closes = async || {
+            let reply = warp::test::request().method("POST").path("/v1/report").body(report()).reply(&routes).await;
+            reply.headers().get("connection").is_some_and(|value| value == "close")
+        };
+        assert!(!closes().await);
+        let _taken = door.open.clone().try_acquire_many_owned(8).expect("free");
+        assert!(closes().await);
+    }
+
+    /// Connections that say nothing, or half a request, must not keep others out for good, and no more of them are held
+    /// than the door lets in.
+    #[tokio::test]
+    async fn stuck_connections_are_bounded_and_do_not_hold_up_others() {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        use tokio::net::TcpStream;
+        let probe = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = probe.local_addr().expect("bound");
+        drop(probe);
+        const LIMIT: usize = 60;
+        tokio::spawn(serve(addr, Door::new(LIMIT), public(events(), Door::new(LIMIT))));
+        let connect = async || {
+            loop {
+                match TcpStream::connect(addr).await {
+                    Ok(stream) => return stream,
+                    Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+                }
+            }
+        };
+        let healthy = async || {
+            let mut stream = connect().await;
+            stream.write_all(b"GET /up HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").await.expect("sent");
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.is_ok() && answer.starts_with(b"HTTP/1.1 200")
+        };
+        let mut stuck = Vec::new();
+        for n in 0..LIMIT - 1 {
+            let mut stream = connect().await;
+            if n % 2 == 0 {
+                let half = b"POST /v1/report HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\nhalf";
+                stream.write_all(half).await.expect("sent");
+            }
+            stuck.push(stream);
+        }
+        assert!(healthy().await, "there is room for one more");
+        for _ in 0..LIMIT * 2 {
+            stuck.push(connect().await);
+        }
+        assert!(!healthy().await, "more than the door lets in");
+        stuck.clear();
+        while !healthy().await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    #[tokio::test]
+    async fn a_report_for_another_holder_is_sent_there() {
+        let reply = warp::test::request()
+            .method("POST")
+            .path("/v1/report")
+            .body(report())
+            .reply(&public(events(), Door::new(10)))
+            .await;
         assert_eq!(reply.status().as_u16(), 421);
         assert_eq!(read::<ciborium::Value>(reply.body()), cbor!({"clerk" => "node-2"}).ok());
     }
@@ -295,7 +404,7 @@
     async fn metrics_are_shown_to_peers_only() {
         let reply = warp::test::request().path("/metrics").reply(&between_controllers(events())).await;
         assert_eq!((reply.status().as_u16(), &reply.body()[..]), (200, b"accept_ms_count 0\n".as_slice()));
-        let reply = warp::test::request().path("/metrics").reply(&public(events())).await;
+        let reply = warp::test::request().path("/metrics").reply(&public(events(), Door::new(10))).await;
         assert_eq!(reply.status().as_u16(), 404);
     }
 }
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -257,7 +257,7 @@
                 continue;
             };
             if matches!(pending.question, Question::Cancel(_)) && !open.cancelled {
-                let record = JobRecord::Cancelled(open.job.clone());
+                let record = JobRecord::Cancelled(open.job.clone(), now.unix_ms());
                 let txn = Txn::default().when(job_key(job), open.version).put(job_key(job), &record);
                 pending.state = State::Committing(txn.clone());
                 if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn)).is_err() {
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -21,6 +21,8 @@
 const MEMBER_LIFE: Duration = Duration::from_secs(10);
 /// How long the service can be without a leader after one has died.
 const LEADER_LIFE: Duration = Duration::from_millis(3500);
+/// By how much the steady clocks of two machines may drift apart.
+const CLOCK_DRIFT: f64 = 0.0005;
 const RETRY: Duration = Duration::from_millis(500);
 
 /// What the leader's slices need to know to act for this term.
@@ -46,10 +48,14 @@
     /// Open, and the record's transaction is on its way.
     Attaching {
         id: u64,
+        /// When it was asked for: it does not end before its life from then is over.
+        alive: Instant,
     },
     Held {
         id: u64,
         renewed: Instant,
+        /// When the last request was sent that is known to have opened or extended it.
+        alive: Instant,
         renewing: bool,
     },
 }
@@ -104,6 +110,16 @@
         ours.then_some((leader.value.term, leader.version))
     }
 
+    /// Until when nobody else can be leading: the life of our hold, counted from before the last request was sent that
+    /// opened or extended it. What goes to the cloud is conditioned on nothing, so a leader that stood still, or that
+    /// can't reach the state service, must send nothing there: another may have taken its place.
+    pub fn certain_until(&self) -> Option<Instant> {
+        match self.leader {
+            Hold::Held { alive, .. } => Some(alive + LEADER_LIFE.mul_f64(1.0 - CLOCK_DRIFT)),
+            _ => None,
+        }
+    }
+
     pub fn poll(&mut self, now: Now, view: &View, rng: &mut SmallRng) -> Vec<(Tag, Op)> {
         let term = self.leading(view).map(|(term, _)| term);
         if term != self.was_leading {
@@ -122,18 +138,18 @@
     fn poll_member(&mut self, now: Now, view: &View, ops: &mut Vec<(Tag, Op)>) {
         match &mut self.member {
             Hold::None => {
-                if self.member_retry.is_none_or(|at| now.steady >= at) {
+                if view.ready() && self.member_retry.is_none_or(|at| now.steady >= at) {
                     self.member = Hold::Opening;
                     ops.push((Tag::Open(Which::Member), Op::OpenHold { life: MEMBER_LIFE }));
                 }
             }
-            Hold::Held { id, renewed, renewing } => {
-                let id = *id;
+            Hold::Held { id, renewed, alive, renewing } => {
+                let (id, alive) = (*id, *alive);
                 // The record can be lost without the hold: removed with an older process's hold, say.
                 let listed = view.members.get(&self.node).is_some_and(|m| m.value.boot == self.boot);
                 if view.covers(*renewed) && !listed && !*renewing {
-                    self.member = Hold::Attaching { id };
-                    ops.push((Tag::Attach(Which::Member, id), self.join(id)));
+                    self.member = Hold::Attaching { id, alive };
+                    ops.push((Tag::Attach(Which::Member, id), self.join(id, view)));
                 } else if !*renewing && since(now, *renewed) >= MEMBER_LIFE / 4 {
                     *renewing = true;
                     ops.push((Tag::Extend(Which::Member, id), Op::ExtendHold { id }));
@@ -143,25 +159,29 @@
         }
     }
 
-    fn join(&self, hold: u64) -> Op {
+    /// Conditioned on the record that it replaces: an earlier process's hold may still last when a late copy of its
+    /// request comes, and would put its record over ours.
+    fn join(&self, hold: u64, view: &View) -> Op {
         let record = Member { boot: self.boot };
-        Op::Commit(Txn::default().put_held(member_key(&self.node), &record, Some(hold)))
+        let key = member_key(&self.node);
+        let version = view.members.get(&self.node).map_or(0, |old| old.version);
+        Op::Commit(Txn::default().when(key.clone(), version).put_held(key, &record, Some(hold)))
     }
 
     fn poll_leader(&mut self, now: Now, view: &View, rng: &mut SmallRng, ops: &mut Vec<(Tag, Op)>) {
-        if let Hold::Held { id, renewed, renewing } = &mut self.leader {
+        if let Hold::Held { id, renewed, renewing, .. } = &mut self.leader {
             if !*renewing && since(now, *renewed) >= LEADER_LIFE / 4 {
                 *renewing = true;
                 ops.push((Tag::Extend(Which::Leader, *id), Op::ExtendHold { id: *id }));
             }
             let kept = self.leading(view).is_some();
-            if let Hold::Held { id, renewed, .. } = self.leader
+            if let Hold::Held { id, renewed, alive, .. } = self.leader
                 && !kept
                 && view.covers(renewed)
             {
                 // The hold is ours but the record is not: the election was lost, or its outcome unknown.
                 if self.vacant(view) {
-                    self.run_for_leader(id, view, ops);
+                    self.run_for_leader(id, alive, view, ops);
                 } else {
                     self.leader = Hold::None;
                 }
@@ -189,7 +209,7 @@
         view.leader.as_ref().is_none_or(|leader| leader.value.node == self.node && leader.value.boot != self.boot)
     }
 
-    fn run_for_leader(&mut self, hold: u64, view: &View, ops: &mut Vec<(Tag, Op)>) {
+    fn run_for_leader(&mut self, hold: u64, alive: Instant, view: &View, ops: &mut Vec<(Tag, Op)>) {
         let term = view.max_seal() + 1;
         let record = Leader { node: self.node.clone(), boot: self.boot, term };
         let txn = Txn::default()
@@ -197,7 +217,7 @@
             .when(SEAL, view.seal.as_ref().map_or(0, |seal| seal.version))
             .put_held(LEADER, &record, Some(hold))
             .put(SEAL, &Seal { last: term });
-        self.leader = Hold::Attaching { id: hold };
+        self.leader = Hold::Attaching { id: hold, alive };
         ops.push((Tag::Attach(Which::Leader, hold), Op::Commit(txn)));
     }
 
@@ -207,8 +227,8 @@
         let retry = Some(now.steady + RETRY);
         match (tag, outcome) {
             (Tag::Open(Which::Member), Outcome::Hold { id }) => {
-                self.member = Hold::Attaching { id: *id };
-                ops.push((Tag::Attach(Which::Member, *id), self.join(*id)));
+                self.member = Hold::Attaching { id: *id, alive: sent };
+                ops.push((Tag::Attach(Which::Member, *id), self.join(*id, view)));
             }
             (Tag::Open(Which::Member), _) => {
                 self.member = Hold::None;
@@ -216,7 +236,7 @@
             }
             (Tag::Open(Which::Leader), Outcome::Hold { id }) => {
                 if self.vacant(view) && view.ready() {
-                    self.run_for_leader(*id, view, &mut ops);
+                    self.run_for_leader(*id, sent, view, &mut ops);
                 } else {
                     // Left to run out: nothing is attached to it.
                     self.leader = Hold::None;
@@ -227,10 +247,14 @@
                 self.leader_retry = retry;
             }
             (Tag::Attach(which, id), outcome) => {
+                let alive = match *self.slot(which) {
+                    Hold::Attaching { alive, .. } => alive,
+                    _ => sent,
+                };
                 let next = match outcome {
                     // Unknown may mean committed: keep the hold and see what our copy says.
                     Outcome::Committed { .. } | Outcome::Unknown => {
-                        Hold::Held { id, renewed: now.steady, renewing: false }
+                        Hold::Held { id, renewed: now.steady, alive, renewing: false }
                     }
                     _ => Hold::None,
                 };
@@ -244,13 +268,16 @@
             }
             (Tag::Extend(which, id), outcome) => {
                 let slot = self.slot(which);
-                if let Hold::Held { id: held, renewed, renewing } = slot
+                if let Hold::Held { id: held, renewed, alive, renewing } = slot
                     && *held == id
                 {
                     *renewing = false;
                     match outcome {
                         Outcome::HoldGone | Outcome::Invalid => *slot = Hold::None,
-                        Outcome::Hold { .. } => *renewed = sent,
+                        Outcome::Hold { .. } => {
+                            *renewed = sent;
+                            *alive = sent;
+                        }
                         // Asked again soon, not at once.
                         _ => *renewed = (*renewed).max(now.steady - LEADER_LIFE / 4 + RETRY / 2),
                     }
@@ -267,3 +294,33 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Found on the bench: a leader that stood still for half a minute deleted machines when it went on, before it knew
+    /// that another one leads.
+    #[test]
+    fn leading_is_certain_only_for_the_life_of_the_hold_counted_from_before_it_was_asked_for() {
+        let start = Now::read();
+        let at = |ms: u64| Now { steady: start.steady + Duration::from_millis(ms), ..start };
+        let view = View::following();
+        let mut leadership = Leadership::new("node-0".into(), 1);
+        let answer = |leadership: &mut Leadership, now: Now, sent: Now, tag: Tag, outcome: Outcome| {
+            leadership.handle(now, sent.steady, tag, &outcome, &view);
+        };
+        let certain =
+            |leadership: &Leadership, now: Now| leadership.certain_until().is_some_and(|until| now.steady < until);
+        answer(&mut leadership, at(900), at(0), Tag::Open(Which::Leader), Outcome::Hold { id: 7 });
+        assert!(!certain(&leadership, at(900)), "not elected yet");
+        answer(&mut leadership, at(1000), at(900), Tag::Attach(Which::Leader, 7), Outcome::Committed { revision: 1 });
+        assert!(certain(&leadership, at(3400)));
+        assert!(!certain(&leadership, at(3500)), "the hold may have begun as soon as it was asked for");
+        answer(&mut leadership, at(3600), at(2000), Tag::Extend(Which::Leader, 7), Outcome::Hold { id: 7 });
+        assert!(certain(&leadership, at(5400)));
+        assert!(!certain(&leadership, at(5600)), "extended when it was sent, not when the answer came");
+        answer(&mut leadership, at(5600), at(5000), Tag::Extend(Which::Leader, 7), Outcome::Refused);
+        assert!(!certain(&leadership, at(5700)));
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -51,13 +51,37 @@
 
 #[derive(Debug)]
 pub enum Effect {
-    Store { tag: StoreTag, op: Op },
-    Command(Command),
-    Call { tag: provisioning::Tag, call: Call },
-    Peer { to: NodeName, message: Message },
-    Answer { id: RequestId, response: Response },
-    AnswerWorker { id: RequestId, answer: Answer },
-    AnswerHealth { id: RequestId, healthy: bool },
+    Store {
+        tag: StoreTag,
+        op: Op,
+    },
+    /// `until`, here and below: our authority ends then. Whoever sends this looks at the clock once more before.
+    Command {
+        command: Command,
+        until: Instant,
+    },
+    Call {
+        tag: provisioning::Tag,
+        call: Call,
+        until: Option<Instant>,
+    },
+    Peer {
+        to: NodeName,
+        message: Message,
+    },
+    Answer {
+        id: RequestId,
+        response: Response,
+    },
+    AnswerWorker {
+        id: RequestId,
+        answer: Answer,
+        until: Instant,
+    },
+    AnswerHealth {
+        id: RequestId,
+        healthy: bool,
+    },
 }
 
 struct Leading {
@@ -98,10 +122,14 @@
     status_due: bool,
     seen_revision: u64,
     plans: u64,
+    /// When the last event was handled.
+    last_event: Instant,
 }
 
 /// The plan is made anew at most this often, and at least that often when nothing has changed.
 const PLAN_SPACING: Duration = Duration::from_millis(40);
+/// Events come with every tick. If none came for this long, the process stood still while its clocks ran on.
+const STOOD_STILL: Duration = Duration::from_secs(1);
 const PLAN_AT_LEAST: Duration = Duration::from_millis(500);
 /// The part of the time that plans may take: they look at all there is, and must not hold up answers.
 const PLAN_PART: f64 = 0.2;
@@ -142,6 +170,7 @@
             status_due: true,
             seen_revision: 0,
             plans: 0,
+            last_event: now.steady,
         }
     }
 
@@ -188,9 +217,9 @@
         );
     }
 
-    /// Whether what we know of the grants is recent enough to act on: counted from before it was asked for.
-    fn entitled(&self, now: Now) -> bool {
-        self.view.fresh_since().is_some_and(|fresh| since(now, fresh) < self.policy.grant_life)
+    /// Until when what we know of the grants may be acted on: counted from before it was asked for.
+    fn entitled_until(&self, now: Now) -> Instant {
+        self.view.fresh_since().map_or(now.steady, |fresh| fresh + self.policy.grant_life)
     }
 
     /// Whether users should come here. Not if only we can't reach the state service; during an outage for all,
@@ -203,6 +232,12 @@
 
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
+        let gap = since(now, std::mem::replace(&mut self.last_event, now.steady));
+        if gap > STOOD_STILL {
+            info!(?gap, "stood still");
+            self.fleet.stood_still(gap);
+            self.granting.stood_still(gap);
+        }
         match event {
             Event::Tick => {
                 self.fleet.tick(now, &self.config, &self.policy);
@@ -228,7 +263,8 @@
             }
             Event::Health { id } => effects.push(Effect::AnswerHealth { id, healthy: self.healthy(now) }),
             Event::Report { id, report } => {
-                let entitled = self.entitled(now);
+                let until = self.entitled_until(now);
+                let entitled = now.steady < until;
                 if !self.view.machines.contains_key(&report.machine)
                     && let Some(leading) = &mut self.leading
                 {
@@ -236,7 +272,7 @@
                 }
                 let answer = self.fleet.report(now, report, &self.config, &self.view, entitled);
                 self.status_due = true;
-                effects.push(Effect::AnswerWorker { id, answer });
+                effects.push(Effect::AnswerWorker { id, answer, until });
             }
             Event::Store { tag, sent, outcome } => self.stored(now, tag, sent, outcome, &mut effects),
             Event::Commanded { block, machine, body, outcome } => {
@@ -333,6 +369,9 @@
         match message {
             Message::Status(status) => {
                 self.granting.heard_from(now, &status.node, status.boot);
+                if let Some(leading) = &mut self.leading {
+                    leading.queues.strayed(now, status.strays);
+                }
                 for block in status.blocks {
                     let granted = self.view.grants.get(&block.block);
                     let current = granted.is_some_and(|grant| {
@@ -384,7 +423,7 @@
     /// Whatever follows from the present state.
     fn advance(&mut self, now: Now, effects: &mut Vec<Effect>) {
         if self.flavors.due(now) {
-            effects.push(Effect::Call { tag: provisioning::Tag::Flavors, call: Call::Flavors });
+            effects.push(Effect::Call { tag: provisioning::Tag::Flavors, call: Call::Flavors, until: None });
         }
         if self.view.revision != self.seen_revision {
             self.seen_revision = self.view.revision;
@@ -407,8 +446,10 @@
             let ready = self.budget.take(now);
             effects.extend(ready.into_iter().map(|(tag, op)| Effect::Store { tag, op }));
         }
-        for command in self.fleet.commands(now, &self.config, &self.view) {
-            effects.push(Effect::Command(command));
+        let until = self.entitled_until(now);
+        if now.steady < until {
+            let commands = self.fleet.commands(now, &self.config, &self.view);
+            effects.extend(commands.into_iter().map(|command| Effect::Command { command, until }));
         }
         self.tell_all(now, effects);
         self.tell_leader(now, effects);
@@ -443,6 +484,7 @@
             });
             self.status_due = true;
         }
+        let Some(until) = self.leadership.certain_until().filter(|until| now.steady < *until) else { return };
         let batch = self.budget.batch(self.config.state_limits.txn_ops);
         let spare = self.budget.spare(now);
         let lead =
@@ -477,17 +519,21 @@
             info!(open = self.view.open.len(), ended = self.view.ended.len(), waiting, "jobs");
         }
         self.stale_plan = false;
-        let health = leading.queues.health(now);
+        let unreaching = leading.queues.unreaching(now, &self.config, &self.view);
+        for holder in unreaching.keys() {
+            self.granting.unfit(now, holder);
+        }
+        let health = leading.queues.health(now, &self.view, &unreaching.keys().collect());
         leading.provisioner.observe(now, &lead, &self.view, &health, &self.heard_zones);
         leading.demand = leading.queues.plan(now, &lead, &self.view, &leading.provisioner);
         for (tag, call) in leading.provisioner.calls(now, &self.config, &self.view, &leading.demand) {
-            effects.push(Effect::Call { tag, call });
+            effects.push(Effect::Call { tag, call, until: Some(until) });
         }
         let op = leading.queues.write(now, &lead, &mut self.view);
         ops.extend(op.map(|op| (Urgency::Ends, StoreTag::Queueing(term), op)));
         let op = leading.provisioner.write(now, &lead, &mut self.view, &leading.demand);
         ops.extend(op.map(|op| (Urgency::Work, StoreTag::Provisioning(term), op)));
-        let messages = leading.queues.messages(now);
+        let messages = leading.queues.messages(now, &self.view, leading.provisioner.addresses());
         for (urgency, tag, op) in ops {
             self.ask(urgency, tag, op);
         }
@@ -527,8 +573,12 @@
         let Some(leader) = self.view.leader.as_ref().map(|leader| leader.value.node.clone()) else { return };
         self.told = Some(now.steady);
         self.status_due = false;
-        let status =
-            Status { node: self.config.name.clone(), boot: self.boot, blocks: self.fleet.status(now, &self.policy) };
+        let status = Status {
+            node: self.config.name.clone(),
+            boot: self.boot,
+            blocks: self.fleet.status(now, &self.policy),
+            strays: self.fleet.strays(now, &self.config),
+        };
         if leader == self.config.name {
             self.peer(now, Message::Status(status));
         } else {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -20,6 +20,9 @@
     pub node: NodeName,
     pub boot: u64,
     pub blocks: Vec<BlockStatus>,
+    /// Machines of others' blocks that have reported here lately, some of them if they are many: they go from
+    /// controller to controller if their holder does not answer.
+    pub strays: Vec<MachineId>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -40,6 +43,9 @@
     pub revision: u64,
     /// The seal must be renewed: a command of unknown outcome stands in the way.
     pub wants_new_seal: bool,
+    /// Workers that this holder has heard from or could ask, and how many of them are overdue.
+    pub expected: u32,
+    pub overdue: u32,
     /// Rises with every message under a grant. A message that is not newer than the last one is late.
     pub number: u64,
     /// The machines that have changed since the last message that the leader is known to have heard.
@@ -73,6 +79,8 @@
     pub want: Vec<Wanted>,
     /// Tasks to be stopped, to make room or to drain a machine.
     pub stop: Vec<Attempt>,
+    /// Where workers are that this holder has not heard from yet, so that it can raise their token at once.
+    pub addresses: Vec<(MachineId, String)>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -139,6 +139,8 @@
     pub faulty: bool,
     /// Heard lately, and fit for new tasks.
     pub usable: bool,
+    /// Its holder hears hardly any of its machines, but others hear this one: it is the holder that is cut off.
+    pub heard_elsewhere: bool,
 }
 
 #[derive(Debug)]
@@ -170,12 +172,17 @@
     list_busy: bool,
     listed: Option<Instant>,
     list_after: Option<MachineId>,
+    /// Workers' addresses, as the cloud lists them, for holders that have not heard from them yet.
+    addresses: HashMap<MachineId, String>,
     boot_mean: BTreeMap<TypeName, f64>,
     calls: f64,
     calls_filled: Instant,
 }
 
 const RETRY: Duration = Duration::from_secs(1);
+/// How long before a cancelled task has to be gone its machine is given up: time for the deletion, and for clocks that
+/// differ.
+const OVERDUE_MARGIN: Duration = Duration::from_secs(8);
 const CUT_MARGIN: Duration = Duration::from_secs(2);
 /// Fewer silent machines than this are no sign of a cut.
 const CUT_LEAST: usize = 4;
@@ -360,6 +367,7 @@
             list_busy: false,
             listed: None,
             list_after: None,
+            addresses: HashMap::new(),
             boot_mean: BTreeMap::new(),
             calls: 1.0,
             calls_filled: now.steady,
@@ -380,11 +388,16 @@
         self.lost.contains(machine)
     }
 
+    pub fn addresses(&self) -> &HashMap<MachineId, String> {
+        &self.addresses
+    }
+
     /// A worker reports whose machine nobody has recorded: a rental request executed late, or a machine that
     /// was there before us.
     pub fn unexpected(&mut self, now: Now, report: &Report) {
         let listed = ListedMachine {
             id: report.machine.clone(),
+            addr: Some(report.addr.clone()),
             type_name: report.type_name.clone(),
             zone: report.zone.clone(),
             spot: report.spot,
@@ -414,6 +427,7 @@
         let patience = (policy.grant_life + config.lease + CUT_MARGIN).saturating_sub(policy.silent_after);
         self.silent.retain(|machine, _| health.get(machine).is_some_and(|health| health.silent));
         self.lost.retain(|machine| view.machines.contains_key(machine));
+        self.addresses.retain(|machine, _| view.machines.contains_key(machine));
         self.up.retain(|machine| view.machines.contains_key(machine));
         self.deleted.retain(|machine| view.machines.contains_key(machine));
         self.buried.retain(|_, at| since(now, *at) < Duration::from_secs(120));
@@ -429,7 +443,7 @@
             let occupied = view.places.get(&machine.block).is_some_and(|p| p.value.on.contains_key(id));
             let never_up = age.as_secs_f64() > boot_s * BOOT_PATIENCE + 10.0;
             let known_up = self.up.contains(id) || occupied;
-            let mut silent = health.silent && (known_up || never_up);
+            let mut silent = health.silent && !health.heard_elsewhere && (known_up || never_up);
             // When the cut ends, the first half of the zone's machines that are heard again must not condemn the rest.
             let suspected = cut_off.contains(&machine.zone) || self.silent.contains_key(id);
             if silent && known_up && suspected {
@@ -440,6 +454,23 @@
                 warn!(machine = %id, silent, faulty = health.faulty, known_up, "machine given up");
             }
         }
+        self.overdue(now, config, view);
+    }
+
+    /// Gives up machines that still have tasks of jobs cancelled long ago. Whatever keeps their holders from proving
+    /// them gone (the machine hangs, or changes hands so often that nobody finds it silent), the cloud's deletion does.
+    fn overdue(&mut self, now: Now, config: &Config, view: &View) {
+        let patience = config.cancel_within.saturating_sub(OVERDUE_MARGIN).max(config.cancel_within / 2);
+        for (id, open) in view.open.iter().filter(|(_, open)| open.cancelled) {
+            if Duration::from_millis(now.unix_ms().saturating_sub(open.cancelled_ms)) < patience {
+                continue;
+            }
+            for place in view.placed(*id).values().filter(|place| view.machines.contains_key(&place.machine)) {
+                if self.lost.insert(place.machine.clone()) {
+                    warn!(machine = %place.machine, job = %id, "machine given up: its cancelled task must be gone");
+                }
+            }
+        }
     }
 
     fn pass(&mut self, now: Now, rps: f64) -> bool {
@@ -551,6 +582,9 @@
     fn take_list(&mut self, now: Now, config: &Config, view: &View, list: MachineList) {
         for listed in list.machines {
             if view.machines.contains_key(&listed.id) {
+                if let (ListedState::Running, Some(addr)) = (listed.state, &listed.addr) {
+                    self.addresses.entry(listed.id.clone()).or_insert_with(|| addr.clone());
+                }
                 if listed.state == ListedState::Failed && self.lost.insert(listed.id.clone()) {
                     info!(machine = %listed.id, "machine listed as failed");
                 }
@@ -846,6 +880,42 @@
     use crate::store::Change;
     use crate::store::records::encode;
 
+    /// Found by a search of seeds: a machine hung with a cancelled task on it, and its block changed hands so often that
+    /// no holder waited long enough to find it silent.
+    #[test]
+    fn a_machine_with_a_task_cancelled_long_ago_is_given_up_in_time() {
+        use crate::placement::tests::job;
+        use crate::store::records::{JobRecord, Places, job_key, places_key};
+        let config = Config::parse("s.toml", SETTINGS).expect("valid");
+        let start = Now::read();
+        let mut view = View::following();
+        let mut version = 0;
+        let mut put = |view: &mut View, key: String, value| {
+            version += 1;
+            view.apply(Change { key, version, value: Some(value) });
+        };
+        let block = blocks::name(&"a".into(), 0);
+        let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Spot, draining: false, rented_s: 0 };
+        let on = ["m-1", "m-2"].map(|id| (id.into(), entry())).into();
+        put(&mut view, roster_key(&block), encode(&Roster { zone: "a".into(), on }));
+        let mut places = Places::default();
+        for (machine, id) in [("m-1", 1), ("m-2", 2)] {
+            let task = crate::domain::TaskId { job: crate::domain::JobId(id), index: 0 };
+            places.add(&machine.into(), crate::domain::Attempt { task, number: id });
+        }
+        put(&mut view, places_key(&block), encode(&places));
+        put(&mut view, job_key(crate::domain::JobId(1)), encode(&JobRecord::Cancelled(job(1, 1.0), start.unix_ms())));
+        put(&mut view, job_key(crate::domain::JobId(2)), encode(&JobRecord::Open(job(1, 1.0))));
+        let mut provisioner = Provisioner::new(start, 1);
+        let mut given_up = |after: Duration| {
+            let now = Now { wall: start.wall + after, ..start };
+            provisioner.overdue(now, &config, &view);
+            provisioner.lost.iter().map(|id| id.0.to_string()).collect::<Vec<_>>()
+        };
+        assert_eq!(given_up(config.lease), [] as [&str; 0], "its holder may still prove it gone");
+        assert_eq!(given_up(config.cancel_within - OVERDUE_MARGIN), ["m-1"]);
+    }
+
     /// Found on the bench: a cut zone's machines were deleted with all the replicas that ran on there.
     #[test]
     fn machines_of_a_zone_that_may_be_cut_off_are_given_up_only_when_their_tasks_must_be_gone() {
@@ -874,7 +944,7 @@
                 let now = Now { steady: start.steady + passed, ..start };
                 let health = view.machines.keys().map(|id| {
                     let silent = silent(id, zones);
-                    (id.clone(), Health { seen: true, silent, faulty: false, usable: !silent })
+                    (id.clone(), Health { seen: true, silent, usable: !silent, ..Health::default() })
                 });
                 provisioner.observe(now, &lead, &view, &health.collect(), heard);
             }
@@ -891,7 +961,7 @@
             let now = Now { steady: start.steady + Duration::from_secs(seconds), ..start };
             let health = view.machines.keys().map(|id| {
                 let silent = silent(id, zones);
-                (id.clone(), Health { seen: true, silent, faulty: false, usable: !silent })
+                (id.clone(), Health { seen: true, silent, usable: !silent, ..Health::default() })
             });
             provisioner.observe(now, &lead, &view, &health.collect(), &heard);
         }
--- a/src/provisioning/wire.rs
+++ b/src/provisioning/wire.rs
@@ -78,6 +78,9 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListedMachine {
     pub id: MachineId,
+    /// Its worker's address.
+    #[serde(rename = "endpoint", default)]
+    pub addr: Option<String>,
     #[serde(rename = "berthKind")]
     pub type_name: TypeName,
     #[serde(rename = "wing")]
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -10,14 +10,15 @@
 
 use crate::config::Config;
 use crate::domain::{
-    Attempt, BlockId, Final, Image, Job, JobId, Kind, MachineId, Now, Priority, Room, TaskId, Team, Tenure, TypeName,
-    Zone, since,
+    Attempt, BlockId, Final, Image, Job, JobId, Kind, MachineId, NodeName, Now, Priority, Room, TaskId, Team, Tenure,
+    TypeName, Zone, since,
 };
+use crate::fleet::stray_for;
 use crate::leadership::Lead;
 use crate::peer::{BlockStatus, MachineStatus, Wanted, Work};
 use crate::placement::{Candidate, Ranking};
 use crate::provisioning::{Demand, Flavors, Health, Pool, Provisioner, Runs};
-use crate::store::records::{CHUNK, JobRecord, LEADER, Progress, job_key, progress_key};
+use crate::store::records::{CHUNK, JobRecord, LEADER, Progress, Roster, job_key, progress_key};
 use crate::store::view::OpenJob;
 use crate::store::{Machine, Op, Outcome, Txn, View, Writer};
 
@@ -69,8 +70,15 @@
     sent: Option<Instant>,
     last_message: u64,
     dirty: bool,
+    /// Machines whose address the holder was told, or needs no more.
+    addressed: HashSet<MachineId>,
 }
 
+/// A holder that does not hear most of its machines, and at least so many, is suspected; if others hear so many of
+/// them, it is the holder that is cut off or too slow, not they that are dead.
+const UNHEARD_LEAST: u32 = 4;
+const STRAYS_LEAST: usize = 3;
+
 #[derive(Debug, Default, Clone, Copy)]
 struct Strikes {
     count: u32,
@@ -99,9 +107,36 @@
     strikes: HashMap<JobId, Strikes>,
     runs: BTreeMap<Pool, Runs>,
     measured: Instant,
+    /// Machines heard by another controller than their holder, and when.
+    strays: HashMap<MachineId, Instant>,
     pub waiting: BTreeMap<Team, u64>,
 }
 
+impl Desk {
+    /// Notes machines that the holder could ask if it were told where they are.
+    fn find(&mut self, addresses: &HashMap<MachineId, String>, roster: Option<&Roster>) {
+        let Some(roster) = roster.filter(|roster| roster.on.len() > self.addressed.len()) else { return };
+        if self.status.is_none() {
+            // It may know them already: a new leader hears of that first.
+            return;
+        }
+        for id in roster.on.keys().filter(|id| !self.addressed.contains(*id)).cloned().collect::<Vec<_>>() {
+            let seen = self.machines.get(&id).is_some_and(|status| status.seen);
+            if seen || addresses.contains_key(&id) {
+                self.dirty |= !seen;
+                self.addressed.insert(id);
+            }
+        }
+    }
+
+    /// Those that it has not heard from since. They are told again in each message, for one can be lost.
+    fn unmet(&self, addresses: &HashMap<MachineId, String>) -> Vec<(MachineId, String)> {
+        let unseen = |id: &&MachineId| self.machines.get(*id).is_none_or(|status| !status.seen);
+        let unmet = self.addressed.iter().filter(unseen);
+        unmet.filter_map(|id| addresses.get(id).map(|addr| (id.clone(), addr.clone()))).collect()
+    }
+}
+
 /// A way to make room: the work it loses, the machine, and the tasks to be stopped there.
 type Way<'c, 'v> = (f64, &'c Candidate, Vec<Victim<'v>>);
 
@@ -170,6 +205,7 @@
             strikes: HashMap::new(),
             runs: BTreeMap::new(),
             measured: now.steady,
+            strays: HashMap::new(),
             waiting: BTreeMap::new(),
         }
     }
@@ -189,6 +225,45 @@
         desk.status = Some((status, now.steady));
     }
 
+    /// Machines that reported to a controller that is not their holder.
+    pub fn strayed(&mut self, now: Now, machines: Vec<MachineId>) {
+        self.strays.extend(machines.into_iter().map(|machine| (machine, now.steady)));
+    }
+
+    /// Holders that hear hardly any of their machines, although others hear them, with those machines.
+    pub fn unreaching(&mut self, now: Now, config: &Config, view: &View) -> BTreeMap<NodeName, BTreeSet<MachineId>> {
+        let lately = stray_for(config);
+        self.strays.retain(|_, at| since(now, *at) < lately);
+        let mut counts: BTreeMap<&NodeName, (u32, u32)> = BTreeMap::new();
+        for (block, desk) in &self.desks {
+            let recent = desk.status.as_ref().filter(|(_, at)| since(now, *at) < STATUS_LIFE);
+            if let (Some((status, _)), Some(grant)) = (recent, view.grants.get(block)) {
+                let (expected, overdue) = counts.entry(&grant.value.holder).or_default();
+                *expected += status.expected;
+                *overdue += status.overdue;
+            }
+        }
+        let suspected = |(expected, overdue): (u32, u32)| overdue >= UNHEARD_LEAST && overdue * 2 > expected;
+        let suspects: BTreeSet<&NodeName> =
+            counts.into_iter().filter(|(_, counts)| suspected(*counts)).map(|(node, _)| node).collect();
+        let mut unreaching: BTreeMap<NodeName, BTreeSet<MachineId>> = BTreeMap::new();
+        if suspects.is_empty() {
+            return unreaching;
+        }
+        for machine in self.strays.keys() {
+            let block = view.machines.get(machine).map(|machine| &machine.block);
+            let holder = block.and_then(|block| view.grants.get(block)).map(|grant| &grant.value.holder);
+            let unusable = block
+                .and_then(|block| self.desks.get(block)?.machines.get(machine))
+                .is_some_and(|status| !status.usable);
+            if let Some(holder) = holder.filter(|holder| unusable && suspects.contains(holder)) {
+                unreaching.entry(holder.clone()).or_default().insert(machine.clone());
+            }
+        }
+        unreaching.retain(|_, machines| machines.len() >= STRAYS_LEAST);
+        unreaching
+    }
+
     fn machines(&self, now: Now) -> impl Iterator<Item = &MachineStatus> {
         self.desks
             .values()
@@ -196,7 +271,12 @@
             .flat_map(|desk| desk.machines.values())
     }
 
-    pub fn health(&self, now: Now) -> BTreeMap<MachineId, Health> {
+    /// `unreaching`: holders whose word on their machines' silence says more about themselves.
+    pub fn health(&self, now: Now, view: &View, unreaching: &BTreeSet<&NodeName>) -> BTreeMap<MachineId, Health> {
+        let holder = |machine: &MachineId| {
+            let block = view.machines.get(machine).map(|machine| &machine.block)?;
+            view.grants.get(block).map(|grant| &grant.value.holder)
+        };
         self.machines(now)
             .map(|machine| {
                 let health = Health {
@@ -204,6 +284,8 @@
                     silent: machine.silent,
                     faulty: machine.errors >= FAULTY,
                     usable: machine.usable,
+                    heard_elsewhere: !unreaching.is_empty()
+                        && holder(&machine.machine).is_some_and(|holder| unreaching.contains(holder)),
                 };
                 (machine.machine.clone(), health)
             })
@@ -234,6 +316,7 @@
                     sent: None,
                     last_message: 0,
                     dirty: false,
+                    addressed: HashSet::new(),
                 };
                 self.desks.insert(block.clone(), desk);
             }
@@ -268,6 +351,7 @@
         let live = &self.placed;
         for (block, desk) in &mut self.desks {
             desk.machines.retain(|machine, _| view.machines.contains_key(machine));
+            desk.addressed.retain(|machine| view.machines.contains_key(machine));
             let places = view.places.get(block).map_or(0, |places| places.version);
             let status = desk.status.as_ref().map(|(status, _)| status);
             desk.releases.retain(|number, release| {
@@ -678,9 +762,10 @@
     }
 
     /// Messages that are due to holders.
-    pub fn messages(&mut self, now: Now) -> Vec<Work> {
+    pub fn messages(&mut self, now: Now, view: &View, addresses: &HashMap<MachineId, String>) -> Vec<Work> {
         let mut messages = Vec::new();
         for (block, desk) in &mut self.desks {
+            desk.find(addresses, view.rosters.get(block).map(|roster| &roster.value));
             let acked = desk.status.as_ref().is_some_and(|(status, _)| status.last_work >= desk.last_message);
             let overdue = !acked && desk.sent.is_some_and(|sent| since(now, sent) >= RESEND);
             if !desk.dirty && !overdue && !desk.owes_word {
@@ -709,6 +794,7 @@
                 heard: desk.heard,
                 want,
                 stop,
+                addresses: desk.unmet(addresses),
             });
         }
         messages
@@ -972,7 +1058,7 @@
     use crate::provisioning::wire::FlavorList;
     use crate::provisioning::wire::tests::flavor;
     use crate::store::Change;
-    use crate::store::records::{Grant, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key};
+    use crate::store::records::{Grant, Places, Rostered, encode, grant_key, job_key, places_key, roster_key};
 
     struct Desktop {
         config: Config,
@@ -1042,6 +1128,8 @@
                 ended: Vec::new(),
                 revision: self.view.places.get(&"a.0".into()).map_or(0, |places| places.version),
                 wants_new_seal: false,
+                expected: machines,
+                overdue: 0,
                 number: self.version * 1000 + last_work + 1,
                 machines: (0..machines)
                     .map(|n| MachineStatus {
@@ -1062,7 +1150,7 @@
             let Desktop { config, policy, flavors, view, now, queues, provisioner, .. } = self;
             let lead = Lead { config, policy, flavors, term: TERM, version: 1, batch: 16, spare: true };
             let demand = queues.plan(*now, &lead, view, provisioner);
-            (demand, queues.messages(*now))
+            (demand, queues.messages(*now, view, provisioner.addresses()))
         }
 
         /// Everything that is wanted is placed where the leader meant it.
@@ -1118,6 +1206,30 @@
         assert_eq!(wanted(&mut desktop), 1);
     }
 
+    /// Found on the bench: a controller was cut off from its workers, and all its machines were deleted, though they
+    /// reported to the others all the time.
+    #[test]
+    fn a_holder_whose_machines_are_heard_elsewhere_is_cut_off_and_they_are_not_dead() {
+        let mut desktop = Desktop::new(6);
+        let holder = desktop.config.name.clone();
+        let mut judged = |overdue: u32, strays: u32| {
+            let desk = desktop.queues.desks.get_mut(&BlockId::from("a.0")).expect("granted");
+            desk.status.as_mut().expect("heard").0.overdue = overdue;
+            for status in desk.machines.values_mut() {
+                status.usable = false;
+            }
+            desktop.queues.strays.clear();
+            desktop.queues.strayed(desktop.now, (0..strays).map(name).collect());
+            let unreaching = desktop.queues.unreaching(desktop.now, &desktop.config, &desktop.view);
+            let health = desktop.queues.health(desktop.now, &desktop.view, &unreaching.keys().collect());
+            let spared = health.values().filter(|health| health.heard_elsewhere).count();
+            (unreaching.contains_key(&holder), spared)
+        };
+        assert_eq!(judged(6, 3), (true, 6));
+        assert_eq!(judged(6, 2), (false, 0), "they may be dead");
+        assert_eq!(judged(3, 6), (false, 0), "it hears the others");
+    }
+
     #[test]
     fn a_team_gets_no_more_than_its_limit_however_large_its_job() {
         let mut desktop = Desktop::new(30);
--- a/src/service.rs
+++ b/src/service.rs
@@ -1,6 +1,6 @@
 //! Runs one controller: turns requests into events for its state machine and its effects into requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -10,8 +10,8 @@
 use crate::config::Config;
 use crate::domain::{NodeName, Now};
 use crate::fleet::wire::Report;
-use crate::fleet::{Answer, CommandOutcome};
-use crate::http::server::{self, Incoming, MOST_WAITING};
+use crate::fleet::{Answer, COMMAND_PART, Command, CommandOutcome};
+use crate::http::server::{self, Door, Incoming, MOST_WAITING};
 use crate::http::{Client, Request, read, write};
 use crate::intake::{RequestId, Response};
 use crate::node::{Effect, Event, Node};
@@ -26,12 +26,50 @@
 /// A controller that takes over for others talks to every worker, and each of them to it: kept for 20 s, that was
 /// 2,000 sockets of 2,500.
 const WORKER_IDLE: Duration = Duration::from_secs(2);
-/// Sockets kept for what we call ourselves.
-const OWN_SOCKETS: usize = 300;
+/// Sockets kept for other controllers and for what we call ourselves, workers apart.
+const OWN_SOCKETS: usize = 150;
+
+/// Who may hold how many of our sockets: a command to a worker may stand for as long as one is kept idle, in both cases
+/// one in `COMMAND_PART`; other controllers and what we call ourselves have a few; the rest is for whoever calls us.
+struct Doors {
+    public: Door,
+    peers: Door,
+}
+
+impl Doors {
+    fn of(sockets: usize) -> Self {
+        let own = OWN_SOCKETS.min(sockets / 4);
+        Doors { public: Door::new(sockets - own - 2 * (sockets / COMMAND_PART)), peers: Door::new(own / 2) }
+    }
+}
+
+/// Commands sent lately: as long as there are few, their connections are kept for the next one.
+struct Recent {
+    most: usize,
+    sent: VecDeque<Instant>,
+}
+
+impl Recent {
+    fn new(most: usize) -> Self {
+        Recent { most, sent: VecDeque::new() }
+    }
+
+    /// Notes one more. Whether it would leave too many idle connections behind.
+    fn crowded(&mut self, now: Instant) -> bool {
+        while self.sent.front().is_some_and(|at| now.saturating_duration_since(*at) > WORKER_IDLE) {
+            self.sent.pop_front();
+        }
+        if self.sent.len() >= self.most {
+            return true;
+        }
+        self.sent.push_back(now);
+        false
+    }
+}
 
 enum Waiting {
     User(oneshot::Sender<Response>, Instant),
-    Worker(oneshot::Sender<Answer>),
+    Worker(oneshot::Sender<(Answer, Instant)>),
     Health(oneshot::Sender<bool>),
 }
 
@@ -40,6 +78,7 @@
     client: Client,
     /// For commands to workers.
     workers: Client,
+    commanded: Recent,
     results: mpsc::UnboundedSender<Event>,
     waiting: HashMap<RequestId, Waiting>,
     next: RequestId,
@@ -52,13 +91,14 @@
 pub async fn run(config: Config, policy: Policy) -> std::io::Result<()> {
     let (incoming, mut requests) = mpsc::channel(MOST_WAITING);
     let (results, mut answers) = mpsc::unbounded_channel();
-    let sockets = config.max_sockets.saturating_sub(OWN_SOCKETS).max(config.max_sockets / 2);
-    let public = server::serve(config.listen, sockets, server::public(incoming.clone()));
-    let between = server::serve(config.peer_listen, OWN_SOCKETS / 4, server::between_controllers(incoming));
+    let doors = Doors::of(config.max_sockets);
+    let public = server::serve(config.listen, doors.public.clone(), server::public(incoming.clone(), doors.public));
+    let between = server::serve(config.peer_listen, doors.peers, server::between_controllers(incoming));
     info!(node = %config.name, zone = %config.zone, listen = %config.listen, "starting");
     let mut runner = Runner {
         client: Client::new(IDLE),
         workers: Client::new(WORKER_IDLE),
+        commanded: Recent::new(config.max_sockets / COMMAND_PART),
         results,
         waiting: HashMap::new(),
         next: 0,
@@ -125,9 +165,9 @@
                     let _ = reply.send(response);
                 }
             }
-            Effect::AnswerWorker { id, answer } => {
+            Effect::AnswerWorker { id, answer, until } => {
                 if let Some(Waiting::Worker(reply)) = self.waiting.remove(&id) {
-                    let _ = reply.send(answer);
+                    let _ = reply.send((answer, until));
                 }
             }
             Effect::AnswerHealth { id, healthy } => {
@@ -138,25 +178,29 @@
             Effect::Store { tag, op } => {
                 let sent = Now::read().steady;
                 let request = store::wire::request(&op);
-                self.exchange(&self.client, self.state, request, move |reply| {
+                self.exchange(&self.client, self.state, request, None, move |reply| {
                     let outcome = store::wire::outcome(&op, reply.as_ref());
                     Event::Store { tag, sent, outcome }
                 });
             }
-            Effect::Call { tag, call } => {
+            Effect::Call { tag, call, until } => {
                 let request = provisioning::wire::request(&call);
-                self.exchange(&self.client, self.cloud, request, move |reply| {
+                self.exchange(&self.client, self.cloud, request, until, move |reply| {
                     let outcome = provisioning::wire::outcome(&call, reply.as_ref());
                     Event::Called { tag, outcome }
                 });
             }
-            Effect::Command(command) => {
+            Effect::Command { command, until } => {
                 let Ok(addr) = command.addr.parse() else {
                     debug!(machine = %command.machine, addr = command.addr, "a worker's address makes no sense");
-                    return;
+                    let Command { block, machine, body, .. } = command;
+                    let outcome = CommandOutcome::Unknown;
+                    return self.handle(Event::Commanded { block, machine, body, outcome });
                 };
+                let close = self.commanded.crowded(Now::read().steady);
                 let request = Request::post("/commands".to_owned(), write(&command.body), COMMAND_TIMEOUT);
-                self.exchange(&self.workers, addr, request, move |reply| {
+                let request = Request { close, ..request };
+                self.exchange(&self.workers, addr, request, Some(until), move |reply| {
                     let outcome = match reply {
                         Some(reply) => match (reply.status, read::<Report>(&reply.body)) {
                             (200, Some(report)) => CommandOutcome::Executed(report),
@@ -183,12 +227,17 @@
         client: &Client,
         addr: SocketAddr,
         request: Request,
+        until: Option<Instant>,
         event: impl FnOnce(Option<crate::http::Reply>) -> Event + Send + 'static,
     ) {
         let client = client.clone();
         let results = self.results.clone();
         tokio::spawn(async move {
-            let reply = client.send(addr, request).await;
+            // We may have stood still since this was decided.
+            let reply = match until {
+                Some(until) if Now::read().steady >= until => None,
+                _ => client.send(addr, request).await,
+            };
             // The receiver lives as long as the process.
             let _ = results.send(event(reply));
         });
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -347,8 +347,9 @@
     #[serde(rename = "o")]
     Open(Job),
     /// Cancelled, but its tasks still take room until they are proven gone.
+    /// With the time of day of the cancellation, from which the time counts by which they must be gone.
     #[serde(rename = "c")]
-    Cancelled(Job),
+    Cancelled(Job, u64),
     #[serde(rename = "e")]
     Ended(Final, u32),
 }
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -26,6 +26,8 @@
     pub version: u64,
     /// Its user has cancelled it; its tasks only have to go.
     pub cancelled: bool,
+    /// When that was, by the time of day of whoever took it in.
+    pub cancelled_ms: u64,
     /// Done tasks, whether folded already or not. Only ever grows.
     pub done: Ranges,
 }
@@ -442,9 +444,9 @@
     }
 
     fn apply_job(&mut self, id: JobId, version: u64, change: Change) {
-        let (job, cancelled) = match change.value.as_ref().and_then(decode::<JobRecord>) {
-            Some(JobRecord::Open(job)) => (job, false),
-            Some(JobRecord::Cancelled(job)) => (job, true),
+        let (job, cancelled, cancelled_ms) = match change.value.as_ref().and_then(decode::<JobRecord>) {
+            Some(JobRecord::Open(job)) => (job, false, 0),
+            Some(JobRecord::Cancelled(job, at_ms)) => (job, true, at_ms),
             Some(JobRecord::Ended(end, tasks)) => {
                 self.open.remove(&id);
                 self.ended.insert(id, (end, tasks));
@@ -464,13 +466,14 @@
             if version > open.version {
                 open.version = version;
                 open.cancelled = cancelled;
+                open.cancelled_ms = cancelled_ms;
                 if cancelled {
                     self.touched.ended.insert(id);
                 }
             }
             return;
         }
-        let mut open = OpenJob { job, version, cancelled, done: Ranges::default() };
+        let mut open = OpenJob { job, version, cancelled, cancelled_ms, done: Ranges::default() };
         for done in self.places.values().filter_map(|places| places.value.done.get(&id)) {
             open.done.merge(done);
         }
--- a/tests/simulation/machine.rs
+++ b/tests/simulation/machine.rs
@@ -63,11 +63,15 @@
         self.up && !self.dead && self.hung_until.is_none_or(|until| now >= until)
     }
 
+    pub fn addr(&self) -> String {
+        format!("10.1.0.1:{}", 9000 + self.id.trim_start_matches("m-").parse::<u32>().unwrap_or(0))
+    }
+
     pub fn message(&mut self) -> Report {
         self.seq += 1;
         Report {
             machine: self.id.as_str().into(),
-            addr: format!("10.1.0.1:{}", 9000 + self.id.trim_start_matches("m-").parse::<u32>().unwrap_or(0)),
+            addr: self.addr(),
             type_name: self.type_name.clone(),
             zone: self.zone.clone(),
             spot: self.tenure.is_spot(),
--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -102,6 +102,27 @@
     }
 }
 
+#[test]
+fn a_controller_stands_still() {
+    for seed in 80..=85 {
+        check(seed, Faults { freeze: 15.0, crash: 80.0, held: 0.01, ..Faults::default() });
+    }
+}
+
+#[test]
+fn what_was_carried_out_is_repeated() {
+    for seed in 90..=95 {
+        check(seed, Faults { copies: 0.1, crash: 60.0, machine_hangs: 30.0, ..Faults::default() });
+    }
+}
+
+#[test]
+fn many_machines_are_lost_together() {
+    for seed in 96..=99 {
+        check(seed, Faults { mass_loss: 30.0, crash: 60.0, ..Faults::default() });
+    }
+}
+
 /// Hundreds of machines and thousands of tasks: what an event costs follows from what it changes, and what is stored
 /// and said stays within bounds.
 #[test]
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -54,8 +54,13 @@
     pub machine_deaf: f64,
     /// A machine is off and on again within a moment.
     pub machine_restarts: f64,
-    /// Of all reports: a copy comes up to three leases later, to any controller.
+    /// Of all reports: a copy comes up to three leases later, to any controller. Of everything else that was carried
+    /// out (commands, rentals, deletions, transactions, what users ask and controllers say): it is carried out again.
     pub copies: f64,
+    /// A controller stands still for up to 45 s, in the middle of something, while its clocks run on.
+    pub freeze: f64,
+    /// A third of the machines that are up die, hang, hear nothing or are taken in the same moment.
+    pub mass_loss: f64,
     /// A controller loses the state service and its peers, but not its workers.
     pub island: f64,
     /// A launch is also executed by another machine: breaks a rule on purpose.
@@ -82,6 +87,8 @@
             machine_restarts: 60.0,
             copies: 0.02,
             island: 80.0,
+            freeze: 60.0,
+            mass_loss: 150.0,
             sabotage: false,
         }
     }
@@ -138,6 +145,17 @@
         node: usize,
         report: Box<Report>,
     },
+    /// What a user asked before, once more.
+    Repeat {
+        node: usize,
+        event: Box<Event>,
+    },
+    /// What a controller had decided when it stood still, done now that it goes on.
+    Resume {
+        node: usize,
+        boot: u64,
+        effects: Vec<Effect>,
+    },
     Answered {
         machine: String,
         session: u64,
@@ -164,6 +182,8 @@
     MachineDeaf,
     MachineRestarts,
     Island,
+    Freeze,
+    MassLoss,
 }
 
 /// How much there is of everything.
@@ -193,6 +213,7 @@
     cut_until: Duration,
     /// Until then it hears no peers either.
     island_until: Duration,
+    frozen_until: Duration,
 }
 
 #[derive(Clone)]
@@ -300,6 +321,7 @@
                 drift: rng.random_range(-0.0005..0.0005),
                 cut_until: Duration::ZERO,
                 island_until: Duration::ZERO,
+                frozen_until: Duration::ZERO,
             })
             .collect();
         let mut world = World {
@@ -352,6 +374,8 @@
             (Fault::MachineDeaf, faults.machine_deaf),
             (Fault::MachineRestarts, faults.machine_restarts),
             (Fault::Island, faults.island),
+            (Fault::Freeze, faults.freeze),
+            (Fault::MassLoss, faults.mass_loss),
         ] {
             if mean > 0.0 {
                 let mut at = 0.0;
@@ -469,15 +493,33 @@
     }
 
     fn handle(&mut self, node: usize, event: Event) {
+        let frozen = self.slots[node].frozen_until;
+        if self.now < frozen {
+            let boot = self.slots[node].boot;
+            self.at(frozen, Ev::Deliver { node, boot, event: Box::new(event) });
+            return;
+        }
+        let boot = self.slots[node].boot;
+        for effect in self.effects(node, event) {
+            self.perform(node, boot, effect);
+        }
+    }
+
+    fn effects(&mut self, node: usize, event: Event) -> Vec<Effect> {
         let now = self.clock(node);
-        let Some(machine) = &mut self.slots[node].node else { return };
+        let Some(machine) = &mut self.slots[node].node else { return Vec::new() };
         let at = self.now.as_secs_f64();
         self.events_handled += 1;
-        let effects = tracing::info_span!("node", node, at).in_scope(|| machine.handle(now, event));
-        let boot = self.slots[node].boot;
-        for effect in effects {
-            self.perform(node, boot, effect);
+        tracing::info_span!("node", node, at).in_scope(|| machine.handle(now, event))
+    }
+
+    /// When a copy of a message is carried out again, if one is.
+    fn copied(&mut self) -> Option<Duration> {
+        if self.now >= self.calm_from || !self.rng.random_bool(self.faults.copies) {
+            return None;
         }
+        let late = self.config.lease.as_secs_f64() * 3.0;
+        Some(self.now + Duration::from_secs_f64(self.rng.random_range(1.0..late)))
     }
 
     fn perform(&mut self, node: usize, boot: u64, effect: Effect) {
@@ -490,22 +532,39 @@
                     let after = Duration::from_millis(1500);
                     self.at(self.now + after, Ev::Deliver { node, boot, event: Box::new(unknown) });
                 }
+                if let (Op::Commit(_) | Op::OpenHold { .. } | Op::ExtendHold { .. }, Some(late)) = (&op, self.copied())
+                {
+                    self.at(late, Ev::Store { node, boot, tag: tag.clone(), sent, op: op.clone(), answer: false });
+                }
                 self.at(at, Ev::Store { node, boot, tag, sent, op, answer });
             }
-            Effect::Command(command) => {
+            Effect::Command { command, until } => {
+                if self.clock(node).steady >= until {
+                    return self.unanswered(node, boot, &command);
+                }
                 let (at, answer) = self.fate();
                 if !answer {
                     self.unanswered(node, boot, &command);
                 }
+                if let Some(late) = self.copied() {
+                    self.at(late, Ev::Command { node, boot, command: command.clone(), answer: false });
+                }
                 self.at(at, Ev::Command { node, boot, command, answer });
             }
-            Effect::Call { tag, call } => {
+            Effect::Call { tag, call, until } => {
+                if until.is_some_and(|until| self.clock(node).steady >= until) {
+                    let event = Event::Called { tag, outcome: CallOutcome::Unknown };
+                    return self.soon(Ev::Deliver { node, boot, event: Box::new(event) });
+                }
                 let (at, answer) = self.fate();
                 if !answer {
                     let event = Event::Called { tag: tag.clone(), outcome: CallOutcome::Unknown };
                     self.at(self.now + Duration::from_secs(5), Ev::Deliver { node, boot, event: Box::new(event) });
                 }
                 let at = at + Duration::from_millis(150);
+                if let Some(late) = self.copied() {
+                    self.at(late, Ev::Call { node, boot, tag: tag.clone(), call: call.clone(), answer: false });
+                }
                 self.at(at, Ev::Call { node, boot, tag, call, answer });
             }
             Effect::Peer { to, message } => {
@@ -516,6 +575,9 @@
                     self.peer_bytes += dappleshore::http::write(&message).len();
                 }
                 if self.now >= self.peers_cut_until && !island(node) && !island(target) {
+                    if let Some(late) = self.copied() {
+                        self.at(late, Ev::Peer { node: target, message: message.clone() });
+                    }
                     self.at(at, Ev::Peer { node: target, message });
                 }
             }
@@ -524,7 +586,9 @@
                     self.user_answered(user, asked, &response);
                 }
             }
-            Effect::AnswerWorker { id, answer } => {
+            Effect::AnswerWorker { id, answer, until } => {
+                let over = self.clock(node).steady >= until && matches!(answer, Answer::Orders(_));
+                let answer = if over { Answer::Unavailable } else { answer };
                 if let Some(Asker::Worker { machine, session, seq, sent }) = self.slots[node].waiting.remove(&id)
                     && self.machines.get(&machine).is_none_or(|machine| self.now >= machine.deaf_until)
                 {
@@ -553,6 +617,11 @@
         match event {
             Ev::Tick { node, boot } => {
                 if self.alive(node, boot) {
+                    let frozen = self.slots[node].frozen_until;
+                    if self.now < frozen {
+                        self.at(frozen, Ev::Tick { node, boot });
+                        return;
+                    }
                     self.handle(node, Event::Tick);
                     self.at(self.now + TICK, Ev::Tick { node, boot });
                 }
@@ -623,6 +692,14 @@
             Ev::Answered { machine, session, seq, sent, node, answer } => {
                 self.answered(&machine, session, seq, sent, node, answer);
             }
+            Ev::Repeat { node, event } => self.handle(node, *event),
+            Ev::Resume { node, boot, effects } => {
+                if self.alive(node, boot) {
+                    for effect in effects {
+                        self.perform(node, boot, effect);
+                    }
+                }
+            }
             Ev::Fault(fault) => self.fault(fault),
         }
     }
@@ -645,6 +722,7 @@
         let now = self.clock(node);
         let slot = &mut self.slots[node];
         slot.boot += 1;
+        slot.frozen_until = Duration::ZERO;
         slot.waiting.clear();
         slot.node = Some(Node::new(config, policy, seed, now));
         let boot = slot.boot;
@@ -884,6 +962,7 @@
                 let after = after.as_ref().map(|id| id.0.to_string()).unwrap_or_default();
                 let machines = self.machines.values().filter(|m| m.id > after).filter(old).map(|m| ListedMachine {
                     id: m.id.as_str().into(),
+                    addr: Some(m.addr()),
                     type_name: m.type_name.clone(),
                     zone: m.zone.clone(),
                     spot: m.tenure.is_spot(),
@@ -996,10 +1075,9 @@
             let up = self.slots[node].node.is_some();
             let (session, seq) = (report.session, report.seq);
             self.happened(id, happened);
-            if now < self.calm_from && self.rng.random_bool(self.faults.copies) {
-                let late = Duration::from_secs_f64(self.rng.random_range(1.0..lease.as_secs_f64() * 3.0));
+            if let Some(late) = self.copied() {
                 let node = self.rng.random_range(0..NODES);
-                self.at(now + late, Ev::Copy { node, report: Box::new(report.clone()) });
+                self.at(late, Ev::Copy { node, report: Box::new(report.clone()) });
             }
             if up {
                 let (at, _) = self.fate();
@@ -1020,6 +1098,7 @@
             return;
         }
         machine.report = None;
+        tracing::debug!(at = now.as_secs_f64(), machine = id, node, ?answer, "hears");
         match answer {
             Some(Answer::Orders(orders)) => {
                 if orders.seal < machine.seal {
@@ -1097,6 +1176,18 @@
             Ask::Cancel => Event::Cancel { id, job: job.to_string() },
         };
         let boot = slot.boot;
+        if let Some(late) = self.copied() {
+            let again = match asked {
+                // To any controller, whoever is there by then; nobody waits for the answer.
+                Ask::Submit => Some(Event::Submit { id: 0, body: self.users[index].body.clone() }),
+                Ask::Cancel => Some(Event::Cancel { id: 0, job: job.to_string() }),
+                Ask::Poll => None,
+            };
+            let node = self.rng.random_range(0..NODES);
+            if let Some(event) = again {
+                self.at(late, Ev::Repeat { node, event: Box::new(event) });
+            }
+        }
         self.soon(Ev::Deliver { node, boot, event: Box::new(event) });
     }
 
@@ -1146,6 +1237,26 @@
                 self.slots[node].cut_until = until;
                 self.slots[node].island_until = until;
             }
+            Fault::Freeze => {
+                let node = self.rng.random_range(0..NODES);
+                let until = self.now + long(&mut self.rng, 45.0);
+                if self.now < self.slots[node].frozen_until {
+                    return;
+                }
+                // It has just decided what to do, and does it when it goes on.
+                let effects = self.effects(node, Event::Tick);
+                self.slots[node].frozen_until = until;
+                let boot = self.slots[node].boot;
+                self.at(until, Ev::Resume { node, boot, effects });
+            }
+            Fault::MassLoss => {
+                let kind = [Fault::MachineDies, Fault::MachineHangs, Fault::MachineDeaf, Fault::SpotTaken]
+                    [self.rng.random_range(0..4)];
+                let up = self.machines.values().filter(|m| m.up && !m.dead).count();
+                for _ in 0..up / 3 {
+                    self.fault(kind);
+                }
+            }
             Fault::CloudOutage => self.cloud_out_until = self.now + long(&mut self.rng, 30.0),
             Fault::ZoneCut => {
                 let zone = Zone::from(ZONES[self.rng.random_range(0..NODES)]);
