--- a/src/fleet/block.rs
+++ b/src/fleet/block.rs
@@ -20,12 +20,12 @@
 /// A lost launch is repeated after this long.
 const RELAUNCH: Duration = Duration::from_millis(1500);
 /// A command of unknown outcome that stands in the way this long is fenced by a new seal.
-const RENEW_AFTER: Duration = Duration::from_secs(3);
+pub(super) const RENEW_AFTER: Duration = Duration::from_secs(3);
 /// Ended tasks that a worker remembers, so that no copy of a launch starts them again, before a new seal lets it forget
 /// them. Each makes its reports longer.
 const MOST_REMEMBERED: usize = 40;
 /// A block that found nothing to write looks again after this long.
-const LOOK_AGAIN: Duration = Duration::from_millis(100);
+pub(super) const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum End {
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -1,12 +1,20 @@
+//! A holder's duties, as the leader, the workers and the state service see them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::block::{LOOK_AGAIN, RENEW_AFTER};
+use super::wire::{Cause, Order, ReportedTask};
+use super::worker::PROBE_AGAIN;
 use super::*;
 use crate::config::tests::SETTINGS;
-use crate::domain::{Job, Tenure};
+use crate::domain::{Attempt, Job, JobId, Tenure};
+use crate::peer::Wanted;
 use crate::placement::tests::job;
 use crate::provisioning::wire::FlavorList;
 use crate::provisioning::wire::tests::flavor;
 use crate::store::Change;
-use crate::store::records::{Grant, JobRecord, Roster, Rostered, encode, job_key};
-use wire::ReportedTask;
+use crate::store::records::{Grant, JobRecord, Roster, Rostered, encode, grant_key, job_key, roster_key};
 
 const BOOT: u64 = 7;
 
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -10,7 +10,7 @@
 
 /// A worker that has not reported for this long gets no new tasks.
 pub(super) const QUIET: Duration = Duration::from_secs(9);
-const PROBE_AGAIN: Duration = Duration::from_secs(4);
+pub(super) const PROBE_AGAIN: Duration = Duration::from_secs(4);
 
 /// How a launch under the present seal and session went.
 #[derive(Debug, Clone, Copy, PartialEq)]
