--- a/src/node.rs
+++ b/src/node.rs
@@ -126,10 +126,10 @@
     last_event: Instant,
 }
 
-/// The plan is made anew at most this often, and at least that often when nothing has changed.
-const PLAN_SPACING: Duration = Duration::from_millis(40);
 /// Events come with every tick. If none came for this long, the process stood still while its clocks ran on.
 const STOOD_STILL: Duration = Duration::from_secs(1);
+/// The plan is made anew at most this often, and at least that often when nothing has changed.
+const PLAN_SPACING: Duration = Duration::from_millis(40);
 const PLAN_AT_LEAST: Duration = Duration::from_millis(500);
 /// The part of the time that plans may take: they look at all there is, and must not hold up answers.
 const PLAN_PART: f64 = 0.2;
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -4,6 +4,8 @@
 //! leader goes on where the old one stopped: an order that is recorded is (again) sent under its name, and a
 //! draining machine without tasks is (again) deleted.
 
+mod edits;
+mod flavors;
 pub mod rule;
 pub mod wire;
 
@@ -12,79 +14,17 @@
 
 use tracing::{debug, info, warn};
 
-use crate::blocks;
 use crate::config::Config;
-use crate::domain::{Amount, BlockId, Job, MachineId, Now, Room, Tenure, TypeName, Zone, since};
+use crate::domain::{Amount, BlockId, MachineId, Now, Room, Tenure, TypeName, Zone, since};
 use crate::fleet::wire::Report;
 use crate::leadership::Lead;
 use crate::policy::Policy;
-use crate::store::records::{LEADER, Order, Roster, Rostered, order_key, roster_key};
+use crate::store::records::{LEADER, Order, Rostered, order_key};
 use crate::store::{Machine, Op, Outcome, Txn, View, Writer};
+use edits::Edits;
+pub use flavors::Flavors;
 use wire::{Flavor, FlavorList, ListedMachine, ListedState, MachineList, MachineNames, RentRequest};
 
-/// The machine types, once the cloud has told them.
-#[derive(Debug, Default)]
-pub struct Flavors {
-    types: BTreeMap<TypeName, Flavor>,
-    asked: Option<Instant>,
-    busy: bool,
-}
-
-const FLAVORS_RETRY: Duration = Duration::from_secs(1);
-const FLAVORS_REFRESH: Duration = Duration::from_secs(30);
-
-impl Flavors {
-    pub fn known(&self) -> bool {
-        !self.types.is_empty()
-    }
-
-    pub fn get(&self, name: &TypeName) -> Option<&Flavor> {
-        self.types.get(name)
-    }
-
-    pub fn all(&self) -> impl Iterator<Item = &Flavor> {
-        self.types.values()
-    }
-
-    /// Whether an empty machine of some allowed type holds a task.
-    pub fn fit(&self, job: &Job) -> bool {
-        self.all().any(|flavor| {
-            job.allows_type(&flavor.name)
-                && flavor.room().fits(&job.need)
-                && flavor.zones.iter().any(|zone| job.allows_zone(zone))
-        })
-    }
-
-    pub fn zones(&self, config: &Config) -> Vec<Zone> {
-        let mut zones: BTreeSet<Zone> = config.zones.iter().cloned().collect();
-        zones.extend(self.all().flat_map(|flavor| flavor.zones.iter().cloned()));
-        zones.into_iter().collect()
-    }
-
-    pub fn due(&mut self, now: Now) -> bool {
-        let pause = if self.known() { FLAVORS_REFRESH } else { FLAVORS_RETRY };
-        let due = !self.busy && self.asked.is_none_or(|asked| since(now, asked) >= pause);
-        if due {
-            self.busy = true;
-            self.asked = Some(now.steady);
-        }
-        due
-    }
-
-    pub fn answered(&mut self, list: Option<FlavorList>) {
-        self.busy = false;
-        let Some(list) = list else { return };
-        let sane = |f: &Flavor| {
-            [f.cpus, f.gpus, f.memory_gb, f.price, f.spot_price, f.boot_s, f.fetch_gb_per_s]
-                .iter()
-                .all(|value| value.0.is_finite() && value.0 >= 0.0)
-        };
-        for flavor in list.types.into_iter().filter(sane) {
-            self.types.insert(flavor.name.clone(), flavor);
-        }
-    }
-}
-
 /// A request to the cloud.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Call {
@@ -225,123 +165,6 @@
     List,
 }
 
-/// Changes to rosters, gathered so that each block's value is written once.
-struct Edits<'v> {
-    view: &'v View,
-    rosters: BTreeMap<BlockId, Roster>,
-    /// Blocks that one transaction may change.
-    most: usize,
-    /// The blocks of each zone, and how full each is for its value: by its machines, and by the tasks they may get.
-    blocks: BTreeMap<Zone, BTreeMap<BlockId, f64>>,
-    value_bytes: f64,
-    tasks: HashMap<TypeName, f64>,
-}
-
-/// How full a block may be of what its machines may hold before a new one is opened: what a value can't hold can't
-/// be placed. The rest is for finished tasks of arrays that are spread over many blocks.
-const BLOCK_FULL: f64 = 0.7;
-/// Tasks expected on a machine before there are any to go by.
-const TASKS_UNKNOWN: f64 = 4.0;
-/// From so many machines on, what they have tells how many tasks to expect, with so much to spare.
-const ENOUGH_SEEN: usize = 10;
-const TASKS_SPARE: f64 = 1.25;
-
-impl<'v> Edits<'v> {
-    fn new(lead: &Lead<'_>, view: &'v View, demand: &Demand) -> Self {
-        let Lead { config, policy, flavors, .. } = *lead;
-        let mut seen: HashMap<&TypeName, (usize, usize)> = HashMap::new();
-        for live in view.live_places() {
-            let (machines, tasks) = seen.entry(&live.machine.type_name).or_default();
-            *machines += 1;
-            *tasks += live.attempts().count();
-        }
-        let tasks = flavors
-            .all()
-            .map(|flavor| {
-                let most = demand.smallest.map_or(TASKS_UNKNOWN, |need| f64::from(flavor.room().count_of(&need)));
-                let usual = seen
-                    .get(&flavor.name)
-                    .filter(|(machines, _)| *machines >= ENOUGH_SEEN)
-                    .map_or(most, |(machines, tasks)| *tasks as f64 / *machines as f64 * TASKS_SPARE);
-                (flavor.name.clone(), usual.min(most).clamp(1.0, MOST_TASKS))
-            })
-            .collect();
-        let mut edits = Edits {
-            view,
-            rosters: BTreeMap::new(),
-            most: config.state_limits.txn_ops - 1,
-            blocks: BTreeMap::new(),
-            value_bytes: config.state_limits.value_bytes as f64,
-            tasks,
-        };
-        for (block, zone) in blocks::wanted(&flavors.zones(config), config, policy, view) {
-            let fill = view
-                .rosters
-                .get(&block)
-                .map_or(0.0, |roster| roster.value.on.iter().map(|(id, entry)| edits.share(id, entry)).sum());
-            edits.blocks.entry(zone).or_default().insert(block, fill);
-        }
-        edits
-    }
-
-    /// The part of a block's values that a machine may come to need.
-    fn share(&self, id: &MachineId, entry: &Rostered) -> f64 {
-        let tasks = self.tasks.get(&entry.type_name).copied().unwrap_or(TASKS_UNKNOWN);
-        let places = (id.0.len() + 8) as f64 + tasks * TASK_BYTES;
-        (entry.size(id) as f64).max(places) / self.value_bytes
-    }
-
-    /// Puts a machine into the emptiest block of its zone, or a new one if all are full. False: the transaction
-    /// has no room.
-    fn add(&mut self, zone: &Zone, id: &MachineId, entry: Rostered, reserved: usize) -> bool {
-        let share = self.share(id, &entry);
-        let full = self.rosters.len() + reserved >= self.most;
-        let of_zone = self.blocks.entry(zone.clone()).or_default();
-        let usable = of_zone.iter().filter(|(block, _)| !full || self.rosters.contains_key(*block));
-        let emptiest = usable.min_by(|a, b| a.1.total_cmp(b.1)).map(|(block, fill)| (block.clone(), *fill));
-        let block = match emptiest {
-            Some((block, fill)) if fill + share <= BLOCK_FULL => block,
-            _ if full => return false,
-            _ => blocks::name(zone, of_zone.len()),
-        };
-        *of_zone.entry(block.clone()).or_default() += share;
-        let fresh = || self.view.rosters.get(&block).map_or_else(|| Roster::new(zone.clone()), |r| r.value.clone());
-        self.rosters.entry(block.clone()).or_insert_with(fresh).on.insert(id.clone(), entry);
-        true
-    }
-
-    /// Changes the roster that a machine is in. False: the transaction has no room, or there is no such machine.
-    fn change(&mut self, id: &MachineId, change: impl FnOnce(&mut Roster)) -> bool {
-        let Some(block) = self.view.machines.get(id).map(|machine| &machine.block) else { return false };
-        if !self.rosters.contains_key(block) {
-            let Some(roster) = self.view.rosters.get(block).filter(|_| self.rosters.len() < self.most) else {
-                return false;
-            };
-            self.rosters.insert(block.clone(), roster.value.clone());
-        }
-        if let Some(roster) = self.rosters.get_mut(block) {
-            change(roster);
-        }
-        true
-    }
-
-    fn any(&self) -> bool {
-        !self.rosters.is_empty()
-    }
-
-    fn apply(self, mut txn: Txn) -> Txn {
-        for (block, roster) in &self.rosters {
-            let version = self.view.rosters.get(block).map_or(0, |old| old.version);
-            txn = txn.when(roster_key(block), version).put(roster_key(block), roster);
-        }
-        txn
-    }
-}
-
-/// What one placed task takes of its block's value, and the most of them that are reckoned with on one machine.
-const TASK_BYTES: f64 = 22.0;
-const MOST_TASKS: f64 = 32.0;
-
 impl Provisioner {
     pub fn new(now: Now, term: u64) -> Self {
         Provisioner {
@@ -674,6 +497,9 @@
             .filter(|(listed, at)| known(listed, *at))
             .map(|(listed, _)| listed.clone())
             .collect();
+        if take.is_empty() {
+            return None;
+        }
         let mut edits = Edits::new(lead, view, demand);
         edits.most = lead.batch;
         for listed in take {
@@ -873,102 +699,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::config::tests::SETTINGS;
-    use crate::provisioning::wire::tests::flavor;
-    use crate::store::Change;
-    use crate::store::records::encode;
-
-    /// Found by a search of seeds: a machine hung with a cancelled task on it, and its block changed hands so often that
-    /// no holder waited long enough to find it silent.
-    #[test]
-    fn a_machine_with_a_task_cancelled_long_ago_is_given_up_in_time() {
-        use crate::placement::tests::job;
-        use crate::store::records::{JobRecord, Places, job_key, places_key};
-        let config = Config::parse("s.toml", SETTINGS).expect("valid");
-        let start = Now::read();
-        let mut view = View::following();
-        let mut version = 0;
-        let mut put = |view: &mut View, key: String, value| {
-            version += 1;
-            view.apply(Change { key, version, value: Some(value) });
-        };
-        let block = blocks::name(&"a".into(), 0);
-        let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Spot, draining: false, rented_s: 0 };
-        let on = ["m-1", "m-2"].map(|id| (id.into(), entry())).into();
-        put(&mut view, roster_key(&block), encode(&Roster { zone: "a".into(), on }));
-        let mut places = Places::default();
-        for (machine, id) in [("m-1", 1), ("m-2", 2)] {
-            let task = crate::domain::TaskId { job: crate::domain::JobId(id), index: 0 };
-            places.add(&machine.into(), crate::domain::Attempt { task, number: id });
-        }
-        put(&mut view, places_key(&block), encode(&places));
-        put(&mut view, job_key(crate::domain::JobId(1)), encode(&JobRecord::Cancelled(job(1, 1.0), start.unix_ms())));
-        put(&mut view, job_key(crate::domain::JobId(2)), encode(&JobRecord::Open(job(1, 1.0))));
-        let mut provisioner = Provisioner::new(start, 1);
-        let mut given_up = |after: Duration| {
-            let now = Now { wall: start.wall + after, ..start };
-            provisioner.overdue(now, &config, &view);
-            provisioner.lost.iter().map(|id| id.0.to_string()).collect::<Vec<_>>()
-        };
-        assert_eq!(given_up(config.lease), [] as [&str; 0], "its holder may still prove it gone");
-        assert_eq!(given_up(config.cancel_within - OVERDUE_MARGIN), ["m-1"]);
-    }
-
-    /// Found on the bench: a cut zone's machines were deleted with all the replicas that ran on there.
-    #[test]
-    fn machines_of_a_zone_that_may_be_cut_off_are_given_up_only_when_their_tasks_must_be_gone() {
-        let config = Config::parse("s.toml", SETTINGS).expect("valid");
-        let policy = Policy::defaults(&config);
-        let mut flavors = Flavors::default();
-        flavors.answered(Some(FlavorList { types: vec![flavor()] }));
-        let start = Now::read();
-        let mut view = View::following();
-        for (version, zone) in [(1, "a"), (2, "b")] {
-            let entry = |n: u32| {
-                let id = format!("m-{zone}{n}").as_str().into();
-                let rented_s = start.unix_ms() / 1000;
-                (id, Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s })
-            };
-            let roster = Roster { zone: zone.into(), on: (0..6).map(entry).collect() };
-            let key = roster_key(&blocks::name(&zone.into(), 0));
-            view.apply(Change { key, version, value: Some(encode(&roster)) });
-        }
-        let lead =
-            Lead { config: &config, policy: &policy, flavors: &flavors, term: 1, version: 1, batch: 16, spare: true };
-        let silent = |id: &MachineId, zones: &[&str]| zones.iter().any(|zone| id.0[2..].starts_with(zone));
-        let given_up_if = |zones: &[&str], after: Duration, heard: &BTreeSet<Zone>| {
-            let mut provisioner = Provisioner::new(start, 1);
-            for (passed, zones) in [(Duration::ZERO, &[] as &[&str]), (Duration::from_secs(1), zones), (after, zones)] {
-                let now = Now { steady: start.steady + passed, ..start };
-                let health = view.machines.keys().map(|id| {
-                    let silent = silent(id, zones);
-                    (id.clone(), Health { seen: true, silent, usable: !silent, ..Health::default() })
-                });
-                provisioner.observe(now, &lead, &view, &health.collect(), heard);
-            }
-            provisioner.lost.len()
-        };
-        let heard: BTreeSet<Zone> = ["a".into(), "b".into()].into();
-        let given_up = |zones: &[&str], after: Duration| given_up_if(zones, after, &heard);
-        let survive = policy.grant_life + config.lease - policy.silent_after;
-        assert_eq!(given_up(&["a"], survive), 0, "may be a cut");
-        assert_eq!(given_up(&["a"], survive + Duration::from_secs(4)), 6, "their tasks are gone by then");
-        // Found in an incident: the cut ended, most were heard again, and the others were given up at once.
-        let mut provisioner = Provisioner::new(start, 1);
-        for (seconds, zones) in [(0, &[] as &[&str]), (1, &["a"]), (2, &["a0", "a1"])] {
-            let now = Now { steady: start.steady + Duration::from_secs(seconds), ..start };
-            let health = view.machines.keys().map(|id| {
-                let silent = silent(id, zones);
-                (id.clone(), Health { seen: true, silent, usable: !silent, ..Health::default() })
-            });
-            provisioner.observe(now, &lead, &view, &health.collect(), &heard);
-        }
-        assert_eq!(provisioner.lost.len(), 0, "they may just not have reported yet");
-        let only_b = [Zone::from("b")].into();
-        assert_eq!(given_up_if(&["a"], Duration::from_secs(2), &only_b), 6, "nobody answers them");
-        assert_eq!(given_up(&["a0", "a1"], Duration::from_secs(2)), 2, "some of a zone: they are dead");
-        assert_eq!(given_up(&["a", "b"], Duration::from_secs(2)), 12, "all zones: nothing speaks for a cut");
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/queueing/desk.rs
@@ -0,0 +1,108 @@
+//! What the leader knows of one block: what it has released there, and its holder's word.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use super::Queues;
+use crate::domain::{Attempt, MachineId, Now, since};
+use crate::peer::{BlockStatus, MachineStatus, Wanted, Work};
+use crate::store::View;
+use crate::store::records::Roster;
+
+/// An unanswered work message is repeated after this long.
+const RESEND: Duration = Duration::from_millis(400);
+
+#[derive(Debug, Clone)]
+pub(super) struct Release {
+    pub(super) attempt: Attempt,
+    pub(super) machine: MachineId,
+    pub(super) since: Instant,
+    pub(super) withdrawn: bool,
+    /// The first message that says so.
+    pub(super) message: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct Desk {
+    pub(super) grant_version: u64,
+    pub(super) releases: BTreeMap<u64, Release>,
+    pub(super) stops: BTreeMap<Attempt, Instant>,
+    /// The holder's last word, without its machines: those are kept by name, for it tells only what changed.
+    pub(super) status: Option<(BlockStatus, Instant)>,
+    pub(super) machines: BTreeMap<MachineId, MachineStatus>,
+    /// The last status taken in, and the last one that the holder was told was heard.
+    pub(super) heard: u64,
+    /// The holder should be told that its word on machines was heard, else it repeats it.
+    pub(super) owes_word: bool,
+    pub(super) sent: Option<Instant>,
+    pub(super) last_message: u64,
+    pub(super) dirty: bool,
+    /// Machines whose address the holder was told, or needs no more.
+    pub(super) addressed: HashSet<MachineId>,
+}
+
+impl Desk {
+    /// Notes machines that the holder could ask if it were told where they are.
+    pub(super) fn find(&mut self, addresses: &HashMap<MachineId, String>, roster: Option<&Roster>) {
+        let Some(roster) = roster.filter(|roster| roster.on.len() > self.addressed.len()) else { return };
+        if self.status.is_none() {
+            // It may know them already: a new leader hears of that first.
+            return;
+        }
+        for id in roster.on.keys().filter(|id| !self.addressed.contains(*id)).cloned().collect::<Vec<_>>() {
+            let seen = self.machines.get(&id).is_some_and(|status| status.seen);
+            if seen || addresses.contains_key(&id) {
+                self.dirty |= !seen;
+                self.addressed.insert(id);
+            }
+        }
+    }
+
+    /// Those that it has not heard from since. They are told again in each message, for one can be lost.
+    pub(super) fn unmet(&self, addresses: &HashMap<MachineId, String>) -> Vec<(MachineId, String)> {
+        let unseen = |id: &&MachineId| self.machines.get(*id).is_none_or(|status| !status.seen);
+        let unmet = self.addressed.iter().filter(unseen);
+        unmet.filter_map(|id| addresses.get(id).map(|addr| (id.clone(), addr.clone()))).collect()
+    }
+}
+
+impl Queues {
+    /// Messages that are due to holders.
+    pub fn messages(&mut self, now: Now, view: &View, addresses: &HashMap<MachineId, String>) -> Vec<Work> {
+        let mut messages = Vec::new();
+        for (block, desk) in &mut self.desks {
+            desk.find(addresses, view.rosters.get(block).map(|roster| &roster.value));
+            let acked = desk.status.as_ref().is_some_and(|(status, _)| status.last_work >= desk.last_message);
+            let overdue = !acked && desk.sent.is_some_and(|sent| since(now, sent) >= RESEND);
+            if !desk.dirty && !overdue && !desk.owes_word {
+                continue;
+            }
+            self.next_message += 1;
+            let number = self.next_message;
+            desk.dirty = false;
+            desk.owes_word = false;
+            desk.sent = Some(now.steady);
+            desk.last_message = number;
+            for release in desk.releases.values_mut().filter(|release| release.message == u64::MAX) {
+                release.message = number;
+            }
+            let want = desk
+                .releases
+                .values()
+                .filter(|release| !release.withdrawn)
+                .map(|release| Wanted { attempt: release.attempt, machine: release.machine.clone() })
+                .collect();
+            let stop = desk.stops.keys().copied().collect();
+            messages.push(Work {
+                block: block.clone(),
+                grant_version: desk.grant_version,
+                number,
+                heard: desk.heard,
+                want,
+                stop,
+                addresses: desk.unmet(addresses),
+            });
+        }
+        messages
+    }
+}
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -3,27 +3,34 @@
 //!
 //! A released task counts as placed until its holder has said that it never will be: see `settle`.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+mod desk;
+mod holders;
+mod preemption;
+mod stock;
+mod turns;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use tracing::{debug, info};
 
 use crate::config::Config;
 use crate::domain::{
-    Attempt, BlockId, Final, Image, Job, JobId, Kind, MachineId, NodeName, Now, Priority, Room, TaskId, Team, Tenure,
-    TypeName, Zone, since,
+    Attempt, BlockId, Final, Image, Job, JobId, MachineId, NodeName, Now, Priority, Room, TaskId, Team, TypeName, Zone,
+    since,
 };
-use crate::fleet::stray_for;
 use crate::leadership::Lead;
-use crate::peer::{BlockStatus, MachineStatus, Wanted, Work};
+use crate::peer::{BlockStatus, MachineStatus};
 use crate::placement::{Candidate, Ranking};
 use crate::provisioning::{Demand, Flavors, Health, Pool, Provisioner, Runs};
-use crate::store::records::{CHUNK, JobRecord, LEADER, Progress, Roster, job_key, progress_key};
+use crate::store::records::{CHUNK, JobRecord, LEADER, Progress, job_key, progress_key};
 use crate::store::view::OpenJob;
 use crate::store::{Machine, Op, Outcome, Txn, View, Writer};
+use desk::{Desk, Release};
+use preemption::Victims;
+use stock::Stock;
+use turns::{Turns, room_within_limit, within_limit};
 
-/// An unanswered work message is repeated after this long.
-const RESEND: Duration = Duration::from_millis(400);
 /// A holder's word on its machines is believed this long.
 const STATUS_LIFE: Duration = Duration::from_secs(5);
 /// A release that its holder can't place is taken back after this long.
@@ -37,48 +44,12 @@
 /// Done tasks of a block are folded into their job's progress when the block's value is this full of all that it
 /// may come to hold. Each folded job costs a change, so jobs that are over soon are better left alone.
 const FOLD_AT: f64 = 0.8;
-/// Tasks that may be stopping at a time to make room.
-const STOPS: usize = 40;
 /// Steps in which the waiting tasks of one job are counted.
 const COUNTING_STEPS: u64 = 64;
 /// What one attempt takes of its block's value, at the most.
 const ATTEMPT_BYTES: usize = 64;
 const LONGEST_BACKOFF: Duration = Duration::from_secs(20);
 
-#[derive(Debug, Clone)]
-struct Release {
-    attempt: Attempt,
-    machine: MachineId,
-    since: Instant,
-    withdrawn: bool,
-    /// The first message that says so.
-    message: u64,
-}
-
-#[derive(Debug)]
-struct Desk {
-    grant_version: u64,
-    releases: BTreeMap<u64, Release>,
-    stops: BTreeMap<Attempt, Instant>,
-    /// The holder's last word, without its machines: those are kept by name, for it tells only what changed.
-    status: Option<(BlockStatus, Instant)>,
-    machines: BTreeMap<MachineId, MachineStatus>,
-    /// The last status taken in, and the last one that the holder was told was heard.
-    heard: u64,
-    /// The holder should be told that its word on machines was heard, else it repeats it.
-    owes_word: bool,
-    sent: Option<Instant>,
-    last_message: u64,
-    dirty: bool,
-    /// Machines whose address the holder was told, or needs no more.
-    addressed: HashSet<MachineId>,
-}
-
-/// A holder that does not hear most of its machines, and at least so many, is suspected; if others hear so many of
-/// them, it is the holder that is cut off or too slow, not they that are dead.
-const UNHEARD_LEAST: u32 = 4;
-const STRAYS_LEAST: usize = 3;
-
 #[derive(Debug, Default, Clone, Copy)]
 struct Strikes {
     count: u32,
@@ -112,44 +83,6 @@
     pub waiting: BTreeMap<Team, u64>,
 }
 
-impl Desk {
-    /// Notes machines that the holder could ask if it were told where they are.
-    fn find(&mut self, addresses: &HashMap<MachineId, String>, roster: Option<&Roster>) {
-        let Some(roster) = roster.filter(|roster| roster.on.len() > self.addressed.len()) else { return };
-        if self.status.is_none() {
-            // It may know them already: a new leader hears of that first.
-            return;
-        }
-        for id in roster.on.keys().filter(|id| !self.addressed.contains(*id)).cloned().collect::<Vec<_>>() {
-            let seen = self.machines.get(&id).is_some_and(|status| status.seen);
-            if seen || addresses.contains_key(&id) {
-                self.dirty |= !seen;
-                self.addressed.insert(id);
-            }
-        }
-    }
-
-    /// Those that it has not heard from since. They are told again in each message, for one can be lost.
-    fn unmet(&self, addresses: &HashMap<MachineId, String>) -> Vec<(MachineId, String)> {
-        let unseen = |id: &&MachineId| self.machines.get(*id).is_none_or(|status| !status.seen);
-        let unmet = self.addressed.iter().filter(unseen);
-        unmet.filter_map(|id| addresses.get(id).map(|addr| (id.clone(), addr.clone()))).collect()
-    }
-}
-
-/// A way to make room: the work it loses, the machine, and the tasks to be stopped there.
-type Way<'c, 'v> = (f64, &'c Candidate, Vec<Victim<'v>>);
-
-#[derive(Debug, Clone)]
-struct Victim<'v> {
-    lost: f64,
-    attempt: Attempt,
-    block: &'v BlockId,
-    job: &'v Job,
-}
-
-type Victims<'v> = HashMap<&'v MachineId, Vec<Victim<'v>>>;
-
 /// What decides where a task may go: tasks of one shape can go to the same places.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Shape {
@@ -225,45 +158,6 @@
         desk.status = Some((status, now.steady));
     }
 
-    /// Machines that reported to a controller that is not their holder.
-    pub fn strayed(&mut self, now: Now, machines: Vec<MachineId>) {
-        self.strays.extend(machines.into_iter().map(|machine| (machine, now.steady)));
-    }
-
-    /// Holders that hear hardly any of their machines, although others hear them, with those machines.
-    pub fn unreaching(&mut self, now: Now, config: &Config, view: &View) -> BTreeMap<NodeName, BTreeSet<MachineId>> {
-        let lately = stray_for(config);
-        self.strays.retain(|_, at| since(now, *at) < lately);
-        let mut counts: BTreeMap<&NodeName, (u32, u32)> = BTreeMap::new();
-        for (block, desk) in &self.desks {
-            let recent = desk.status.as_ref().filter(|(_, at)| since(now, *at) < STATUS_LIFE);
-            if let (Some((status, _)), Some(grant)) = (recent, view.grants.get(block)) {
-                let (expected, overdue) = counts.entry(&grant.value.holder).or_default();
-                *expected += status.expected;
-                *overdue += status.overdue;
-            }
-        }
-        let suspected = |(expected, overdue): (u32, u32)| overdue >= UNHEARD_LEAST && overdue * 2 > expected;
-        let suspects: BTreeSet<&NodeName> =
-            counts.into_iter().filter(|(_, counts)| suspected(*counts)).map(|(node, _)| node).collect();
-        let mut unreaching: BTreeMap<NodeName, BTreeSet<MachineId>> = BTreeMap::new();
-        if suspects.is_empty() {
-            return unreaching;
-        }
-        for machine in self.strays.keys() {
-            let block = view.machines.get(machine).map(|machine| &machine.block);
-            let holder = block.and_then(|block| view.grants.get(block)).map(|grant| &grant.value.holder);
-            let unusable = block
-                .and_then(|block| self.desks.get(block)?.machines.get(machine))
-                .is_some_and(|status| !status.usable);
-            if let Some(holder) = holder.filter(|holder| unusable && suspects.contains(holder)) {
-                unreaching.entry(holder.clone()).or_default().insert(machine.clone());
-            }
-        }
-        unreaching.retain(|_, machines| machines.len() >= STRAYS_LEAST);
-        unreaching
-    }
-
     fn machines(&self, now: Now) -> impl Iterator<Item = &MachineStatus> {
         self.desks
             .values()
@@ -626,92 +520,6 @@
         }
     }
 
-    /// Stops tasks so that one of `job` fits. PROTOCOL allows it for those of lower priority, and for those that
-    /// another team runs beyond its guarantee if this team is within its own; of the latter, those of higher
-    /// priority are left alone. The cheapest way is taken: the least work lost.
-    #[allow(clippy::too_many_arguments)]
-    fn make_room<'c>(
-        &mut self,
-        now: Now,
-        lead: &Lead<'_>,
-        candidates: &'c [Candidate],
-        kept: &mut BTreeMap<Team, Room>,
-        victims: &mut Victims<'_>,
-        job: &Job,
-        zone_open: &impl Fn(&Zone) -> bool,
-    ) -> Option<Candidate> {
-        if self.desks.values().map(|desk| desk.stops.len()).sum::<usize>() >= STOPS {
-            return None;
-        }
-        let Lead { config, policy, .. } = *lead;
-        let owed = within_guarantee(config, job, kept);
-        let may_stop = |other: &Job| {
-            let beyond = beyond_guarantee(config, other, kept);
-            // A team beyond its guarantee takes nothing from one that is within: what it took would be owed
-            // back at once, and the two would stop each other's tasks in turn.
-            let lower = other.priority > job.priority;
-            let equal = other.priority == job.priority && other.team != job.team;
-            let for_priority = policy.preempt_for_priority && lower && (owed || beyond);
-            let for_guarantee = policy.preempt_for_guarantee && owed && beyond && equal;
-            for_priority || for_guarantee
-        };
-        let mut best: Option<Way<'c, '_>> = None;
-        for candidate in candidates.iter().filter(|c| c.allows(job) && zone_open(&c.zone)) {
-            let Some(there) = victims.get(&candidate.machine) else { continue };
-            let mut free = candidate.free;
-            let mut cost = if candidate.images.contains(&job.image) {
-                0.0
-            } else {
-                job.image_gb * candidate.fetch_s_per_gb * job.need.cpus
-            };
-            let mut chosen = Vec::new();
-            for victim in there.iter().filter(|victim| may_stop(victim.job)) {
-                if free.fits(&job.need) {
-                    break;
-                }
-                free.add(&victim.job.need);
-                cost += victim.lost;
-                chosen.push(victim.clone());
-            }
-            if free.fits(&job.need) && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
-                best = Some((cost, candidate, chosen));
-            }
-        }
-        let (lost, candidate, chosen) = best?;
-        if let Some(there) = victims.get_mut(&candidate.machine) {
-            there.retain(|victim| chosen.iter().all(|chosen| chosen.attempt != victim.attempt));
-        }
-        for Victim { attempt, block, job: other, .. } in chosen {
-            info!(%attempt, machine = %candidate.machine, class = %job.class, lost, "preempted");
-            kept.entry(other.team.clone()).or_default().take(&other.need);
-            if let Some(desk) = self.desks.get_mut(block) {
-                desk.stops.insert(attempt, now.steady);
-                desk.dirty = true;
-            }
-        }
-        Some(candidate.clone())
-    }
-
-    /// Tasks that could be stopped, by machine, the least work first. Replicas are not among them: one that is
-    /// stopped is down, which no start is worth.
-    fn victims<'v>(&self, now: Now, view: &'v View) -> Victims<'v> {
-        let mut victims: Victims<'v> = HashMap::new();
-        for (live, attempt) in view.live_places().flat_map(|live| live.attempts().map(move |attempt| (live, attempt))) {
-            let Some(open) = view.open.get(&attempt.task.job).filter(|open| !open.cancelled) else { continue };
-            let stopping = self.desks.get(live.block).is_none_or(|desk| desk.stops.contains_key(&attempt));
-            if stopping || open.job.kind == Kind::Service {
-                continue;
-            }
-            let ran = self.placed.get(&attempt.number).map_or(Duration::ZERO, |seen| since(now, seen.at));
-            let lost = ran.as_secs_f64() * open.job.need.cpus.max(0.1);
-            victims.entry(live.id).or_default().push(Victim { lost, attempt, block: live.block, job: &open.job });
-        }
-        for there in victims.values_mut() {
-            there.sort_by(|a, b| a.lost.total_cmp(&b.lost));
-        }
-        victims
-    }
-
     fn queue<'v>(&self, now: Now, view: &'v View) -> Vec<Waiting<'v>> {
         let mut released: HashMap<JobId, Vec<(u32, Zone)>> = HashMap::new();
         for (block, desk) in &self.desks {
@@ -761,45 +569,6 @@
         queue
     }
 
-    /// Messages that are due to holders.
-    pub fn messages(&mut self, now: Now, view: &View, addresses: &HashMap<MachineId, String>) -> Vec<Work> {
-        let mut messages = Vec::new();
-        for (block, desk) in &mut self.desks {
-            desk.find(addresses, view.rosters.get(block).map(|roster| &roster.value));
-            let acked = desk.status.as_ref().is_some_and(|(status, _)| status.last_work >= desk.last_message);
-            let overdue = !acked && desk.sent.is_some_and(|sent| since(now, sent) >= RESEND);
-            if !desk.dirty && !overdue && !desk.owes_word {
-                continue;
-            }
-            self.next_message += 1;
-            let number = self.next_message;
-            desk.dirty = false;
-            desk.owes_word = false;
-            desk.sent = Some(now.steady);
-            desk.last_message = number;
-            for release in desk.releases.values_mut().filter(|release| release.message == u64::MAX) {
-                release.message = number;
-            }
-            let want = desk
-                .releases
-                .values()
-                .filter(|release| !release.withdrawn)
-                .map(|release| Wanted { attempt: release.attempt, machine: release.machine.clone() })
-                .collect();
-            let stop = desk.stops.keys().copied().collect();
-            messages.push(Work {
-                block: block.clone(),
-                grant_version: desk.grant_version,
-                number,
-                heard: desk.heard,
-                want,
-                stop,
-                addresses: desk.unmet(addresses),
-            });
-        }
-        messages
-    }
-
     /// The next write: jobs that are over, and progress to be folded.
     pub fn write(&mut self, now: Now, lead: &Lead<'_>, view: &mut View) -> Option<Op> {
         let (config, leader_version, most) = (lead.config, lead.version, lead.batch);
@@ -887,74 +656,6 @@
     }
 }
 
-/// Whether a pool has run out, what a task costs there, and what a machine does.
-type Cost = (bool, f64, f64);
-
-/// What machines there are and can be had.
-struct Stock<'a> {
-    now: Now,
-    flavors: &'a Flavors,
-    provisioner: &'a Provisioner,
-    /// Machines of each pool, those on order included.
-    machines: BTreeMap<Pool, u32>,
-}
-
-impl Stock<'_> {
-    /// The zone that a job's next task has to go to, if not all zones will do: one that has machines to give, if
-    /// any of those that will do has.
-    fn pinned(&self, waiting: &Waiting<'_>) -> Option<Zone> {
-        let job = &waiting.open.job;
-        let zones: BTreeSet<&Zone> = self.flavors.all().flat_map(|flavor| &flavor.zones).collect();
-        let open = |zone: &&Zone| job.allows_zone(zone) && zone_open(job, &waiting.zones, zone);
-        let allowed: Vec<&Zone> = zones.iter().copied().filter(open).collect();
-        if allowed.len() == zones.len() {
-            return None;
-        }
-        let obtainable = |zone: &&Zone| {
-            self.flavors.all().filter(|flavor| job.allows_type(&flavor.name)).any(|flavor| {
-                let tenures = [Tenure::Ordinary, Tenure::Spot].into_iter().filter(|t| job.allows_tenure(*t));
-                tenures.into_iter().any(|t| self.provisioner.available(self.now, &flavor.name, zone, t))
-            })
-        };
-        allowed.into_iter().max_by_key(|zone| obtainable(zone)).cloned()
-    }
-
-    /// Where a task costs least among what can be had, and its share of a machine there. Of equals, the smaller
-    /// machines: they follow the demand more closely.
-    ///
-    /// A type that has run out still serves what its machines, up or on order, have room for. Without that, a
-    /// refused order for spare machines moved the whole queue to the next dearer type.
-    fn cheapest(&self, job: &Job, demand: &Demand, pinned: Option<&Zone>) -> Option<(Pool, f64)> {
-        let mut best: Option<(Cost, (Pool, f64))> = None;
-        for flavor in self.flavors.all().filter(|flavor| job.allows_type(&flavor.name)) {
-            let each = flavor.room().count_of(&job.need);
-            if each == 0 {
-                continue;
-            }
-            let share = 1.0 / f64::from(each);
-            for tenure in [Tenure::Ordinary, Tenure::Spot].into_iter().filter(|tenure| job.allows_tenure(*tenure)) {
-                let pool = (flavor.name.clone(), tenure);
-                let room = f64::from(self.machines.get(&pool).copied().unwrap_or(0))
-                    - demand.machines.get(&pool).copied().unwrap_or(0.0);
-                let available = |zone: &Zone| {
-                    pinned.map_or(job.allows_zone(zone), |only| only == zone)
-                        && self.provisioner.available(self.now, &flavor.name, zone, tenure)
-                };
-                let has_room = pinned.is_none() && room + 1e-9 >= share;
-                let can_be_had = has_room || flavor.zones.iter().any(available);
-                let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
-                // To the cent of a cent: equal prices for each task must compare as equal.
-                // What has run out everywhere is still asked for, again each round.
-                let cost = (!can_be_had, (price * share * 1e4).round(), price);
-                if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                    best = Some((cost, (pool, share)));
-                }
-            }
-        }
-        best.map(|(_, found)| found)
-    }
-}
-
 /// Whether one more task of the job may go to a zone, given where its others are.
 fn zone_open(job: &Job, zones: &BTreeMap<Zone, u32>, zone: &Zone) -> bool {
     let others_elsewhere = zones.iter().any(|(other, count)| other != zone && *count > 0);
@@ -962,39 +663,6 @@
     !(job.one_zone && others_elsewhere) && here < job.zone_limit()
 }
 
-/// How many more tasks of the job its team's limit allows.
-fn room_within_limit(config: &Config, job: &Job, usage: &BTreeMap<Team, Room>) -> u64 {
-    let Some(limits) = config.team(&job.team) else { return 0 };
-    let used = usage.get(&job.team).copied().unwrap_or_default();
-    let left = Room {
-        cpus: (limits.cpus_max - used.cpus).max(0.0),
-        gpus: (limits.gpus_max - used.gpus).max(0.0),
-        memory_gb: f64::INFINITY,
-    };
-    u64::from(left.count_of(&job.need))
-}
-
-/// Whether one more task of the job stays within its team's guarantee.
-fn within_guarantee(config: &Config, job: &Job, usage: &BTreeMap<Team, Room>) -> bool {
-    let Some(limits) = config.team(&job.team) else { return false };
-    let used = usage.get(&job.team).copied().unwrap_or_default();
-    used.cpus + job.need.cpus <= limits.cpus + 1e-6 && used.gpus + job.need.gpus <= limits.gpus + 1e-6
-}
-
-/// Whether a task's team uses more than its guarantee, and would still use it all without the task.
-fn beyond_guarantee(config: &Config, job: &Job, usage: &BTreeMap<Team, Room>) -> bool {
-    let Some(limits) = config.team(&job.team) else { return true };
-    let used = usage.get(&job.team).copied().unwrap_or_default();
-    used.cpus - job.need.cpus >= limits.cpus - 1e-6 && used.gpus - job.need.gpus >= limits.gpus - 1e-6
-}
-
-fn within_limit(config: &Config, job: &Job, usage: &BTreeMap<Team, Room>) -> bool {
-    let Some(limits) = config.team(&job.team) else { return false };
-    let used = usage.get(&job.team).copied().unwrap_or_default();
-    let slack = 1e-6;
-    used.cpus + job.need.cpus <= limits.cpus_max + slack && used.gpus + job.need.gpus <= limits.gpus_max + slack
-}
-
 /// The least that any waiting task takes, each resource for itself.
 fn smallest(queue: &[Waiting<'_>]) -> Option<Room> {
     let needs = queue.iter().map(|waiting| waiting.open.job.need);
@@ -1005,288 +673,5 @@
     })
 }
 
-/// Whose turn it is: replicas first, then teams within their guarantee, then by priority, then the team that has
-/// the least for its share. Jobs of one team, priority and kind are served in their order, so only the first of
-/// each such line has to be compared.
-struct Turns {
-    lines: Vec<VecDeque<usize>>,
-}
-
-impl Turns {
-    fn new(queue: &[Waiting<'_>]) -> Self {
-        let mut lines: BTreeMap<(&Team, Priority, bool), VecDeque<usize>> = BTreeMap::new();
-        for (index, waiting) in queue.iter().enumerate() {
-            let job = &waiting.open.job;
-            lines.entry((&job.team, job.priority, is_replica(job))).or_default().push_back(index);
-        }
-        Turns { lines: lines.into_values().collect() }
-    }
-
-    fn next(&mut self, queue: &[Waiting<'_>], usage: &BTreeMap<Team, Room>, lead: &Lead<'_>) -> Option<usize> {
-        let Lead { config, policy, .. } = *lead;
-        let mut best: Option<(usize, (bool, bool, Priority, f64))> = None;
-        for line in &mut self.lines {
-            while line.front().is_some_and(|index| queue[*index].blocked || queue[*index].left == 0) {
-                line.pop_front();
-            }
-            let Some(index) = line.front().copied() else { continue };
-            let job = &queue[index].open.job;
-            let Some(limits) = config.team(&job.team) else { continue };
-            let used = usage.get(&job.team).copied().unwrap_or_default();
-            let beyond = !within_guarantee(config, job, usage);
-            let weight = policy.team_shares.get(&job.team).copied().unwrap_or(1.0);
-            let share = (used.cpus / limits.cpus.max(1.0) + used.gpus / limits.gpus.max(1.0)) / weight;
-            let rank = (!is_replica(job), beyond, job.priority, share);
-            if best.as_ref().is_none_or(|(_, least)| rank < *least) {
-                best = Some((index, rank));
-            }
-        }
-        best.map(|(index, _)| index)
-    }
-}
-
-fn is_replica(job: &Job) -> bool {
-    job.kind == Kind::Service && job.priority == Priority::Production
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::config::tests::SETTINGS;
-    use crate::placement::tests::job;
-    use crate::policy::Policy;
-    use crate::provisioning::wire::FlavorList;
-    use crate::provisioning::wire::tests::flavor;
-    use crate::store::Change;
-    use crate::store::records::{Grant, Places, Rostered, encode, grant_key, job_key, places_key, roster_key};
-
-    struct Desktop {
-        config: Config,
-        policy: Policy,
-        flavors: Flavors,
-        view: View,
-        now: Now,
-        version: u64,
-        queues: Queues,
-        provisioner: Provisioner,
-    }
-
-    const TERM: u64 = 5;
-
-    impl Desktop {
-        /// One block, `a.0`, with machines of 16 CPUs.
-        fn new(machines: u32) -> Self {
-            let config = Config::parse("s.toml", SETTINGS).expect("valid");
-            let now = Now::read();
-            let mut flavors = Flavors::default();
-            flavors.answered(Some(FlavorList { types: vec![flavor()] }));
-            let mut desktop = Desktop {
-                policy: Policy::defaults(&config),
-                flavors,
-                view: View::following(),
-                now,
-                version: 0,
-                queues: Queues::new(now, TERM),
-                provisioner: Provisioner::new(now, TERM),
-                config,
-            };
-            let holder = desktop.config.name.clone();
-            let grant = Grant { zone: "a".into(), holder, boot: 1, seal: 4, term: TERM };
-            desktop.put(grant_key(&"a.0".into()), encode(&grant));
-            desktop.roster(0..machines);
-            desktop.plan();
-            desktop.status(machines, 0, &[]);
-            desktop
-        }
-
-        fn put(&mut self, key: String, value: ciborium::Value) -> u64 {
-            self.version += 1;
-            self.view.apply(Change { key, version: self.version, value: Some(value) });
-            self.version
-        }
-
-        fn roster(&mut self, machines: std::ops::Range<u32>) {
-            let entry =
-                || Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
-            let on = machines.map(|n| (name(n), entry())).collect();
-            self.put(roster_key(&"a.0".into()), encode(&Roster { zone: "a".into(), on }));
-        }
-
-        fn job(&mut self, id: u64, job: Job) {
-            self.put(job_key(JobId(id)), encode(&JobRecord::Open(job)));
-        }
-
-        fn status(&mut self, machines: u32, last_work: u64, pending: &[u64]) {
-            let grant = &self.view.grants[&BlockId::from("a.0")];
-            let status = BlockStatus {
-                block: "a.0".into(),
-                seal: grant.value.seal,
-                grant_version: grant.version,
-                last_work,
-                pending: pending.to_vec(),
-                refused: Vec::new(),
-                ended: Vec::new(),
-                revision: self.view.places.get(&"a.0".into()).map_or(0, |places| places.version),
-                wants_new_seal: false,
-                expected: machines,
-                overdue: 0,
-                number: self.version * 1000 + last_work + 1,
-                machines: (0..machines)
-                    .map(|n| MachineStatus {
-                        machine: name(n),
-                        usable: true,
-                        seen: true,
-                        silent: false,
-                        notice: false,
-                        errors: 0,
-                        images: vec!["img".into()],
-                    })
-                    .collect(),
-            };
-            self.queues.status(self.now, status);
-        }
-
-        fn plan(&mut self) -> (Demand, Vec<Work>) {
-            let Desktop { config, policy, flavors, view, now, queues, provisioner, .. } = self;
-            let lead = Lead { config, policy, flavors, term: TERM, version: 1, batch: 16, spare: true };
-            let demand = queues.plan(*now, &lead, view, provisioner);
-            (demand, queues.messages(*now, view, provisioner.addresses()))
-        }
-
-        /// Everything that is wanted is placed where the leader meant it.
-        fn place(&mut self, work: &Work) {
-            let mut places = self.view.places.get(&work.block).map_or(Places::default(), |p| p.value.clone());
-            for wanted in &work.want {
-                places.add(&wanted.machine, wanted.attempt);
-            }
-            self.put(places_key(&work.block), encode(&places));
-        }
-    }
-
-    fn name(n: u32) -> MachineId {
-        format!("m-{n:06}").as_str().into()
-    }
-
-    /// Found by a seeded run: the machine that a release was meant for was deleted, the release no longer
-    /// counted, and the task was released again while its holder could still place it elsewhere.
-    #[test]
-    fn a_release_counts_until_its_holder_has_let_go_of_it() {
-        let mut desktop = Desktop::new(2);
-        desktop.job(1, job(1, 4.0));
-        let (_, work) = desktop.plan();
-        let [wanted] = work[0].want.as_slice() else { panic!("{work:?}") };
-        let number = wanted.attempt.number;
-        // The machine it was meant for goes.
-        desktop.roster(if wanted.machine == name(0) { 1..2 } else { 0..1 });
-        for (last_work, pending) in [(0, vec![]), (work[0].number, vec![number])] {
-            desktop.status(2, last_work, &pending);
-            assert!(desktop.plan().1.iter().all(|work| work.want.iter().all(|w| w.attempt.number == number)));
-        }
-        // Heard, and neither pending nor placed: now it is free.
-        desktop.status(2, work[0].number, &[]);
-        desktop.plan();
-        let (_, work) = desktop.plan();
-        assert!(work.iter().flat_map(|work| &work.want).all(|wanted| wanted.attempt.number != number));
-    }
-
-    /// Found on the bench: machines stood empty until the record of an end had been written, a second or more.
-    #[test]
-    fn the_room_of_a_task_that_has_ended_is_given_away_before_its_record_is_written() {
-        let mut desktop = Desktop::new(1);
-        desktop.job(1, job(1, 16.0));
-        let (_, work) = desktop.plan();
-        let number = work[0].want[0].attempt.number;
-        desktop.place(&work[0]);
-        desktop.job(2, job(1, 16.0));
-        desktop.status(1, work[0].number, &[]);
-        let wanted = |desktop: &mut Desktop| desktop.plan().1.iter().map(|work| work.want.len()).sum::<usize>();
-        assert_eq!(wanted(&mut desktop), 0);
-        let desk = desktop.queues.desks.get_mut(&BlockId::from("a.0")).expect("granted");
-        desk.status.as_mut().expect("heard").0.ended.push(number);
-        assert_eq!(wanted(&mut desktop), 1);
-    }
-
-    /// Found on the bench: a controller was cut off from its workers, and all its machines were deleted, though they
-    /// reported to the others all the time.
-    #[test]
-    fn a_holder_whose_machines_are_heard_elsewhere_is_cut_off_and_they_are_not_dead() {
-        let mut desktop = Desktop::new(6);
-        let holder = desktop.config.name.clone();
-        let mut judged = |overdue: u32, strays: u32| {
-            let desk = desktop.queues.desks.get_mut(&BlockId::from("a.0")).expect("granted");
-            desk.status.as_mut().expect("heard").0.overdue = overdue;
-            for status in desk.machines.values_mut() {
-                status.usable = false;
-            }
-            desktop.queues.strays.clear();
-            desktop.queues.strayed(desktop.now, (0..strays).map(name).collect());
-            let unreaching = desktop.queues.unreaching(desktop.now, &desktop.config, &desktop.view);
-            let health = desktop.queues.health(desktop.now, &desktop.view, &unreaching.keys().collect());
-            let spared = health.values().filter(|health| health.heard_elsewhere).count();
-            (unreaching.contains_key(&holder), spared)
-        };
-        assert_eq!(judged(6, 3), (true, 6));
-        assert_eq!(judged(6, 2), (false, 0), "they may be dead");
-        assert_eq!(judged(3, 6), (false, 0), "it hears the others");
-    }
-
-    #[test]
-    fn a_team_gets_no_more_than_its_limit_however_large_its_job() {
-        let mut desktop = Desktop::new(30);
-        // 48 CPUs at most: see the sample settings.
-        desktop.job(1, Job { team: "blue".into(), ..job(100_000, 0.5) });
-        let mut placed = 0;
-        for _ in 0..5 {
-            let (demand, work) = desktop.plan();
-            placed += work.iter().map(|work| work.want.len()).sum::<usize>();
-            let room: f64 = demand.machines.values().sum();
-            assert!(room <= 3.0 + 1e-6, "{room} machines for 48 CPUs");
-            for work in &work {
-                desktop.place(work);
-                desktop.status(30, work.number, &[]);
-            }
-        }
-        assert_eq!(placed, 96);
-    }
-
-    #[test]
-    fn a_block_is_given_no_more_than_its_value_holds() {
-        let mut desktop = Desktop::new(3);
-        desktop.job(1, job(100_000, 0.0));
-        for _ in 0..30 {
-            for work in desktop.plan().1 {
-                desktop.place(&work);
-                desktop.status(3, work.number, &[]);
-            }
-        }
-        let places = &desktop.view.places[&BlockId::from("a.0")];
-        assert!(places.value.attempts().count() > 100);
-        assert!(places.value.size() <= desktop.config.state_limits.value_bytes);
-    }
-
-    /// Found on the bench: two teams stopped each other's tasks in turn, over a thousand in eight minutes.
-    #[test]
-    fn preemption_follows_priority_and_guarantee_without_going_in_circles() {
-        let stops = |waiting: Job, running: Job, tasks: u32| {
-            let mut desktop = Desktop::new(2);
-            desktop.job(1, Job { tasks, ..running });
-            let (_, work) = desktop.plan();
-            desktop.place(&work[0]);
-            desktop.status(2, work[0].number, &[]);
-            desktop.job(2, waiting);
-            let (_, work) = desktop.plan();
-            work.iter().map(|work| work.stop.len()).sum::<usize>()
-        };
-        let blue = |priority, cpus| Job { team: "blue".into(), priority, ..job(1, cpus) };
-        let red = |priority, cpus| Job { team: "red".into(), priority, ..job(1, cpus) };
-        let service = |job: Job| Job { kind: Kind::Service, ..job };
-        // Two machines of 16 CPUs, full. Red's guarantee is 16 CPUs, blue's 32.
-        use Priority::{High, Production, Standard};
-        assert_eq!(stops(red(Standard, 4.0), blue(Standard, 4.0), 8), 0, "blue is within its guarantee");
-        assert_eq!(stops(blue(Standard, 4.0), red(Standard, 4.0), 8), 1, "red is beyond, blue is owed");
-        assert_eq!(stops(blue(Standard, 4.0), red(High, 4.0), 8), 0, "higher priorities are left alone");
-        assert_eq!(stops(red(High, 4.0), blue(Standard, 4.0), 8), 1, "priority, within the guarantee");
-        assert_eq!(stops(red(Production, 8.0), red(Standard, 4.0), 8), 2, "as many as it takes");
-        assert_eq!(stops(blue(High, 4.0), service(red(Standard, 4.0)), 8), 0, "replicas stay up");
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/queueing/preemption.rs
@@ -0,0 +1,117 @@
+//! Making room: which tasks are stopped for one that waits.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use tracing::info;
+
+use super::Queues;
+use super::turns::{beyond_guarantee, within_guarantee};
+use crate::domain::{Attempt, BlockId, Job, Kind, MachineId, Now, Room, Team, Zone, since};
+use crate::leadership::Lead;
+use crate::placement::Candidate;
+use crate::store::View;
+
+/// Tasks that may be stopping at a time to make room.
+const STOPS: usize = 40;
+
+/// A way to make room: the work it loses, the machine, and the tasks to be stopped there.
+pub(super) type Way<'c, 'v> = (f64, &'c Candidate, Vec<Victim<'v>>);
+
+#[derive(Debug, Clone)]
+pub(super) struct Victim<'v> {
+    pub(super) lost: f64,
+    pub(super) attempt: Attempt,
+    pub(super) block: &'v BlockId,
+    pub(super) job: &'v Job,
+}
+
+pub(super) type Victims<'v> = HashMap<&'v MachineId, Vec<Victim<'v>>>;
+
+impl Queues {
+    /// Stops tasks so that one of `job` fits. PROTOCOL allows it for those of lower priority, and for those that
+    /// another team runs beyond its guarantee if this team is within its own; of the latter, those of higher
+    /// priority are left alone. The cheapest way is taken: the least work lost.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn make_room<'c>(
+        &mut self,
+        now: Now,
+        lead: &Lead<'_>,
+        candidates: &'c [Candidate],
+        kept: &mut BTreeMap<Team, Room>,
+        victims: &mut Victims<'_>,
+        job: &Job,
+        zone_open: &impl Fn(&Zone) -> bool,
+    ) -> Option<Candidate> {
+        if self.desks.values().map(|desk| desk.stops.len()).sum::<usize>() >= STOPS {
+            return None;
+        }
+        let Lead { config, policy, .. } = *lead;
+        let owed = within_guarantee(config, job, kept);
+        let may_stop = |other: &Job| {
+            let beyond = beyond_guarantee(config, other, kept);
+            // A team beyond its guarantee takes nothing from one that is within: what it took would be owed
+            // back at once, and the two would stop each other's tasks in turn.
+            let lower = other.priority > job.priority;
+            let equal = other.priority == job.priority && other.team != job.team;
+            let for_priority = policy.preempt_for_priority && lower && (owed || beyond);
+            let for_guarantee = policy.preempt_for_guarantee && owed && beyond && equal;
+            for_priority || for_guarantee
+        };
+        let mut best: Option<Way<'c, '_>> = None;
+        for candidate in candidates.iter().filter(|c| c.allows(job) && zone_open(&c.zone)) {
+            let Some(there) = victims.get(&candidate.machine) else { continue };
+            let mut free = candidate.free;
+            let mut cost = if candidate.images.contains(&job.image) {
+                0.0
+            } else {
+                job.image_gb * candidate.fetch_s_per_gb * job.need.cpus
+            };
+            let mut chosen = Vec::new();
+            for victim in there.iter().filter(|victim| may_stop(victim.job)) {
+                if free.fits(&job.need) {
+                    break;
+                }
+                free.add(&victim.job.need);
+                cost += victim.lost;
+                chosen.push(victim.clone());
+            }
+            if free.fits(&job.need) && best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+                best = Some((cost, candidate, chosen));
+            }
+        }
+        let (lost, candidate, chosen) = best?;
+        if let Some(there) = victims.get_mut(&candidate.machine) {
+            there.retain(|victim| chosen.iter().all(|chosen| chosen.attempt != victim.attempt));
+        }
+        for Victim { attempt, block, job: other, .. } in chosen {
+            info!(%attempt, machine = %candidate.machine, class = %job.class, lost, "preempted");
+            kept.entry(other.team.clone()).or_default().take(&other.need);
+            if let Some(desk) = self.desks.get_mut(block) {
+                desk.stops.insert(attempt, now.steady);
+                desk.dirty = true;
+            }
+        }
+        Some(candidate.clone())
+    }
+
+    /// Tasks that could be stopped, by machine, the least work first. Replicas are not among them: one that is
+    /// stopped is down, which no start is worth.
+    pub(super) fn victims<'v>(&self, now: Now, view: &'v View) -> Victims<'v> {
+        let mut victims: Victims<'v> = HashMap::new();
+        for (live, attempt) in view.live_places().flat_map(|live| live.attempts().map(move |attempt| (live, attempt))) {
+            let Some(open) = view.open.get(&attempt.task.job).filter(|open| !open.cancelled) else { continue };
+            let stopping = self.desks.get(live.block).is_none_or(|desk| desk.stops.contains_key(&attempt));
+            if stopping || open.job.kind == Kind::Service {
+                continue;
+            }
+            let ran = self.placed.get(&attempt.number).map_or(Duration::ZERO, |seen| since(now, seen.at));
+            let lost = ran.as_secs_f64() * open.job.need.cpus.max(0.1);
+            victims.entry(live.id).or_default().push(Victim { lost, attempt, block: live.block, job: &open.job });
+        }
+        for there in victims.values_mut() {
+            there.sort_by(|a, b| a.lost.total_cmp(&b.lost));
+        }
+        victims
+    }
+}
--- /dev/null
+++ b/src/queueing/stock.rs
@@ -0,0 +1,75 @@
+//! In which type of machine a waiting task's demand counts.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Waiting, zone_open};
+use crate::domain::{Job, Now, Tenure, Zone};
+use crate::provisioning::{Demand, Flavors, Pool, Provisioner};
+
+/// Whether a pool has run out, what a task costs there, and what a machine does.
+pub(super) type Cost = (bool, f64, f64);
+
+/// What machines there are and can be had.
+pub(super) struct Stock<'a> {
+    pub(super) now: Now,
+    pub(super) flavors: &'a Flavors,
+    pub(super) provisioner: &'a Provisioner,
+    /// Machines of each pool, those on order included.
+    pub(super) machines: BTreeMap<Pool, u32>,
+}
+
+impl Stock<'_> {
+    /// The zone that a job's next task has to go to, if not all zones will do: one that has machines to give, if
+    /// any of those that will do has.
+    pub(super) fn pinned(&self, waiting: &Waiting<'_>) -> Option<Zone> {
+        let job = &waiting.open.job;
+        let zones: BTreeSet<&Zone> = self.flavors.all().flat_map(|flavor| &flavor.zones).collect();
+        let open = |zone: &&Zone| job.allows_zone(zone) && zone_open(job, &waiting.zones, zone);
+        let allowed: Vec<&Zone> = zones.iter().copied().filter(open).collect();
+        if allowed.len() == zones.len() {
+            return None;
+        }
+        let obtainable = |zone: &&Zone| {
+            self.flavors.all().filter(|flavor| job.allows_type(&flavor.name)).any(|flavor| {
+                let tenures = [Tenure::Ordinary, Tenure::Spot].into_iter().filter(|t| job.allows_tenure(*t));
+                tenures.into_iter().any(|t| self.provisioner.available(self.now, &flavor.name, zone, t))
+            })
+        };
+        allowed.into_iter().max_by_key(|zone| obtainable(zone)).cloned()
+    }
+
+    /// Where a task costs least among what can be had, and its share of a machine there. Of equals, the smaller
+    /// machines: they follow the demand more closely.
+    ///
+    /// A type that has run out still serves what its machines, up or on order, have room for. Without that, a
+    /// refused order for spare machines moved the whole queue to the next dearer type.
+    pub(super) fn cheapest(&self, job: &Job, demand: &Demand, pinned: Option<&Zone>) -> Option<(Pool, f64)> {
+        let mut best: Option<(Cost, (Pool, f64))> = None;
+        for flavor in self.flavors.all().filter(|flavor| job.allows_type(&flavor.name)) {
+            let each = flavor.room().count_of(&job.need);
+            if each == 0 {
+                continue;
+            }
+            let share = 1.0 / f64::from(each);
+            for tenure in [Tenure::Ordinary, Tenure::Spot].into_iter().filter(|tenure| job.allows_tenure(*tenure)) {
+                let pool = (flavor.name.clone(), tenure);
+                let room = f64::from(self.machines.get(&pool).copied().unwrap_or(0))
+                    - demand.machines.get(&pool).copied().unwrap_or(0.0);
+                let available = |zone: &Zone| {
+                    pinned.map_or(job.allows_zone(zone), |only| only == zone)
+                        && self.provisioner.available(self.now, &flavor.name, zone, tenure)
+                };
+                let has_room = pinned.is_none() && room + 1e-9 >= share;
+                let can_be_had = has_room || flavor.zones.iter().any(available);
+                let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
+                // To the cent of a cent: equal prices for each task must compare as equal.
+                // What has run out everywhere is still asked for, again each round.
+                let cost = (!can_be_had, (price * share * 1e4).round(), price);
+                if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                    best = Some((cost, (pool, share)));
+                }
+            }
+        }
+        best.map(|(_, found)| found)
+    }
+}
--- /dev/null
+++ b/src/queueing/tests.rs
@@ -0,0 +1,241 @@
+//! The leader's queues, as holders and the records show them.
+
+use super::*;
+use crate::config::tests::SETTINGS;
+use crate::domain::{Kind, Tenure};
+use crate::peer::Work;
+use crate::placement::tests::job;
+use crate::policy::Policy;
+use crate::provisioning::wire::FlavorList;
+use crate::provisioning::wire::tests::flavor;
+use crate::store::Change;
+use crate::store::records::{Grant, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key};
+
+struct Desktop {
+    config: Config,
+    policy: Policy,
+    flavors: Flavors,
+    view: View,
+    now: Now,
+    version: u64,
+    queues: Queues,
+    provisioner: Provisioner,
+}
+
+const TERM: u64 = 5;
+
+impl Desktop {
+    /// One block, `a.0`, with machines of 16 CPUs.
+    fn new(machines: u32) -> Self {
+        let config = Config::parse("s.toml", SETTINGS).expect("valid");
+        let now = Now::read();
+        let mut flavors = Flavors::default();
+        flavors.answered(Some(FlavorList { types: vec![flavor()] }));
+        let mut desktop = Desktop {
+            policy: Policy::defaults(&config),
+            flavors,
+            view: View::following(),
+            now,
+            version: 0,
+            queues: Queues::new(now, TERM),
+            provisioner: Provisioner::new(now, TERM),
+            config,
+        };
+        let holder = desktop.config.name.clone();
+        let grant = Grant { zone: "a".into(), holder, boot: 1, seal: 4, term: TERM };
+        desktop.put(grant_key(&"a.0".into()), encode(&grant));
+        desktop.roster(0..machines);
+        desktop.plan();
+        desktop.status(machines, 0, &[]);
+        desktop
+    }
+
+    fn put(&mut self, key: String, value: ciborium::Value) -> u64 {
+        self.version += 1;
+        self.view.apply(Change { key, version: self.version, value: Some(value) });
+        self.version
+    }
+
+    fn roster(&mut self, machines: std::ops::Range<u32>) {
+        let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
+        let on = machines.map(|n| (name(n), entry())).collect();
+        self.put(roster_key(&"a.0".into()), encode(&Roster { zone: "a".into(), on }));
+    }
+
+    fn job(&mut self, id: u64, job: Job) {
+        self.put(job_key(JobId(id)), encode(&JobRecord::Open(job)));
+    }
+
+    fn status(&mut self, machines: u32, last_work: u64, pending: &[u64]) {
+        let grant = &self.view.grants[&BlockId::from("a.0")];
+        let status = BlockStatus {
+            block: "a.0".into(),
+            seal: grant.value.seal,
+            grant_version: grant.version,
+            last_work,
+            pending: pending.to_vec(),
+            refused: Vec::new(),
+            ended: Vec::new(),
+            revision: self.view.places.get(&"a.0".into()).map_or(0, |places| places.version),
+            wants_new_seal: false,
+            expected: machines,
+            overdue: 0,
+            number: self.version * 1000 + last_work + 1,
+            machines: (0..machines)
+                .map(|n| MachineStatus {
+                    machine: name(n),
+                    usable: true,
+                    seen: true,
+                    silent: false,
+                    notice: false,
+                    errors: 0,
+                    images: vec!["img".into()],
+                })
+                .collect(),
+        };
+        self.queues.status(self.now, status);
+    }
+
+    fn plan(&mut self) -> (Demand, Vec<Work>) {
+        let Desktop { config, policy, flavors, view, now, queues, provisioner, .. } = self;
+        let lead = Lead { config, policy, flavors, term: TERM, version: 1, batch: 16, spare: true };
+        let demand = queues.plan(*now, &lead, view, provisioner);
+        (demand, queues.messages(*now, view, provisioner.addresses()))
+    }
+
+    /// Everything that is wanted is placed where the leader meant it.
+    fn place(&mut self, work: &Work) {
+        let mut places = self.view.places.get(&work.block).map_or(Places::default(), |p| p.value.clone());
+        for wanted in &work.want {
+            places.add(&wanted.machine, wanted.attempt);
+        }
+        self.put(places_key(&work.block), encode(&places));
+    }
+}
+
+fn name(n: u32) -> MachineId {
+    format!("m-{n:06}").as_str().into()
+}
+
+/// Found by a seeded run: the machine that a release was meant for was deleted, the release no longer
+/// counted, and the task was released again while its holder could still place it elsewhere.
+#[test]
+fn a_release_counts_until_its_holder_has_let_go_of_it() {
+    let mut desktop = Desktop::new(2);
+    desktop.job(1, job(1, 4.0));
+    let (_, work) = desktop.plan();
+    let [wanted] = work[0].want.as_slice() else { panic!("{work:?}") };
+    let number = wanted.attempt.number;
+    // The machine it was meant for goes.
+    desktop.roster(if wanted.machine == name(0) { 1..2 } else { 0..1 });
+    for (last_work, pending) in [(0, vec![]), (work[0].number, vec![number])] {
+        desktop.status(2, last_work, &pending);
+        assert!(desktop.plan().1.iter().all(|work| work.want.iter().all(|w| w.attempt.number == number)));
+    }
+    // Heard, and neither pending nor placed: now it is free.
+    desktop.status(2, work[0].number, &[]);
+    desktop.plan();
+    let (_, work) = desktop.plan();
+    assert!(work.iter().flat_map(|work| &work.want).all(|wanted| wanted.attempt.number != number));
+}
+
+/// Found on the bench: machines stood empty until the record of an end had been written, a second or more.
+#[test]
+fn the_room_of_a_task_that_has_ended_is_given_away_before_its_record_is_written() {
+    let mut desktop = Desktop::new(1);
+    desktop.job(1, job(1, 16.0));
+    let (_, work) = desktop.plan();
+    let number = work[0].want[0].attempt.number;
+    desktop.place(&work[0]);
+    desktop.job(2, job(1, 16.0));
+    desktop.status(1, work[0].number, &[]);
+    let wanted = |desktop: &mut Desktop| desktop.plan().1.iter().map(|work| work.want.len()).sum::<usize>();
+    assert_eq!(wanted(&mut desktop), 0);
+    let desk = desktop.queues.desks.get_mut(&BlockId::from("a.0")).expect("granted");
+    desk.status.as_mut().expect("heard").0.ended.push(number);
+    assert_eq!(wanted(&mut desktop), 1);
+}
+
+/// Found on the bench: a controller was cut off from its workers, and all its machines were deleted, though they
+/// reported to the others all the time.
+#[test]
+fn a_holder_whose_machines_are_heard_elsewhere_is_cut_off_and_they_are_not_dead() {
+    let mut desktop = Desktop::new(6);
+    let holder = desktop.config.name.clone();
+    let mut judged = |overdue: u32, strays: u32| {
+        let desk = desktop.queues.desks.get_mut(&BlockId::from("a.0")).expect("granted");
+        desk.status.as_mut().expect("heard").0.overdue = overdue;
+        for status in desk.machines.values_mut() {
+            status.usable = false;
+        }
+        desktop.queues.strays.clear();
+        desktop.queues.strayed(desktop.now, (0..strays).map(name).collect());
+        let unreaching = desktop.queues.unreaching(desktop.now, &desktop.config, &desktop.view);
+        let health = desktop.queues.health(desktop.now, &desktop.view, &unreaching.keys().collect());
+        let spared = health.values().filter(|health| health.heard_elsewhere).count();
+        (unreaching.contains_key(&holder), spared)
+    };
+    assert_eq!(judged(6, 3), (true, 6));
+    assert_eq!(judged(6, 2), (false, 0), "they may be dead");
+    assert_eq!(judged(3, 6), (false, 0), "it hears the others");
+}
+
+#[test]
+fn a_team_gets_no_more_than_its_limit_however_large_its_job() {
+    let mut desktop = Desktop::new(30);
+    // 48 CPUs at most: see the sample settings.
+    desktop.job(1, Job { team: "blue".into(), ..job(100_000, 0.5) });
+    let mut placed = 0;
+    for _ in 0..5 {
+        let (demand, work) = desktop.plan();
+        placed += work.iter().map(|work| work.want.len()).sum::<usize>();
+        let room: f64 = demand.machines.values().sum();
+        assert!(room <= 3.0 + 1e-6, "{room} machines for 48 CPUs");
+        for work in &work {
+            desktop.place(work);
+            desktop.status(30, work.number, &[]);
+        }
+    }
+    assert_eq!(placed, 96);
+}
+
+#[test]
+fn a_block_is_given_no_more_than_its_value_holds() {
+    let mut desktop = Desktop::new(3);
+    desktop.job(1, job(100_000, 0.0));
+    for _ in 0..30 {
+        for work in desktop.plan().1 {
+            desktop.place(&work);
+            desktop.status(3, work.number, &[]);
+        }
+    }
+    let places = &desktop.view.places[&BlockId::from("a.0")];
+    assert!(places.value.attempts().count() > 100);
+    assert!(places.value.size() <= desktop.config.state_limits.value_bytes);
+}
+
+/// Found on the bench: two teams stopped each other's tasks in turn, over a thousand in eight minutes.
+#[test]
+fn preemption_follows_priority_and_guarantee_without_going_in_circles() {
+    let stops = |waiting: Job, running: Job, tasks: u32| {
+        let mut desktop = Desktop::new(2);
+        desktop.job(1, Job { tasks, ..running });
+        let (_, work) = desktop.plan();
+        desktop.place(&work[0]);
+        desktop.status(2, work[0].number, &[]);
+        desktop.job(2, waiting);
+        let (_, work) = desktop.plan();
+        work.iter().map(|work| work.stop.len()).sum::<usize>()
+    };
+    let blue = |priority, cpus| Job { team: "blue".into(), priority, ..job(1, cpus) };
+    let red = |priority, cpus| Job { team: "red".into(), priority, ..job(1, cpus) };
+    let service = |job: Job| Job { kind: Kind::Service, ..job };
+    // Two machines of 16 CPUs, full. Red's guarantee is 16 CPUs, blue's 32.
+    use Priority::{High, Production, Standard};
+    assert_eq!(stops(red(Standard, 4.0), blue(Standard, 4.0), 8), 0, "blue is within its guarantee");
+    assert_eq!(stops(blue(Standard, 4.0), red(Standard, 4.0), 8), 1, "red is beyond, blue is owed");
+    assert_eq!(stops(blue(Standard, 4.0), red(High, 4.0), 8), 0, "higher priorities are left alone");
+    assert_eq!(stops(red(High, 4.0), blue(Standard, 4.0), 8), 1, "priority, within the guarantee");
+    assert_eq!(stops(red(Production, 8.0), red(Standard, 4.0), 8), 2, "as many as it takes");
+    assert_eq!(stops(blue(High, 4.0), service(red(Standard, 4.0)), 8), 0, "replicas stay up");
+}
