--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -44,6 +44,9 @@
 /// Done tasks of a block are folded into their job's progress when the block's value is this full of all that it
 /// may come to hold. Each folded job costs a change, so jobs that are over soon are better left alone.
 const FOLD_AT: f64 = 0.8;
+/// A job that has waited this long gets a first task before older jobs of its team and priority get more: when there is
+/// far too much work, large jobs would else not begin for many minutes.
+const BEGIN_WITHIN: Duration = Duration::from_secs(90);
 /// Steps in which the waiting tasks of one job are counted.
 const COUNTING_STEPS: u64 = 64;
 /// What one attempt takes of its block's value, at the most.
@@ -121,6 +124,8 @@
     left: u64,
     taken: crate::store::records::Ranges,
     zones: BTreeMap<Zone, u32>,
+    /// None of its tasks has got anywhere for so long that one goes before its team's other work.
+    overdue: bool,
     blocked: bool,
 }
 
@@ -471,6 +476,8 @@
             *waiting.zones.entry(chosen.zone.clone()).or_default() += 1;
             waiting.taken.insert(index);
             waiting.left -= 1;
+            // It has begun: the rest of it waits for its turn.
+            waiting.blocked = waiting.overdue;
             let open = waiting.open;
             usage.entry(open.job.team.clone()).or_default().add(&open.job.need);
             kept.entry(open.job.team.clone()).or_default().add(&open.job.need);
@@ -562,10 +569,14 @@
             }
             let left = u64::from(open.job.tasks).saturating_sub(taken.len());
             if left > 0 {
-                queue.push(Waiting { id: *id, open, left, taken, zones, blocked: false });
+                let waited = now.unix_ms().saturating_sub(open.job.accepted_ms);
+                let overdue = taken.is_empty() && Duration::from_millis(waited) > BEGIN_WITHIN;
+                queue.push(Waiting { id: *id, open, left, taken, zones, overdue, blocked: false });
             }
         }
-        queue.sort_by_key(|waiting| (waiting.open.job.priority, waiting.open.job.accepted_ms, waiting.id));
+        queue.sort_by_key(|waiting| {
+            (waiting.open.job.priority, !waiting.overdue, waiting.open.job.accepted_ms, waiting.id)
+        });
         queue
     }
 
--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -62,7 +62,11 @@
         self.put(roster_key(&"a.0".into()), encode(&Roster { zone: "a".into(), on }));
     }
 
-    fn job(&mut self, id: u64, job: Job) {
+    /// Accepted just now, unless it says when.
+    fn job(&mut self, id: u64, mut job: Job) {
+        if job.accepted_ms == 0 {
+            job.accepted_ms = self.now.unix_ms();
+        }
         self.put(job_key(JobId(id)), encode(&JobRecord::Open(job)));
     }
 
@@ -180,6 +184,32 @@
     assert_eq!(judged(3, 6), (false, 0), "it hears the others");
 }
 
+/// Found on a day with half as many machines again and many troubles together: jobs waited for almost five minutes to
+/// begin behind the tasks of older ones.
+#[test]
+fn a_job_that_has_waited_long_begins_before_older_ones_get_more() {
+    let begins = |waited: Duration| {
+        let mut desktop = Desktop::new(1);
+        let accepted_ms = desktop.now.unix_ms();
+        let job = |tasks, accepted_ms| Job { team: "blue".into(), tasks, accepted_ms, ..job(1, 1.0) };
+        desktop.job(1, job(100, accepted_ms - 1000));
+        let (_, work) = desktop.plan();
+        desktop.place(&work[0]);
+        desktop.status(1, work[0].number, &[]);
+        desktop.job(2, job(100, accepted_ms));
+        // Four tasks end: room for as many.
+        let placed = desktop.view.places[&BlockId::from("a.0")].value.clone();
+        let ended: Vec<u64> = placed.attempts().map(|(_, attempt)| attempt.number).take(4).collect();
+        let desk = desktop.queues.desks.get_mut(&BlockId::from("a.0")).expect("granted");
+        desk.status.as_mut().expect("heard").0.ended = ended;
+        desktop.now.wall += waited;
+        let work = desktop.plan().1;
+        work.iter().flat_map(|work| &work.want).filter(|wanted| wanted.attempt.task.job == JobId(2)).count()
+    };
+    assert_eq!(begins(Duration::from_secs(10)), 0, "older jobs first");
+    assert_eq!(begins(BEGIN_WITHIN + Duration::from_secs(1)), 1, "one task, not all");
+}
+
 #[test]
 fn a_team_gets_no_more_than_its_limit_however_large_its_job() {
     let mut desktop = Desktop::new(30);
