Launches are forgotten once their workers have forgotten the attempts

Found on reading the change once more: a holder kept every attempt ever launched under a seal, and went through them for each placement. Also: the judgement of holders returns just their names.

--- a/src/fleet/block.rs
+++ b/src/fleet/block.rs
@@ -240,6 +240,8 @@
                 worker.images.insert(open.job.image.clone());
             }
         }
+        let placed = self.places.on.get(&report.machine);
+        worker.forget_launches(|attempt| placed.is_some_and(|list| list.iter().any(|placed| placed.0 == *attempt)));
         let here: Vec<Attempt> = self
             .places
             .on
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -296,6 +296,26 @@
     assert!(reaped(holder.report("m-2", 6, &done)));
 }
 
+/// Else every task that ever ran on a machine would be kept in mind there, and be gone through for each placement.
+#[test]
+fn a_launch_is_forgotten_once_its_worker_has_forgotten_the_attempt() {
+    let mut holder = Holder::new(job(1, 1.0));
+    let remembered = |holder: &Holder| holder.fleet.blocks[&BlockId::from("a.0")].workers[&"m-1".into()].launched.len();
+    holder.want(9, "m-1", 1);
+    holder.write();
+    let command = holder.commands().remove(0);
+    // Sent before the launch came.
+    holder.report("m-1", 4, &[]);
+    assert_eq!(remembered(&holder), 1);
+    let running = holder.message("m-1", 4, &[(9, TaskState::Running, None)]);
+    holder.answer(&command, CommandOutcome::Executed(running));
+    holder.report("m-1", 4, &[(9, TaskState::Exited, Some(Cause::Done))]);
+    holder.write();
+    assert_eq!(remembered(&holder), 1, "not reaped yet");
+    holder.report("m-1", 4, &[]);
+    assert_eq!(remembered(&holder), 0);
+}
+
 /// Found on the bench: a controller that lost the state service went on answering its workers for the life of its
 /// grant, the new holder knew none of their addresses and heard nothing, and they were given up with all on them.
 #[test]
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -126,6 +126,16 @@
         harmless && !self.may_start_late(attempt)
     }
 
+    /// Forgets launches of attempts that the worker has forgotten too: those that it neither lists nor is to list.
+    /// Without this every task that ever ran here would be kept in mind.
+    pub(super) fn forget_launches(&mut self, placed: impl Fn(&Attempt) -> bool) {
+        let Worker { launched, tasks, tainted, .. } = self;
+        launched.retain(|attempt| {
+            let listed = tasks.get(&attempt.task).is_some_and(|seen| seen.number == attempt.number);
+            listed || tainted.contains(attempt) || placed(attempt)
+        });
+    }
+
     /// Whether a launch of this attempt may still be on its way.
     pub(super) fn may_start_late(&self, attempt: &Attempt) -> bool {
         self.tainted.contains(attempt) || matches!(self.launches.get(attempt), Some(Launch::Sent { .. }))
--- a/src/node.rs
+++ b/src/node.rs
@@ -520,10 +520,10 @@
         }
         self.stale_plan = false;
         let unreaching = leading.queues.unreaching(now, &self.config, &self.view);
-        for holder in unreaching.keys() {
+        for holder in &unreaching {
             self.granting.unfit(now, holder);
         }
-        let health = leading.queues.health(now, &self.view, &unreaching.keys().collect());
+        let health = leading.queues.health(now, &self.view, &unreaching);
         leading.provisioner.observe(now, &lead, &self.view, &health, &self.heard_zones);
         leading.demand = leading.queues.plan(now, &lead, &self.view, &leading.provisioner);
         for (tag, call) in leading.provisioner.calls(now, &self.config, &self.view, &leading.demand) {
--- a/src/queueing/holders.rs
+++ b/src/queueing/holders.rs
@@ -12,14 +12,15 @@
 /// them, it is the holder that is cut off or too slow, not they that are dead.
 const UNHEARD_LEAST: u32 = 4;
 const STRAYS_LEAST: usize = 3;
+
 impl Queues {
     /// Machines that reported to a controller that is not their holder.
     pub fn strayed(&mut self, now: Now, machines: Vec<MachineId>) {
         self.strays.extend(machines.into_iter().map(|machine| (machine, now.steady)));
     }
 
-    /// Holders that hear hardly any of their machines, although others hear them, with those machines.
-    pub fn unreaching(&mut self, now: Now, config: &Config, view: &View) -> BTreeMap<NodeName, BTreeSet<MachineId>> {
+    /// Holders that hear hardly any of their machines, although others hear them.
+    pub fn unreaching(&mut self, now: Now, config: &Config, view: &View) -> BTreeSet<NodeName> {
         let lately = stray_for(config);
         self.strays.retain(|_, at| since(now, *at) < lately);
         let mut counts: BTreeMap<&NodeName, (u32, u32)> = BTreeMap::new();
@@ -34,10 +35,10 @@
         let suspected = |(expected, overdue): (u32, u32)| overdue >= UNHEARD_LEAST && overdue * 2 > expected;
         let suspects: BTreeSet<&NodeName> =
             counts.into_iter().filter(|(_, counts)| suspected(*counts)).map(|(node, _)| node).collect();
-        let mut unreaching: BTreeMap<NodeName, BTreeSet<MachineId>> = BTreeMap::new();
         if suspects.is_empty() {
-            return unreaching;
+            return BTreeSet::new();
         }
+        let mut heard: BTreeMap<&NodeName, usize> = BTreeMap::new();
         for machine in self.strays.keys() {
             let block = view.machines.get(machine).map(|machine| &machine.block);
             let holder = block.and_then(|block| view.grants.get(block)).map(|grant| &grant.value.holder);
@@ -45,10 +46,9 @@
                 .and_then(|block| self.desks.get(block)?.machines.get(machine))
                 .is_some_and(|status| !status.usable);
             if let Some(holder) = holder.filter(|holder| unusable && suspects.contains(holder)) {
-                unreaching.entry(holder.clone()).or_default().insert(machine.clone());
+                *heard.entry(holder).or_default() += 1;
             }
         }
-        unreaching.retain(|_, machines| machines.len() >= STRAYS_LEAST);
-        unreaching
+        heard.into_iter().filter(|(_, count)| *count >= STRAYS_LEAST).map(|(holder, _)| holder.clone()).collect()
     }
 }
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -171,7 +171,7 @@
     }
 
     /// `unreaching`: holders whose word on their machines' silence says more about themselves.
-    pub fn health(&self, now: Now, view: &View, unreaching: &BTreeSet<&NodeName>) -> BTreeMap<MachineId, Health> {
+    pub fn health(&self, now: Now, view: &View, unreaching: &BTreeSet<NodeName>) -> BTreeMap<MachineId, Health> {
         let holder = |machine: &MachineId| {
             let block = view.machines.get(machine).map(|machine| &machine.block)?;
             view.grants.get(block).map(|grant| &grant.value.holder)
--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -175,9 +175,9 @@
         desktop.queues.strays.clear();
         desktop.queues.strayed(desktop.now, (0..strays).map(name).collect());
         let unreaching = desktop.queues.unreaching(desktop.now, &desktop.config, &desktop.view);
-        let health = desktop.queues.health(desktop.now, &desktop.view, &unreaching.keys().collect());
+        let health = desktop.queues.health(desktop.now, &desktop.view, &unreaching);
         let spared = health.values().filter(|health| health.heard_elsewhere).count();
-        (unreaching.contains_key(&holder), spared)
+        (unreaching.contains(&holder), spared)
     };
     assert_eq!(judged(6, 3), (true, 6));
     assert_eq!(judged(6, 2), (false, 0), "they may be dead");
