--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -125,6 +125,37 @@
     }
 }
 
+/// What a run at size must exceed, so that it is one, and the changes a second that it may need.
+struct Bounds {
+    machines: usize,
+    started: usize,
+    changes: f64,
+}
+
+/// Plays a large world to its end: every rule kept, everything served, and the work for each event, plans, changes and
+/// values within bounds.
+fn check_at_size(mut world: World, end: Duration, bounds: Bounds) -> World {
+    world.run_until(end);
+    let seconds = end.as_secs_f64();
+    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+    assert_eq!(world.rules.unfinished(), [], "accepted and neither done nor cancelled");
+    assert_eq!(world.rules.unserved(), [] as [&str; 0]);
+    assert!(world.most_machines > bounds.machines, "{} machines", world.most_machines);
+    assert!(world.rules.started > bounds.started, "{} tasks started", world.rules.started);
+    let (looked, plans) = world.looked();
+    let each = looked as f64 / world.events_handled as f64;
+    // A write looks at its whole block, a machine that is silent is asked again and again, all else looks at its own
+    // machine. A pass over a holder's machines, a third of them all, for each event would fail this.
+    assert!(each < 30.0, "{each:.1} machines and tasks looked at for each event");
+    assert!(plans as f64 / seconds < 25.0, "{plans} plans");
+    let changes = world.state().changes as f64 / seconds;
+    assert!(changes < bounds.changes, "{changes:.1} changes of the state service a second");
+    // The stand-in refuses values above the limit; so many tasks must need most of it, or they are not packed.
+    let largest = world.state().largest;
+    assert!(largest > 2000, "the largest value has {largest} bytes");
+    world
+}
+
 /// Hundreds of machines and thousands of tasks: what an event costs follows from what it changes, and what is stored
 /// and said stays within bounds.
 #[test]
@@ -139,28 +170,11 @@
         held: 0.002,
         ..Faults::default()
     };
-    let mut world = World::new(7, faults, Duration::from_secs(90), Size::GROWN);
     let end = Duration::from_secs(240);
-    world.run_until(end);
-    let seconds = end.as_secs_f64();
-    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
-    assert_eq!(world.rules.unfinished(), [], "accepted and neither done nor cancelled");
-    assert_eq!(world.rules.unserved(), [] as [&str; 0]);
-    assert!(world.most_machines > 200, "{} machines", world.most_machines);
-    assert!(world.rules.started > 3000, "{} tasks started", world.rules.started);
-    let (looked, plans) = world.looked();
-    let each = looked as f64 / world.events_handled as f64;
-    // A write looks at its whole block, a machine that is silent is asked again and again, all else looks at its own
-    // machine. A pass over a holder's machines, a third of them all, for each event would fail this.
-    assert!(each < 30.0, "{each:.1} machines and tasks looked at for each event");
-    assert!(plans as f64 / seconds < 25.0, "{plans} plans");
-    let changes = world.state().changes as f64 / seconds;
-    assert!(changes < 25.0, "{changes:.1} changes of the state service a second");
-    let bytes = world.peer_bytes as f64 / seconds;
+    let bounds = Bounds { machines: 200, started: 3000, changes: 25.0 };
+    let world = check_at_size(World::new(7, faults, Duration::from_secs(90), Size::GROWN), end, bounds);
+    let bytes = world.peer_bytes as f64 / end.as_secs_f64();
     assert!(bytes < 60_000.0, "{bytes:.0} bytes between controllers a second");
-    // The stand-in refuses values above the limit; so many tasks must need most of it, or they are not packed.
-    let largest = world.state().largest;
-    assert!(largest > 2000, "the largest value has {largest} bytes");
 }
 
 /// A thousand machines and more, of which a third is lost in the same moment, again and again, while controllers end,
@@ -178,26 +192,12 @@
         held: 0.001,
         ..Faults::default()
     };
-    let mut world = World::new(11, faults, Duration::from_secs(90), Size::FLEET);
     let end = Duration::from_secs(300);
-    world.run_until(end);
-    let seconds = end.as_secs_f64();
-    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
-    assert_eq!(world.rules.unfinished(), [], "accepted and neither done nor cancelled");
-    assert_eq!(world.rules.unserved(), [] as [&str; 0]);
-    assert!(world.most_machines > 1000, "{} machines", world.most_machines);
-    assert!(world.rules.started > 10_000, "{} tasks started", world.rules.started);
-    let (looked, plans) = world.looked();
-    let each = looked as f64 / world.events_handled as f64;
-    assert!(each < 30.0, "{each:.1} machines and tasks looked at for each event");
-    assert!(plans as f64 / seconds < 25.0, "{plans} plans");
-    let changes = world.state().changes as f64 / seconds;
-    assert!(changes < 30.0, "{changes:.1} changes of the state service a second");
+    let bounds = Bounds { machines: 1000, started: 10_000, changes: 30.0 };
+    let world = check_at_size(World::new(11, faults, Duration::from_secs(90), Size::FLEET), end, bounds);
     // One in eight of the sample's 2,500 sockets.
     let commands = world.most_commands;
     assert!((100..=312).contains(&commands), "{commands} commands under way");
-    let largest = world.state().largest;
-    assert!(largest > 2000, "the largest value has {largest} bytes");
 }
 
 #[test]
