--- /dev/null
+++ b/src/cancellation/mod.rs
@@ -0,0 +1,171 @@
+//! Cancelled jobs: every controller is told of them, and what is left of them is ended in time.
+//!
+//! A committed cancellation is final. Acting on it needs no leadership and no fresh copy of the records, only
+//! certainty that it was committed and where the job's tasks are: a task stopped or a machine deleted for it stays
+//! stopped or deleted, whoever leads. So this works on while the state service is out for everybody, which is when
+//! nobody is certain to lead, and hung machines would keep their cancelled tasks for as long as they hang.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use tracing::warn;
+
+use crate::config::Config;
+use crate::domain::{Attempt, BlockId, JobId, MachineId, NodeName, Now, since};
+use crate::peer::CancelledJob;
+use crate::provisioning::wire::MachineNames;
+use crate::provisioning::{Call, CallOutcome, Tag};
+use crate::store::View;
+use crate::store::records::Grant;
+use crate::store::view::Touched;
+
+/// How long before a cancelled task has to be gone its machine is given up: time for the deletion, and for clocks that
+/// differ.
+pub const OVERDUE_MARGIN: Duration = Duration::from_secs(8);
+/// A holder that was heard this lately sees to its machines itself. Controllers speak every second.
+const HEARD_WITHIN: Duration = Duration::from_secs(3);
+/// Told in one message, the newest first.
+const MOST_TOLD: usize = 256;
+const LOOK_EVERY: Duration = Duration::from_millis(400);
+/// A deletion that was refused or not answered is repeated after this long: what is deleted already is ignored.
+const RETRY: Duration = Duration::from_secs(1);
+/// The protocol's limit for one deletion.
+const MOST_DELETED: usize = 100;
+
+/// Whether a job cancelled at `cancelled_ms` is so late that machines which still have tasks of it are given up.
+pub fn overdue(now: Now, config: &Config, cancelled_ms: u64) -> bool {
+    let patience = config.cancel_within.saturating_sub(OVERDUE_MARGIN).max(config.cancel_within / 2);
+    Duration::from_millis(now.unix_ms().saturating_sub(cancelled_ms)) >= patience
+}
+
+/// What this controller knows of the others.
+#[derive(Debug, Default)]
+struct Peer {
+    boot: u64,
+    number: u64,
+    at: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+pub struct Cancellations {
+    /// Cancelled jobs whose tasks are not all proven gone, by our copy: version and time of day.
+    open: BTreeMap<JobId, (u64, u64)>,
+    peers: BTreeMap<NodeName, Peer>,
+    looked: Option<Instant>,
+    /// The deletion that is under way.
+    deleting: Vec<MachineId>,
+    retry_at: Option<Instant>,
+    /// Deleted by us; the roster still has them.
+    deleted: BTreeSet<MachineId>,
+}
+
+impl Cancellations {
+    pub fn new() -> Self {
+        Cancellations::default()
+    }
+
+    /// Brings the list up to date with our copy of the records.
+    pub fn sync(&mut self, view: &View, touched: &Touched) {
+        let cancelled = |job: &JobId| {
+            let open = view.open.get(job).filter(|open| open.cancelled)?;
+            Some((*job, (open.version, open.cancelled_ms)))
+        };
+        if touched.all {
+            self.open = view.open.keys().filter_map(cancelled).collect();
+        }
+        for job in &touched.ended {
+            match cancelled(job) {
+                Some((job, known)) => self.open.insert(job, known),
+                None => self.open.remove(job),
+            };
+        }
+        self.deleted.retain(|machine| view.machines.contains_key(machine));
+    }
+
+    /// What the others are told again and again: a message may be lost, and who is cut off from the state service
+    /// learns of it in no other way.
+    pub fn told(&self) -> Vec<CancelledJob> {
+        let mut newest: Vec<CancelledJob> =
+            self.open.iter().map(|(job, (version, at_ms))| CancelledJob::new(*job, *version, *at_ms)).collect();
+        newest.sort_by_key(|job| std::cmp::Reverse(job.version));
+        newest.truncate(MOST_TOLD);
+        newest
+    }
+
+    /// A sign of life, numbered, for a late one tells nothing of the present.
+    pub fn heard_from(&mut self, now: Now, node: &NodeName, boot: u64, number: u64) {
+        let peer = self.peers.entry(node.clone()).or_default();
+        if peer.boot != boot || number > peer.number {
+            *peer = Peer { boot, number, at: Some(now.steady) };
+        }
+    }
+
+    /// This process stood still: what it did not hear meanwhile is no silence of the others.
+    pub fn stood_still(&mut self, gap: Duration) {
+        for at in self.peers.values_mut().filter_map(|peer| peer.at.as_mut()) {
+            *at += gap;
+        }
+    }
+
+    /// Whether the process that holds this grant was heard lately.
+    pub fn holder_heard(&self, now: Now, grant: &Grant) -> bool {
+        self.peers
+            .get(&grant.holder)
+            .is_some_and(|peer| peer.boot == grant.boot && peer.at.is_some_and(|at| since(now, at) < HEARD_WITHIN))
+    }
+
+    /// Deletes machines that must be rid of a cancelled task: those of our blocks of which that is not proven, and
+    /// those of holders that are not heard. `boot`: this process. `proven`: whether a task of ours is proven gone.
+    pub fn poll(
+        &mut self,
+        now: Now,
+        config: &Config,
+        boot: u64,
+        view: &View,
+        proven: impl Fn(&BlockId, &MachineId, &Attempt) -> bool,
+    ) -> Option<(Tag, Call)> {
+        if self.open.is_empty() || self.looked.is_some_and(|at| since(now, at) < LOOK_EVERY) {
+            return None;
+        }
+        self.looked = Some(now.steady);
+        if !self.deleting.is_empty() || self.retry_at.is_some_and(|at| now.steady < at) {
+            return None;
+        }
+        let mut due = BTreeSet::new();
+        for (job, _) in self.open.iter().filter(|(_, (_, at_ms))| overdue(now, config, *at_ms)) {
+            for ((index, number), place) in view.placed(*job) {
+                let left = view.machines.contains_key(&place.machine) && !self.deleted.contains(&place.machine);
+                let Some(grant) = view.grants.get(&place.block).filter(|_| left).map(|grant| &grant.value) else {
+                    continue;
+                };
+                let attempt = Attempt { task: crate::domain::TaskId { job: *job, index: *index }, number: *number };
+                let settled = if grant.holder == config.name && grant.boot == boot {
+                    proven(&place.block, &place.machine, &attempt)
+                } else {
+                    self.holder_heard(now, grant)
+                };
+                if !settled && due.insert(place.machine.clone()) {
+                    warn!(machine = %place.machine, %attempt, "machine deleted: its cancelled task must be gone");
+                }
+            }
+        }
+        let due: Vec<MachineId> = due.into_iter().take(MOST_DELETED).collect();
+        if due.is_empty() {
+            return None;
+        }
+        self.deleting.clone_from(&due);
+        Some((Tag::DeleteCancelled, Call::Delete(MachineNames { machines: due })))
+    }
+
+    /// The cloud's answer. The roster is changed by the leader, which finds the machine overdue as well.
+    pub fn called(&mut self, now: Now, outcome: &CallOutcome) {
+        let machines = std::mem::take(&mut self.deleting);
+        match outcome {
+            CallOutcome::Deleted => self.deleted.extend(machines),
+            _ => self.retry_at = Some(now.steady + RETRY),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/cancellation/tests.rs
@@ -0,0 +1,126 @@
+//! Who ends what is left of a cancelled job, and when.
+
+use super::*;
+use crate::config::tests::SETTINGS;
+use crate::domain::{TaskId, Tenure};
+use crate::placement::tests::job;
+use crate::store::Change;
+use crate::store::records::{JobRecord, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key};
+
+const BOOT: u64 = 7;
+
+/// Our copy: block `a.0` is ours with `m-1`, block `b.0` another's (process 3) with `m-2`. On both is a task of job 1,
+/// which is cancelled, and on `m-3` of ours one of job 2, which is not.
+struct Copy {
+    config: Config,
+    view: View,
+    start: Now,
+    cancellations: Cancellations,
+}
+
+impl Copy {
+    fn new() -> Self {
+        let config = Config::parse("s.toml", SETTINGS).expect("valid");
+        let start = Now::read();
+        let mut view = View::following();
+        let mut version = 0;
+        let mut put = |key: String, value| {
+            version += 1;
+            view.apply(Change { key, version, value: Some(value) });
+        };
+        let other = config.peers[0].name.clone();
+        for (block, holder, boot, on) in
+            [("a.0", &config.name, BOOT, &[("m-1", 1), ("m-3", 2)][..]), ("b.0", &other, 3, &[("m-2", 1)])]
+        {
+            let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Spot, draining: false, rented_s: 0 };
+            let machines = on.iter().map(|(machine, _)| ((*machine).into(), entry())).collect();
+            put(roster_key(&block.into()), encode(&Roster { zone: "a".into(), on: machines }));
+            let grant = Grant { zone: "a".into(), holder: holder.clone(), boot, seal: 4, term: 3 };
+            put(grant_key(&block.into()), encode(&grant));
+            let mut places = Places::default();
+            for (machine, job) in on {
+                let task = TaskId { job: JobId(*job), index: u32::from(block == "b.0") };
+                places.add(&(*machine).into(), Attempt { task, number: 9 });
+            }
+            put(places_key(&block.into()), encode(&places));
+        }
+        put(job_key(JobId(1)), encode(&JobRecord::Cancelled(job(2, 1.0), start.unix_ms())));
+        put(job_key(JobId(2)), encode(&JobRecord::Open(job(2, 1.0))));
+        let mut cancellations = Cancellations::new();
+        let touched = view.take_touched();
+        cancellations.sync(&view, &touched);
+        Copy { config, view, start, cancellations }
+    }
+
+    fn at(&self, after: Duration) -> Now {
+        Now { steady: self.start.steady + after, wall: self.start.wall + after }
+    }
+
+    fn hear_holder(&mut self, after: Duration, boot: u64, number: u64) {
+        let node = self.config.peers[0].name.clone();
+        self.cancellations.heard_from(self.at(after), &node, boot, number);
+    }
+
+    /// The machines that are deleted then.
+    fn deleted(&mut self, after: Duration, proven: bool) -> Vec<String> {
+        let now = self.at(after);
+        let call = self.cancellations.poll(now, &self.config, BOOT, &self.view, |_, _, _| proven);
+        match call {
+            Some((Tag::DeleteCancelled, Call::Delete(names))) => {
+                names.machines.iter().map(|machine| machine.0.to_string()).collect()
+            }
+            None => Vec::new(),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn machines_with_cancelled_tasks_are_deleted_in_time_by_their_holder_or_if_it_is_not_heard_by_anyone() {
+    let mut copy = Copy::new();
+    let late = copy.config.cancel_within - OVERDUE_MARGIN;
+    assert_eq!(copy.deleted(late - Duration::from_secs(1), false), [] as [&str; 0], "there is time yet");
+    copy.hear_holder(late, 3, 1);
+    assert_eq!(copy.deleted(late, true), [] as [&str; 0], "ours is proven gone, the other holder sees to its own");
+    let later = late + LOOK_EVERY;
+    assert_eq!(copy.deleted(later, false), ["m-1"]);
+    copy.cancellations.called(copy.at(later), &CallOutcome::Unknown);
+    assert_eq!(copy.deleted(later + LOOK_EVERY, false), [] as [&str; 0], "not at once");
+    assert_eq!(copy.deleted(later + RETRY, false), ["m-1"], "the call may be lost");
+    copy.cancellations.called(copy.at(later + RETRY), &CallOutcome::Deleted);
+    assert_eq!(copy.deleted(later + RETRY * 2, false), [] as [&str; 0], "once is enough");
+    assert_eq!(copy.deleted(late + HEARD_WITHIN, false), ["m-2"], "its holder is not heard any more");
+}
+
+#[test]
+fn only_signs_of_life_of_the_process_that_holds_the_grant_count_and_late_ones_do_not() {
+    let mut copy = Copy::new();
+    let late = copy.config.cancel_within - OVERDUE_MARGIN;
+    let grant = copy.view.grants[&BlockId::from("b.0")].value.clone();
+    let heard = |copy: &Copy, after: Duration| copy.cancellations.holder_heard(copy.at(after), &grant);
+    copy.hear_holder(Duration::from_secs(1), 3, 5);
+    assert!(heard(&copy, Duration::from_secs(1)));
+    copy.hear_holder(late, 3, 4);
+    copy.hear_holder(late, 3, 5);
+    assert!(!heard(&copy, late), "an earlier message, and a copy of the last one");
+    copy.hear_holder(late, 3, 6);
+    assert!(heard(&copy, late));
+    copy.cancellations.stood_still(Duration::from_secs(30));
+    assert!(heard(&copy, late + Duration::from_secs(30)), "we were away, not it");
+    copy.hear_holder(late, 4, 1);
+    assert!(!heard(&copy, late), "a process that was started since knows nothing of its tasks");
+    assert_eq!(copy.deleted(late, true), ["m-2"]);
+}
+
+#[test]
+fn others_are_told_of_cancelled_jobs_until_they_are_over() {
+    let mut copy = Copy::new();
+    let told = copy.cancellations.told();
+    assert_eq!(told.iter().map(|told| told.job).collect::<Vec<_>>(), [JobId(1)]);
+    assert_eq!(told[0].version, copy.view.open[&JobId(1)].version);
+    let end = encode(&JobRecord::Ended(crate::domain::Final::Cancelled, 2));
+    copy.view.apply(Change { key: job_key(JobId(1)), version: 90, value: Some(end) });
+    let touched = copy.view.take_touched();
+    copy.cancellations.sync(&copy.view, &touched);
+    assert_eq!(copy.cancellations.told(), []);
+}
--- a/src/fleet/block.rs
+++ b/src/fleet/block.rs
@@ -14,7 +14,7 @@
 use crate::placement::{self, Candidate};
 use crate::policy::Policy;
 use crate::provisioning::Flavors;
-use crate::store::records::{Grant, Places, Ranges, done_entry, grant_key, places_key, roster_key};
+use crate::store::records::{Grant, Places, Ranges, done_entry, grant_key, job_key, places_key, roster_key};
 use crate::store::{Op, Outcome, Txn, Versioned, View, Writer};
 
 /// A lost launch is repeated after this long.
@@ -27,6 +27,11 @@
 /// A block that found nothing to write looks again after this long.
 pub(super) const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
+/// The protocol's limit for the conditions of a transaction, by that for its changes; and those on the grant, the places
+/// and the roster.
+const CONDITIONS_PER_CHANGE: usize = 4;
+const OWN_CONDITIONS: usize = 3;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum End {
     Done,
@@ -254,6 +259,9 @@
             match seen {
                 Some(seen) => {
                     if seen.state != TaskState::Exited {
+                        // Started by a command that was under way when its job was cancelled. Workers that show a newer
+                        // token are another holder's, and would refuse this for ever.
+                        worker.due |= !wanted_alive(view, attempt.task.job) && worker.seal <= seal;
                         continue;
                     }
                     if worker.seal < seal {
@@ -293,8 +301,16 @@
         }
     }
 
-    /// All that the worker should be told now. `session`: for a direct command, else for a report's answer.
-    pub(super) fn orders(&mut self, now: Now, machine: &MachineId, view: &View, session: Option<u64>) -> Orders {
+    /// All that the worker should be told now. `session`: for a direct command, else for a report's answer. `entitled`:
+    /// whether tasks may be started.
+    pub(super) fn orders(
+        &mut self,
+        now: Now,
+        machine: &MachineId,
+        view: &View,
+        session: Option<u64>,
+        entitled: bool,
+    ) -> Orders {
         let mut orders = Vec::new();
         let seal = self.seal;
         if let Some(worker) = self.workers.get_mut(machine) {
@@ -326,7 +342,7 @@
             }
             // Nothing is launched before the worker has shown our seal; direct commands only, so that each
             // launch has an answer of its own.
-            if session.is_some() && worker.seal >= seal {
+            if session.is_some() && entitled && worker.seal >= seal {
                 for (task, number) in &here {
                     let attempt = Attempt { task: *task, number: *number };
                     let there = worker.tasks.get(task).is_some_and(|seen| seen.number == *number);
@@ -459,6 +475,9 @@
         self.refused.clear();
         let mut fenced = false;
         let mut unsure = Vec::new();
+        // A task is placed only if its job was not cancelled before: our copy may not show that yet.
+        let mut conditions: BTreeMap<JobId, u64> = BTreeMap::new();
+        let most_jobs = (CONDITIONS_PER_CHANGE * config.state_limits.txn_ops).saturating_sub(OWN_CONDITIONS).max(1);
         if !self.pending.is_empty() {
             let mut candidates = self.candidates(now, view, flavors, &draft);
             for wanted in &self.pending {
@@ -468,6 +487,10 @@
                 if open.done.contains(wanted.attempt.task.index) || size + 64 > config.state_limits.value_bytes {
                     continue;
                 }
+                if conditions.len() >= most_jobs && !conditions.contains_key(&wanted.attempt.task.job) {
+                    // Left to the next write.
+                    continue;
+                }
                 // Where a launch of an earlier attempt, or a copy of one, may still be on its way, a new attempt
                 // would make the worker forget that one, and it could start beside the new one.
                 let task = wanted.attempt.task;
@@ -489,6 +512,7 @@
                     candidate.free.take(&open.job.need);
                 }
                 size += draft.add(&machine, wanted.attempt);
+                conditions.insert(wanted.attempt.task.job, open.version);
                 if named.insert(wanted.attempt.task.job) {
                     size += done_entry(wanted.attempt.task.job);
                 }
@@ -508,6 +532,9 @@
             // Nothing is placed on a machine that the leader has begun to drain or has deleted meanwhile.
             txn = txn.when(roster_key(&self.id), view.rosters.get(&self.id).map_or(0, |roster| roster.version));
         }
+        for (job, version) in conditions {
+            txn = txn.when(job_key(job), version);
+        }
         txn = txn.put(places_key(&self.id), &draft);
         self.unsure.extend(unsure);
         self.draft = Some(draft);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -14,14 +14,14 @@
 use tracing::info;
 
 use crate::config::Config;
-use crate::domain::{BlockId, MachineId, Now, TaskId, since};
+use crate::domain::{Attempt, BlockId, MachineId, Now, TaskId, since};
 use crate::peer::{BlockStatus, Work};
 use crate::policy::Policy;
 use crate::provisioning::Flavors;
 use crate::store::view::Touched;
 use crate::store::{Op, Outcome, View, Writer};
-use block::{Block, recorded};
-use wire::{Orders, Report, TaskState};
+use block::{Block, recorded, still_there, wanted_alive};
+use wire::{Order, Orders, Report, TaskState};
 
 /// A report is overdue after this many times its interval.
 const OVERDUE: f64 = 1.5;
@@ -143,9 +143,17 @@
         }
     }
 
-    /// A worker's report. `entitled`: our copy of the grants is recent enough to act on.
+    /// A worker's report. `entitled`: our copy of the grants is recent enough to act on. If it is not, the report still
+    /// tells what is gone, and which machines are alive.
     pub fn report(&mut self, now: Now, report: Report, config: &Config, view: &View, entitled: bool) -> Answer {
-        if !view.ready() || !entitled {
+        if !view.ready() {
+            return Answer::Unavailable;
+        }
+        if !entitled {
+            let block = view.machines.get(&report.machine).and_then(|machine| self.blocks.get_mut(&machine.block));
+            if let Some(block) = block.filter(|block| report.seal <= block.seal) {
+                block.take_report(now, report, view);
+            }
             return Answer::Unavailable;
         }
         let Some(machine) = view.machines.get(&report.machine) else {
@@ -168,7 +176,7 @@
         self.looked += (1 + report.tasks.len() + here) as u64;
         block.take_report(now, report, view);
         match block.workers.get(&id) {
-            Some(_) => Answer::Orders(block.orders(now, &id, view, None)),
+            Some(_) => Answer::Orders(block.orders(now, &id, view, None, true)),
             None => Answer::Unavailable,
         }
     }
@@ -258,8 +266,9 @@
         self.blocks.get(block).map_or(0, |block| block.grant_version)
     }
 
-    /// Commands that should not wait for the next report.
-    pub fn commands(&mut self, now: Now, config: &Config, view: &View) -> Vec<Command> {
+    /// Commands that should not wait for the next report. Without a grant that is known to last (`entitled`) only those
+    /// that end tasks of cancelled jobs: a cancellation is final, whoever may hold the block by now.
+    pub fn commands(&mut self, now: Now, config: &Config, view: &View, entitled: bool) -> Vec<Command> {
         let quiet = config.report_every.mul_f64(OVERDUE);
         let most = (config.max_sockets / COMMAND_PART).max(1);
         let mut commands = Vec::new();
@@ -269,7 +278,7 @@
             {
                 self.looked += 1;
                 let Some(worker) = block.workers.get(&machine) else { continue };
-                let probe = worker.probe_due(now, quiet);
+                let probe = entitled && worker.probe_due(now, quiet);
                 if worker.busy || worker.addr.is_none() || !(worker.due || probe) {
                     // It comes back here with its answer, or its first report.
                     continue;
@@ -282,12 +291,16 @@
                 // Of a worker that has not reported yet only the address is known. If its session is another than the
                 // first, it says so, and executes nothing.
                 let session = worker.session.max(1);
-                let body = block.orders(now, &machine, view, Some(session));
+                let mut body = block.orders(now, &machine, view, Some(session), entitled);
+                if !entitled {
+                    body.orders.retain(|order| is_final(order, view));
+                }
                 let id = block.id.clone();
                 let seal = block.seal;
                 let Some(worker) = block.workers.get_mut(&machine) else { continue };
-                worker.due = false;
-                if body.orders.is_empty() && worker.seal >= seal && !probe {
+                // What else it is to be told waits until we are entitled again: the next review finds it.
+                worker.due = !entitled;
+                if body.orders.is_empty() && (worker.seal >= seal || !entitled) && !probe {
                     continue;
                 }
                 if probe {
@@ -302,6 +315,13 @@
         commands
     }
 
+    /// Whether an attempt of ours is proven gone, by its worker or by the end of its machine.
+    pub fn proven_gone(&self, block: &BlockId, machine: &MachineId, attempt: &Attempt) -> bool {
+        self.blocks.get(block).is_some_and(|block| {
+            block.ended.contains_key(&(machine.clone(), *attempt)) || !still_there(&block.places, machine, attempt)
+        })
+    }
+
     /// This process stood still: what it did not hear meanwhile is no silence of its workers.
     pub fn stood_still(&mut self, gap: Duration) {
         for worker in self.blocks.values_mut().flat_map(|block| block.workers.values_mut()) {
@@ -358,6 +378,12 @@
     }
 }
 
+/// Whether a command only ends a task whose job is known to be cancelled or over.
+fn is_final(order: &Order, view: &View) -> bool {
+    let over = |job| view.ended.contains_key(&job) || view.open.contains_key(&job) && !wanted_alive(view, job);
+    matches!(order, Order::Stop { task, .. } if over(task.job))
+}
+
 /// How long a machine that has reported to another controller than its holder counts as heard there: a worker whose
 /// holder does not answer comes round once in its time-out (4 s), a second's pause and the way there and back.
 pub fn stray_for(config: &Config) -> Duration {
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -122,7 +122,7 @@
     }
 
     fn commands(&mut self) -> Vec<Command> {
-        self.fleet.commands(self.now, &self.config, &self.view)
+        self.fleet.commands(self.now, &self.config, &self.view, true)
     }
 
     fn answer(&mut self, command: &Command, outcome: CommandOutcome) {
@@ -131,6 +131,71 @@
     }
 }
 
+impl Holder {
+    fn cancel(&mut self) {
+        self.put(job_key(JobId(1)), encode(&JobRecord::Cancelled(job(1, 1.0), self.now.unix_ms())));
+    }
+
+    /// The orders that go out without a grant that is known to last.
+    fn unentitled(&mut self) -> Vec<Order> {
+        let commands = self.fleet.commands(self.now, &self.config, &self.view, false);
+        commands.into_iter().flat_map(|command| command.body.orders).collect()
+    }
+}
+
+/// In an outage no grant is known to last, while machines go on with tasks of jobs that were cancelled before it.
+#[test]
+fn a_cancelled_task_is_stopped_without_a_grant_that_lasts_and_nothing_else_is_done() {
+    let mut holder = Holder::new(job(1, 1.0));
+    holder.want(9, "m-1", 1);
+    holder.write();
+    assert_eq!(holder.unentitled(), [], "no launch");
+    holder.tick();
+    let command = holder.commands().remove(0);
+    let running = [(9, TaskState::Running, None)];
+    let shown = holder.message("m-1", 4, &running);
+    holder.answer(&command, CommandOutcome::Executed(shown));
+    holder.now.steady += REVIEW_EVERY;
+    holder.tick();
+    assert_eq!(holder.unentitled(), []);
+    holder.cancel();
+    let stop = Order::Stop { task: TaskId { job: JobId(1), index: 0 }, number: 9, grace_s: 0.0 };
+    assert_eq!(holder.unentitled(), [stop]);
+    // The report is not answered, but what it says counts.
+    let gone = holder.message("m-1", 4, &[(9, TaskState::Exited, Some(Cause::Stopped))]);
+    let answer = holder.fleet.report(holder.now, gone, &holder.config, &holder.view, false);
+    assert_eq!(answer, Answer::Unavailable);
+    let attempt = Attempt { task: TaskId { job: JobId(1), index: 0 }, number: 9 };
+    assert!(holder.fleet.proven_gone(&"a.0".into(), &"m-1".into(), &attempt));
+    assert!(!holder.fleet.proven_gone(&"a.1".into(), &"m-1".into(), &attempt), "not ours to say");
+}
+
+/// Its launch was under way when the job was cancelled.
+#[test]
+fn a_task_that_appears_after_its_cancellation_is_stopped_at_once() {
+    let mut holder = Holder::new(job(1, 1.0));
+    holder.want(9, "m-1", 1);
+    holder.write();
+    let command = holder.commands().remove(0);
+    holder.cancel();
+    let shown = holder.message("m-1", 4, &[(9, TaskState::Fetching, None)]);
+    holder.answer(&command, CommandOutcome::Executed(shown));
+    let orders: Vec<Order> = holder.commands().into_iter().flat_map(|command| command.body.orders).collect();
+    assert!(matches!(orders[..], [Order::Stop { number: 9, .. }]), "{orders:?}");
+}
+
+/// A placement is committed only if none of its jobs was cancelled before, whatever our copy says.
+#[test]
+fn a_placement_is_conditioned_on_its_jobs() {
+    let mut holder = Holder::new(job(1, 1.0));
+    holder.want(9, "m-1", 1);
+    holder.now.steady += LOOK_AGAIN;
+    let write = holder.fleet.write(holder.now, &holder.config, &mut holder.view, &holder.flavors);
+    let Some((_, Op::Commit(txn))) = write else { panic!("{write:?}") };
+    let version = holder.view.open[&JobId(1)].version;
+    assert!(txn.conditions.contains(&(job_key(JobId(1)), version)), "{:?}", txn.conditions);
+}
+
 fn work_of(grant_version: u64, number: u64, want: Vec<Wanted>) -> Work {
     let (stop, addresses) = (Vec::new(), Vec::new());
     Work { block: "a.0".into(), grant_version, number, heard: 0, want, stop, addresses }
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::config::Config;
 use crate::domain::{Final, Job, JobId, Kind, Now, Room};
+use crate::peer::CancelledJob;
 use crate::provisioning::Flavors;
 use crate::store::budget::{Budget, Urgency};
 use crate::store::records::{JobRecord, job_key};
@@ -44,8 +45,9 @@
 enum State {
     /// Until our copy is newer than the question.
     Refreshing,
-    /// The transaction is kept, for it is sent again if the state service refuses it.
-    Committing(Txn),
+    /// The transaction is kept, for it is sent again if the state service refuses it. `at_ms`: the time of day that it
+    /// holds.
+    Committing { txn: Txn, at_ms: u64 },
 }
 
 #[derive(Debug)]
@@ -116,6 +118,7 @@
             let retry_after = Some(Duration::from_secs(delay.as_secs().clamp(1, 20)));
             return Some(Response::Problem { status: 429, problem: "too many submissions", retry_after });
         }
+        let at_ms = job.accepted_ms;
         let record = JobRecord::Open(job);
         let txn = Txn::default().when(job_key(job_id), 0).put(job_key(job_id), &record);
         if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn.clone())).is_err() {
@@ -126,7 +129,7 @@
             id,
             Pending {
                 question,
-                state: State::Committing(txn),
+                state: State::Committing { txn, at_ms },
                 asked: now.steady,
                 deadline: now.steady + SUBMIT_WITHIN,
             },
@@ -185,6 +188,17 @@
         None
     }
 
+    /// The cancellation that this answer shows to be committed.
+    pub fn cancelled(&self, id: RequestId, outcome: &Outcome) -> Option<CancelledJob> {
+        let pending = self.pending.get(&id)?;
+        match (&pending.question, &pending.state, outcome) {
+            (Question::Cancel(job), State::Committing { at_ms, .. }, Outcome::Committed { revision }) => {
+                Some(CancelledJob::new(*job, *revision, *at_ms))
+            }
+            _ => None,
+        }
+    }
+
     /// What became of a commit.
     pub fn committed<Tag>(
         &mut self,
@@ -203,7 +217,7 @@
             }
             // Not executed, for all nodes together asked too much just then: most often it goes a moment later.
             (_, Outcome::Refused) if cx.budget.available(now) && now.steady + LONGEST_QUEUE < pending.deadline => {
-                let State::Committing(txn) = &pending.state else { return None };
+                let State::Committing { txn, .. } = &pending.state else { return None };
                 if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn.clone())).is_ok() {
                     return None;
                 }
@@ -232,7 +246,7 @@
             .iter()
             .filter(|(_, pending)| match pending.state {
                 State::Refreshing => !available || cx.view.covers(pending.asked) || now.steady >= pending.deadline,
-                State::Committing(_) => now.steady >= pending.deadline,
+                State::Committing { .. } => now.steady >= pending.deadline,
             })
             .map(|(id, _)| *id)
             .collect();
@@ -257,9 +271,10 @@
                 continue;
             };
             if matches!(pending.question, Question::Cancel(_)) && !open.cancelled {
-                let record = JobRecord::Cancelled(open.job.clone(), now.unix_ms());
+                let at_ms = now.unix_ms();
+                let record = JobRecord::Cancelled(open.job.clone(), at_ms);
                 let txn = Txn::default().when(job_key(job), open.version).put(job_key(job), &record);
-                pending.state = State::Committing(txn.clone());
+                pending.state = State::Committing { txn: txn.clone(), at_ms };
                 if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn)).is_err() {
                     answers.push((id, later(429, "too many requests")));
                     self.pending.remove(&id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //! tasks on workers. The binary only parses its command line; everything else is here, one module for each duty.
 
 pub mod blocks;
+pub mod cancellation;
 pub mod config;
 pub mod domain;
 pub mod fleet;
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,14 +9,15 @@
 use tracing::{info, warn};
 
 use crate::blocks::Granting;
+use crate::cancellation::Cancellations;
 use crate::config::Config;
-use crate::domain::{BlockId, MachineId, NodeName, Now, Zone, since};
+use crate::domain::{Attempt, BlockId, MachineId, NodeName, Now, Zone, since};
 use crate::fleet::wire::{Orders, Report};
 use crate::fleet::{Answer, Command, CommandOutcome, Fleet};
 use crate::intake::{self, Intake, RequestId, Response};
 use crate::leadership::{self, Lead, Leadership};
 use crate::metrics::Metrics;
-use crate::peer::{Message, Status, Work};
+use crate::peer::{Alive, CancelledJob, Message, Status, Work};
 use crate::policy::Policy;
 use crate::provisioning::{self, Call, CallOutcome, Demand, Flavors, Provisioner};
 use crate::queueing::Queues;
@@ -55,10 +56,11 @@
         tag: StoreTag,
         op: Op,
     },
-    /// `until`, here and below: our authority ends then. Whoever sends this looks at the clock once more before.
+    /// `until`, here and below: our authority ends then. Whoever sends this looks at the clock once more before. None:
+    /// it needs no authority.
     Command {
         command: Command,
-        until: Instant,
+        until: Option<Instant>,
     },
     Call {
         tag: provisioning::Tag,
@@ -103,6 +105,7 @@
     budget: Budget<StoreTag>,
     leadership: Leadership,
     granting: Granting,
+    cancellations: Cancellations,
     flavors: Flavors,
     fleet: Fleet,
     intake: Intake,
@@ -113,6 +116,8 @@
     reported: Instant,
     told: Option<Instant>,
     told_all: Option<Instant>,
+    /// The signs of life given so far.
+    signs: u64,
     /// When each of the others last said that it reaches the state service.
     peers_reach_state: BTreeMap<NodeName, Instant>,
     /// Zones of which a controller has spoken to this process.
@@ -155,6 +160,7 @@
             config,
             budget,
             granting: Granting::new(),
+            cancellations: Cancellations::new(),
             flavors: Flavors::default(),
             fleet: Fleet::new(),
             intake: Intake::new(),
@@ -164,6 +170,7 @@
             reported: now.steady,
             told: None,
             told_all: None,
+            signs: 0,
             peers_reach_state: BTreeMap::new(),
             heard_zones: BTreeSet::new(),
             cut_off: None,
@@ -237,6 +244,7 @@
             info!(?gap, "stood still");
             self.fleet.stood_still(gap);
             self.granting.stood_still(gap);
+            self.cancellations.stood_still(gap);
         }
         match event {
             Event::Tick => {
@@ -328,8 +336,13 @@
             }
             StoreTag::Intake(id) => {
                 let (intake, mut cx) = self.intake();
+                let cancelled = intake.cancelled(id, &outcome);
                 let response = intake.committed(now, id, &outcome, &mut cx);
                 effects.extend(response.map(|response| Effect::Answer { id, response }));
+                if let Some(cancelled) = cancelled {
+                    self.note_cancellations([cancelled]);
+                    self.tell_peers(&Message::Cancelled(vec![cancelled]), effects);
+                }
             }
             StoreTag::Granting(term) => {
                 if self.term() == Some(term) {
@@ -354,7 +367,9 @@
     }
 
     fn called(&mut self, now: Now, tag: provisioning::Tag, outcome: CallOutcome) {
-        if tag == provisioning::Tag::Flavors {
+        if tag == provisioning::Tag::DeleteCancelled {
+            self.cancellations.called(now, &outcome);
+        } else if tag == provisioning::Tag::Flavors {
             self.flavors.answered(match outcome {
                 CallOutcome::Flavors(list) => Some(list),
                 _ => None,
@@ -391,7 +406,10 @@
                     }
                 }
             }
-            Message::Alive { node, reaches_state } => {
+            Message::Cancelled(jobs) => self.note_cancellations(jobs),
+            Message::Alive(Alive { node, boot, number, reaches_state, cancelled }) => {
+                self.cancellations.heard_from(now, &node, boot, number);
+                self.note_cancellations(cancelled);
                 let zone = self.config.peers.iter().find(|peer| peer.name == node).map(|peer| peer.zone.clone());
                 self.heard_zones.extend(zone);
                 if reaches_state {
@@ -425,11 +443,12 @@
         if self.flavors.due(now) {
             effects.push(Effect::Call { tag: provisioning::Tag::Flavors, call: Call::Flavors, until: None });
         }
-        if self.view.revision != self.seen_revision {
+        if self.view.revision != self.seen_revision || self.view.has_touched() {
             self.seen_revision = self.view.revision;
             self.stale_plan = true;
             if self.view.ready() {
                 let touched = self.view.take_touched();
+                self.cancellations.sync(&self.view, &touched);
                 self.fleet.sync(now, &self.config, self.boot, &self.view, &touched);
             }
             self.status_due = true;
@@ -447,10 +466,14 @@
             effects.extend(ready.into_iter().map(|(tag, op)| Effect::Store { tag, op }));
         }
         let until = self.entitled_until(now);
-        if now.steady < until {
-            let commands = self.fleet.commands(now, &self.config, &self.view);
-            effects.extend(commands.into_iter().map(|command| Effect::Command { command, until }));
-        }
+        let entitled = now.steady < until;
+        let commands = self.fleet.commands(now, &self.config, &self.view, entitled);
+        let until = entitled.then_some(until);
+        effects.extend(commands.into_iter().map(|command| Effect::Command { command, until }));
+        let proven =
+            |block: &BlockId, machine: &MachineId, attempt: &Attempt| self.fleet.proven_gone(block, machine, attempt);
+        let call = self.cancellations.poll(now, &self.config, self.boot, &self.view, proven);
+        effects.extend(call.map(|(tag, call)| Effect::Call { tag, call, until: None }));
         self.tell_all(now, effects);
         self.tell_leader(now, effects);
         let (intake, mut cx) = self.intake();
@@ -524,7 +547,14 @@
             self.granting.unfit(now, holder);
         }
         let health = leading.queues.health(now, &self.view, &unreaching);
-        leading.provisioner.observe(now, &lead, &self.view, &health, &self.heard_zones);
+        let settled = |block: &BlockId, attempt: &Attempt| {
+            let heard = || {
+                let grant = self.view.grants.get(block);
+                grant.is_some_and(|grant| self.cancellations.holder_heard(now, &grant.value))
+            };
+            leading.queues.proven_gone(block, attempt).unwrap_or_else(heard)
+        };
+        leading.provisioner.observe(now, &lead, &self.view, &health, &self.heard_zones, settled);
         leading.demand = leading.queues.plan(now, &lead, &self.view, &leading.provisioner);
         for (tag, call) in leading.provisioner.calls(now, &self.config, &self.view, &leading.demand) {
             effects.push(Effect::Call { tag, call, until: Some(until) });
@@ -559,9 +589,26 @@
             return;
         }
         self.told_all = Some(now.steady);
+        self.signs += 1;
+        let alive = Alive {
+            node: self.config.name.clone(),
+            boot: self.boot,
+            number: self.signs,
+            reaches_state,
+            cancelled: self.cancellations.told(),
+        };
+        self.tell_peers(&Message::Alive(alive), effects);
+    }
+
+    fn tell_peers(&self, message: &Message, effects: &mut Vec<Effect>) {
         for peer in &self.config.peers {
-            let message = Message::Alive { node: self.config.name.clone(), reaches_state };
-            effects.push(Effect::Peer { to: peer.name.clone(), message });
+            effects.push(Effect::Peer { to: peer.name.clone(), message: message.clone() });
+        }
+    }
+
+    fn note_cancellations(&mut self, jobs: impl IntoIterator<Item = CancelledJob>) {
+        for CancelledJob { job, version, at_ms } in jobs {
+            self.view.note_cancellation(job, version, at_ms);
         }
     }
 
@@ -613,7 +660,9 @@
         assert!(node.healthy(at(20)));
         node.budget.note(at(2000), &Outcome::Refused);
         let mut healthy = |now: Now, reaches_state: bool| {
-            node.handle(now, Event::Peer(Message::Alive { node: "node-1".into(), reaches_state }));
+            let number = now.unix_ms() + u64::try_from(since(now, start.steady).as_millis()).expect("short");
+            let alive = Alive { node: "node-1".into(), boot: 1, number, reaches_state, cancelled: Vec::new() };
+            node.handle(now, Event::Peer(Message::Alive(alive)));
             let effects = node.handle(now, Event::Health { id: 2 });
             effects.iter().any(|effect| matches!(effect, Effect::AnswerHealth { healthy: true, .. }))
         };
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,18 +3,47 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::domain::{Attempt, BlockId, Image, MachineId, NodeName};
+use crate::domain::{Attempt, BlockId, Image, JobId, MachineId, NodeName};
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// Holder to leader: how its blocks are.
     Status(Status),
-    /// To everyone: whether this controller reaches the state service.
-    Alive { node: NodeName, reaches_state: bool },
+    /// To everyone, every second.
+    Alive(Alive),
+    /// To everyone, at once: these were just committed.
+    Cancelled(Vec<CancelledJob>),
     /// Leader to holder: all the tasks it wants placed in those of its blocks where something is new.
     Work(Vec<Work>),
 }
 
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Alive {
+    pub node: NodeName,
+    pub boot: u64,
+    /// Rises with every message of a process: one that comes late is no sign of life.
+    pub number: u64,
+    pub reaches_state: bool,
+    /// Cancelled jobs of which tasks may be left, for those whose copy of the records does not show it.
+    pub cancelled: Vec<CancelledJob>,
+}
+
+/// A cancellation that was committed: it is final, so that whoever hears of it may act on it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct CancelledJob {
+    pub job: JobId,
+    /// The version of the record that says so. A copy that has got there knows better than a message.
+    pub version: u64,
+    /// When that was, by the time of day of whoever took it in.
+    pub at_ms: u64,
+}
+
+impl CancelledJob {
+    pub fn new(job: JobId, version: u64, at_ms: u64) -> Self {
+        CancelledJob { job, version, at_ms }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     pub node: NodeName,
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -14,8 +14,9 @@
 
 use tracing::{debug, info, warn};
 
+use crate::cancellation;
 use crate::config::Config;
-use crate::domain::{Amount, BlockId, MachineId, Now, Room, Tenure, TypeName, Zone, since};
+use crate::domain::{Amount, Attempt, BlockId, MachineId, Now, Room, TaskId, Tenure, TypeName, Zone, since};
 use crate::fleet::wire::Report;
 use crate::leadership::Lead;
 use crate::policy::Policy;
@@ -120,9 +121,6 @@
 }
 
 const RETRY: Duration = Duration::from_secs(1);
-/// How long before a cancelled task has to be gone its machine is given up: time for the deletion, and for clocks that
-/// differ.
-const OVERDUE_MARGIN: Duration = Duration::from_secs(8);
 const CUT_MARGIN: Duration = Duration::from_secs(2);
 /// Fewer silent machines than this are no sign of a cut.
 const CUT_LEAST: usize = 4;
@@ -160,8 +158,14 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Tag {
     Flavors,
-    Rent { type_name: TypeName, order: Order, version: u64 },
+    Rent {
+        type_name: TypeName,
+        order: Order,
+        version: u64,
+    },
     Delete(Vec<MachineId>),
+    /// Of machines that must be rid of cancelled tasks, by whichever controller.
+    DeleteCancelled,
     List,
 }
 
@@ -232,7 +236,7 @@
         }
     }
 
-    /// Takes in how the machines are.
+    /// Takes in how the machines are. `settled`: whether an attempt is proven gone, or its holder sees to it.
     pub fn observe(
         &mut self,
         now: Now,
@@ -240,6 +244,7 @@
         view: &View,
         health: &BTreeMap<MachineId, Health>,
         heard: &BTreeSet<Zone>,
+        settled: impl Fn(&BlockId, &Attempt) -> bool,
     ) {
         let Lead { config, policy, flavors, .. } = *lead;
         // Where no controller was heard since this process began, all may have ended together, and nobody answers the
@@ -277,19 +282,23 @@
                 warn!(machine = %id, silent, faulty = health.faulty, known_up, "machine given up");
             }
         }
-        self.overdue(now, config, view);
+        self.overdue(now, config, view, settled);
     }
 
     /// Gives up machines that still have tasks of jobs cancelled long ago. Whatever keeps their holders from proving
     /// them gone (the machine hangs, or changes hands so often that nobody finds it silent), the cloud's deletion does.
-    fn overdue(&mut self, now: Now, config: &Config, view: &View) {
-        let patience = config.cancel_within.saturating_sub(OVERDUE_MARGIN).max(config.cancel_within / 2);
+    ///
+    /// After an outage nearly all cancelled tasks are this late, while their holders have long proven most of them gone
+    /// and could not record it.
+    fn overdue(&mut self, now: Now, config: &Config, view: &View, settled: impl Fn(&BlockId, &Attempt) -> bool) {
         for (id, open) in view.open.iter().filter(|(_, open)| open.cancelled) {
-            if Duration::from_millis(now.unix_ms().saturating_sub(open.cancelled_ms)) < patience {
+            if !cancellation::overdue(now, config, open.cancelled_ms) {
                 continue;
             }
-            for place in view.placed(*id).values().filter(|place| view.machines.contains_key(&place.machine)) {
-                if self.lost.insert(place.machine.clone()) {
+            for ((index, number), place) in view.placed(*id) {
+                let attempt = Attempt { task: TaskId { job: *id, index: *index }, number: *number };
+                let left = view.machines.contains_key(&place.machine) && !settled(&place.block, &attempt);
+                if left && self.lost.insert(place.machine.clone()) {
                     warn!(machine = %place.machine, job = %id, "machine given up: its cancelled task must be gone");
                 }
             }
@@ -393,7 +402,8 @@
                 self.take_list(now, config, view, list);
             }
             (Tag::List, _) => self.list_busy = false,
-            (Tag::Flavors, _) => {}
+            // Not the leader's own.
+            (Tag::Flavors | Tag::DeleteCancelled, _) => {}
         }
     }
 
--- a/src/provisioning/tests.rs
+++ b/src/provisioning/tests.rs
@@ -36,11 +36,11 @@
     let mut provisioner = Provisioner::new(start, 1);
     let mut given_up = |after: Duration| {
         let now = Now { wall: start.wall + after, ..start };
-        provisioner.overdue(now, &config, &view);
+        provisioner.overdue(now, &config, &view, |_, _| false);
         provisioner.lost.iter().map(|id| id.0.to_string()).collect::<Vec<_>>()
     };
     assert_eq!(given_up(config.lease), [] as [&str; 0], "its holder may still prove it gone");
-    assert_eq!(given_up(config.cancel_within - OVERDUE_MARGIN), ["m-1"]);
+    assert_eq!(given_up(config.cancel_within - cancellation::OVERDUE_MARGIN), ["m-1"]);
 }
 
 /// Found on the bench: a cut zone's machines were deleted with all the replicas that ran on there.
@@ -73,7 +73,7 @@
                 let silent = silent(id, zones);
                 (id.clone(), Health { seen: true, silent, usable: !silent, ..Health::default() })
             });
-            provisioner.observe(now, &lead, &view, &health.collect(), heard);
+            provisioner.observe(now, &lead, &view, &health.collect(), heard, |_, _| false);
         }
         provisioner.lost.len()
     };
@@ -90,7 +90,7 @@
             let silent = silent(id, zones);
             (id.clone(), Health { seen: true, silent, usable: !silent, ..Health::default() })
         });
-        provisioner.observe(now, &lead, &view, &health.collect(), &heard);
+        provisioner.observe(now, &lead, &view, &health.collect(), &heard, |_, _| false);
     }
     assert_eq!(provisioner.lost.len(), 0, "they may just not have reported yet");
     let only_b = [Zone::from("b")].into();
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -163,6 +163,12 @@
         desk.status = Some((status, now.steady));
     }
 
+    /// Whether a placed attempt's holder has proven it gone. None: it has not spoken under its present grant.
+    pub fn proven_gone(&self, block: &BlockId, attempt: &Attempt) -> Option<bool> {
+        let (status, _) = self.desks.get(block)?.status.as_ref()?;
+        Some(status.ended.contains(&attempt.number))
+    }
+
     fn machines(&self, now: Now) -> impl Iterator<Item = &MachineStatus> {
         self.desks
             .values()
--- a/src/service.rs
+++ b/src/service.rs
@@ -200,7 +200,7 @@
                 let close = self.commanded.crowded(Now::read().steady);
                 let request = Request::post("/commands".to_owned(), write(&command.body), COMMAND_TIMEOUT);
                 let request = Request { close, ..request };
-                self.exchange(&self.workers, addr, request, Some(until), move |reply| {
+                self.exchange(&self.workers, addr, request, until, move |reply| {
                     let outcome = match reply {
                         Some(reply) => match (reply.status, read::<Report>(&reply.body)) {
                             (200, Some(report)) => CommandOutcome::Executed(report),
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -148,6 +148,8 @@
     pub ended: HashMap<JobId, (Final, u32)>,
     pub progress: BTreeMap<(JobId, u32), Versioned<Progress>>,
     placed: HashMap<JobId, Placed>,
+    /// Cancellations that other controllers have told us of and our copy is too old to show: version, time of day.
+    cancellations: BTreeMap<JobId, (u64, u64)>,
     touched: Touched,
 }
 
@@ -177,6 +179,8 @@
 }
 
 const RETRY: Duration = Duration::from_millis(400);
+/// Cancellations kept beside a copy that is too old to show them. Beyond that the grants' life must do.
+const MOST_CANCELLATIONS: usize = 10_000;
 /// A copy that was not brought up to date for so long may be far behind: watches return more often than that.
 const DOUBTFUL_AFTER: Duration = Duration::from_secs(6);
 /// What is missed may measure this much at the most, if each change is as large as can be, else everything is read
@@ -219,6 +223,7 @@
             ended: HashMap::new(),
             progress: BTreeMap::new(),
             placed: HashMap::new(),
+            cancellations: BTreeMap::new(),
             touched: Touched { all: true, ..Touched::default() },
         }
     }
@@ -310,8 +315,10 @@
     fn clear(&mut self) {
         let load = self.load;
         let barrier = std::mem::take(&mut self.barrier);
+        let cancellations = std::mem::take(&mut self.cancellations);
         *self = View::at(self.pace, self.value_bytes);
         self.load = load;
+        self.cancellations = cancellations;
         self.barrier = Barrier { wanted: barrier.wanted || barrier.busy, ..Barrier::default() };
     }
 
@@ -384,6 +391,7 @@
                 self.busy = false;
                 self.revision = self.load_revision;
                 self.state = State::Following;
+                self.forget_shown();
                 // The first page may predate the rest: only what was asked before it is covered.
                 self.fresh = None;
                 self.asked = None;
@@ -405,6 +413,7 @@
                     self.apply(change);
                 }
                 self.revision = self.revision.max(revision);
+                self.forget_shown();
                 self.fresh = self.fresh.max(self.asked);
                 self.settle_barrier();
             }
@@ -419,6 +428,36 @@
         }
     }
 
+    /// Takes in a cancellation that was committed as this version, before the watch tells of it: a controller that the
+    /// state service refuses has no other way to learn of it. A copy that has reached that version and shows otherwise
+    /// knows better.
+    pub fn note_cancellation(&mut self, id: JobId, version: u64, at_ms: u64) {
+        let shown = self.state == State::Following && self.revision >= version;
+        if shown || self.ended.contains_key(&id) || self.cancellations.len() >= MOST_CANCELLATIONS {
+            return;
+        }
+        self.cancellations.insert(id, (version, at_ms));
+        self.apply_cancellation(id);
+    }
+
+    fn apply_cancellation(&mut self, id: JobId) {
+        let (Some(open), Some((version, at_ms))) = (self.open.get_mut(&id), self.cancellations.get(&id)) else {
+            return;
+        };
+        if *version > open.version {
+            open.version = *version;
+            open.cancelled = true;
+            open.cancelled_ms = *at_ms;
+            self.touched.ended.insert(id);
+        }
+    }
+
+    /// Forgets what our copy shows by itself.
+    fn forget_shown(&mut self) {
+        let revision = self.revision;
+        self.cancellations.retain(|_, (version, _)| *version > revision);
+    }
+
     fn settle_barrier(&mut self) {
         let revision = self.revision;
         if !self.ready() {
@@ -563,6 +602,7 @@
             open.done.merge(&progress.value.done);
         }
         self.open.insert(id, open);
+        self.apply_cancellation(id);
     }
 
     /// Where a job's attempts are, machines that are proven gone included.
@@ -570,6 +610,11 @@
         self.placed.get(&job).unwrap_or(&NOTHING_PLACED)
     }
 
+    /// Whether anything has changed since it was last asked what.
+    pub fn has_touched(&self) -> bool {
+        self.touched != Touched::default()
+    }
+
     /// What has changed since the last call.
     pub fn take_touched(&mut self) -> Touched {
         std::mem::take(&mut self.touched)
@@ -698,4 +743,36 @@
         view.apply(put(places_key(&"a.0".into()), 6, encode(&places)));
         assert_eq!(view.placed(JobId(1)).len(), 1);
     }
+
+    /// What a controller is told by others goes before the watch, never against it.
+    #[test]
+    fn a_cancellation_told_by_another_controller_counts_until_the_copy_shows_what_is_true() {
+        let mut view = View::following();
+        let put = |id, version| Change {
+            key: job_key(JobId(id)),
+            version,
+            value: Some(encode(&JobRecord::Open(job(1, 1.0)))),
+        };
+        (1..=3).for_each(|id| view.apply(put(id, id)));
+        view.revision = 10;
+        let _ = view.take_touched();
+        view.note_cancellation(JobId(1), 9, 1000);
+        assert!(!view.open[&JobId(1)].cancelled, "the copy is newer and shows otherwise");
+        view.note_cancellation(JobId(2), 12, 1000);
+        view.note_cancellation(JobId(2), 12, 1000);
+        assert!(view.open[&JobId(2)].cancelled && view.open[&JobId(2)].version == 12);
+        assert!(view.has_touched() && view.take_touched().ended.contains(&JobId(2)));
+        // Of a job that is not in the copy yet.
+        view.note_cancellation(JobId(4), 13, 1000);
+        view.apply(put(4, 11));
+        assert!(view.open[&JobId(4)].cancelled);
+        // Pages that were read before it was committed.
+        view.clear();
+        (2..=4).for_each(|id| view.apply(put(id, id)));
+        assert!(view.open[&JobId(2)].cancelled && view.open[&JobId(4)].cancelled && !view.open[&JobId(3)].cancelled);
+        view.state = State::Following;
+        let news = Outcome::News { revision: 14, changes: Vec::new() };
+        view.news(Now::read(), news);
+        assert!(view.cancellations.is_empty(), "the copy is new enough to know by itself");
+    }
 }
--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -2,6 +2,7 @@
 //! after each step. The same seed gives the same run.
 
 mod machine;
+mod meetings;
 mod rules;
 mod state;
 mod world;
--- a/tests/simulation/rules.rs
+++ b/tests/simulation/rules.rs
@@ -52,12 +52,22 @@
     /// From here on there are no troubles, and every question must get an answer soon.
     calm: Duration,
     pub started: usize,
+    /// Starts after a confirmed cancellation: the task, and how long after.
+    pub started_cancelled: Vec<(TaskId, Duration)>,
     pub broken: Vec<String>,
 }
 
 impl Rules {
     pub fn new(limits: BTreeMap<Team, f64>, cancel_within: Duration, calm: Duration) -> Self {
-        Rules { jobs: BTreeMap::new(), limits, cancel_within, calm, started: 0, broken: Vec::new() }
+        Rules {
+            jobs: BTreeMap::new(),
+            limits,
+            cancel_within,
+            calm,
+            started: 0,
+            started_cancelled: Vec::new(),
+            broken: Vec::new(),
+        }
     }
 
     fn break_rule(&mut self, now: Duration, text: String) {
@@ -90,6 +100,8 @@
         if let Some(known) = self.jobs.get_mut(&task.job) {
             known.began.get_or_insert(now);
         }
+        let cancelled = self.jobs.get(&task.job).and_then(|known| known.cancel_told);
+        self.started_cancelled.extend(cancelled.map(|told| (task, now - told)));
         let Some(known) = self.jobs.get(&task.job) else {
             return self.break_rule(now, format!("invented: {task} starts but was never submitted"));
         };
@@ -265,6 +277,17 @@
         self.jobs.iter().filter(|(_, known)| open(known)).map(|(id, _)| *id).collect()
     }
 
+    /// Whether its user was told that it is cancelled.
+    pub fn is_cancelled(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|known| known.cancel_told.is_some())
+    }
+
+    /// Where a job's tasks are.
+    pub fn machines_of(&self, id: JobId) -> BTreeSet<String> {
+        let places = self.jobs.get(&id).into_iter().flat_map(|known| known.on.values().flatten());
+        places.map(|place| place.machine.clone()).collect()
+    }
+
     pub fn running(&self) -> usize {
         self.jobs.values().map(|known| known.on.values().flatten().count()).sum()
     }
--- a/tests/simulation/state.rs
+++ b/tests/simulation/state.rs
@@ -5,6 +5,7 @@
 
 use ciborium::Value;
 use dappleshore::config::StateLimits;
+use dappleshore::store::records::{LEADER, Leader};
 use dappleshore::store::{Change, Op, Outcome, Txn};
 
 struct Key {
@@ -67,6 +68,10 @@
         self.log.push(Change { key: key.to_owned(), version, value });
     }
 
+    pub fn leader(&self) -> Option<Leader> {
+        self.keys.get(LEADER)?.value.deserialized().ok()
+    }
+
     /// Ends holds that were not extended. Returns whether anything changed.
     pub fn expire(&mut self, now: Duration) -> bool {
         let gone: Vec<u64> = self.holds.iter().filter(|(_, (_, until))| *until <= now).map(|(id, _)| *id).collect();
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -23,7 +23,7 @@
 use super::rules::{Place, Rules, Told};
 use super::state::StateService;
 
-const NODES: usize = 3;
+pub const NODES: usize = 3;
 const ZONES: [&str; NODES] = ["a", "b", "c"];
 const TICK: Duration = Duration::from_millis(50);
 /// Machines and users move in steps of this.
@@ -165,6 +165,8 @@
         answer: Option<Answer>,
     },
     Fault(Fault),
+    /// What a test has planned for this moment.
+    Planned(Box<dyn FnOnce(&mut World)>),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -280,6 +282,8 @@
     pub rules: Rules,
     pub rented: usize,
     size: Size,
+    /// Tasks that start now run for so much longer than they would.
+    pub longer: Duration,
     pub events_handled: u64,
     /// What controllers said to each other, as it goes over the wire.
     pub peer_bytes: usize,
@@ -354,6 +358,7 @@
             rules: Rules::new(limits, config.cancel_within, calm_from + LAST_TROUBLES),
             rented: 0,
             size,
+            longer: Duration::ZERO,
             events_handled: 0,
             peer_bytes: 0,
             most_machines: 0,
@@ -549,7 +554,7 @@
             Effect::Command { command, until } => {
                 self.slots[node].commands += 1;
                 self.most_commands = self.most_commands.max(self.slots[node].commands);
-                if self.clock(node).steady >= until {
+                if until.is_some_and(|until| self.clock(node).steady >= until) {
                     return self.unanswered(node, boot, &command);
                 }
                 let (at, answer) = self.fate();
@@ -651,8 +656,8 @@
             Ev::Peer { node, message } => {
                 let from = match &message {
                     Message::Status(status) => Some(status.node.clone()),
-                    Message::Alive { node, .. } => Some(node.clone()),
-                    Message::Work(_) => None,
+                    Message::Alive(alive) => Some(alive.node.clone()),
+                    Message::Work(_) | Message::Cancelled(_) => None,
                 };
                 let from = from.and_then(|name| name.0.trim_start_matches("node-").parse::<usize>().ok());
                 let zone = from.map(|from| Zone::from(ZONES[from]));
@@ -711,6 +716,7 @@
                 }
             }
             Ev::Fault(fault) => self.fault(fault),
+            Ev::Planned(act) => act(self),
         }
     }
 
@@ -741,11 +747,9 @@
     }
 
     fn crash(&mut self, node: usize) {
-        self.slots[node].node = None;
-        self.slots[node].waiting.clear();
         // Now and then restarted at once.
         let after = if self.rng.random_bool(0.3) { 0.1 } else { 5.0 };
-        self.at(self.now + Duration::from_secs_f64(after), Ev::Restart { node });
+        self.end_controller(node, Duration::from_secs_f64(after));
     }
 
     fn state_out(&self, node: usize) -> bool {
@@ -909,7 +913,7 @@
             machine.seal = body.seal;
             machine.changed = true;
         }
-        let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for);
+        let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for(self.longer));
         self.happened(id, happened);
         true
     }
@@ -926,7 +930,7 @@
             .map(|(id, _)| id.clone());
         if let Some(other) = other {
             let machine = self.machines.get_mut(&other).expect("just found");
-            let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for);
+            let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for(self.longer));
             self.happened(&other, happened);
         }
     }
@@ -1069,7 +1073,7 @@
             }
             return;
         }
-        happened.extend(machine.progress(STEP, &self.jobs, &self.results, run_for));
+        happened.extend(machine.progress(STEP, &self.jobs, &self.results, run_for(self.longer)));
         if machine.report.is_some_and(|(_, sent)| now > sent + REPORT_TIMEOUT) {
             machine.report = None;
             machine.node = (machine.node + 1) % NODES;
@@ -1120,7 +1124,7 @@
                     machine.changed = true;
                 }
                 machine.lease_from = sent;
-                let happened = machine.execute(&orders.orders, &self.jobs, &self.results, run_for);
+                let happened = machine.execute(&orders.orders, &self.jobs, &self.results, run_for(self.longer));
                 self.happened(id, happened);
             }
             Some(Answer::Elsewhere(Some(holder))) => {
@@ -1225,6 +1229,76 @@
         }
     }
 
+    /// Does something at a set time, for meetings that random faults would seldom bring about.
+    pub fn plan(&mut self, at: Duration, act: impl FnOnce(&mut World) + 'static) {
+        self.at(at, Ev::Planned(Box::new(act)));
+    }
+
+    /// The controller that the state service has as the leader.
+    pub fn leader(&self) -> Option<usize> {
+        let name = self.state.leader()?.node;
+        name.0.trim_start_matches("node-").parse().ok()
+    }
+
+    /// The state service refuses this controller alone.
+    pub fn cut_state(&mut self, node: usize, how_long: Duration) {
+        self.slots[node].cut_until = self.now + how_long;
+    }
+
+    /// It loses the state service and the other controllers, not its workers and users.
+    pub fn island(&mut self, node: usize, how_long: Duration) {
+        self.cut_state(node, how_long);
+        self.slots[node].island_until = self.now + how_long;
+    }
+
+    pub fn state_outage(&mut self, how_long: Duration) {
+        let until = self.now + how_long;
+        self.state_out_until = self.state_out_until.max(until);
+        self.state.outage_over(until);
+    }
+
+    /// Ends a controller, which is started again after this long.
+    pub fn end_controller(&mut self, node: usize, back_after: Duration) {
+        self.slots[node].node = None;
+        self.slots[node].waiting.clear();
+        self.at(self.now + back_after, Ev::Restart { node });
+    }
+
+    pub fn freeze(&mut self, node: usize, how_long: Duration) {
+        if self.now < self.slots[node].frozen_until {
+            return;
+        }
+        let until = self.now + how_long;
+        // It has just decided what to do, and does it when it goes on.
+        let effects = self.effects(node, Event::Tick);
+        self.slots[node].frozen_until = until;
+        let boot = self.slots[node].boot;
+        self.at(until, Ev::Resume { node, boot, effects });
+    }
+
+    pub fn hang(&mut self, machine: &str, how_long: Duration) {
+        if let Some(machine) = self.machines.get_mut(machine) {
+            machine.hung_until = Some(self.now + how_long);
+        }
+    }
+
+    /// Users call off up to so many jobs that run. Returns the jobs.
+    pub fn cancel_now(&mut self, count: usize) -> Vec<JobId> {
+        let now = self.now;
+        let running = |user: &&mut User| {
+            self.rules.told_state(user.job) == Some(Told::Accepted) && !self.rules.machines_of(user.job).is_empty()
+        };
+        let chosen = self.users.iter_mut().filter(running).take(count);
+        chosen
+            .map(|user| {
+                user.cancel_at = Some(now);
+                user.next_ask = now;
+                user.pending = None;
+                user.job
+            })
+            .collect()
+    }
+
     fn fault(&mut self, fault: Fault) {
         let long = |rng: &mut SmallRng, most: f64| Duration::from_secs_f64(rng.random_range(1.0..most));
         match fault {
@@ -1234,31 +1308,23 @@
             }
             Fault::CrashAll => (0..NODES).for_each(|node| self.crash(node)),
             Fault::Outage => {
-                let until = self.now + long(&mut self.rng, 35.0);
-                self.state_out_until = self.state_out_until.max(until);
-                self.state.outage_over(until);
+                let how_long = long(&mut self.rng, 35.0);
+                self.state_outage(how_long);
             }
             Fault::CutOne => {
                 let node = self.rng.random_range(0..NODES);
-                self.slots[node].cut_until = self.now + long(&mut self.rng, 40.0);
+                let how_long = long(&mut self.rng, 40.0);
+                self.cut_state(node, how_long);
             }
             Fault::Island => {
                 let node = self.rng.random_range(0..NODES);
-                let until = self.now + long(&mut self.rng, 60.0);
-                self.slots[node].cut_until = until;
-                self.slots[node].island_until = until;
+                let how_long = long(&mut self.rng, 60.0);
+                self.island(node, how_long);
             }
             Fault::Freeze => {
                 let node = self.rng.random_range(0..NODES);
-                let until = self.now + long(&mut self.rng, 45.0);
-                if self.now < self.slots[node].frozen_until {
-                    return;
-                }
-                // It has just decided what to do, and does it when it goes on.
-                let effects = self.effects(node, Event::Tick);
-                self.slots[node].frozen_until = until;
-                let boot = self.slots[node].boot;
-                self.at(until, Ev::Resume { node, boot, effects });
+                let how_long = long(&mut self.rng, 45.0);
+                self.freeze(node, how_long);
             }
             Fault::MassLoss => {
                 let kind = [Fault::MachineDies, Fault::MachineHangs, Fault::MachineDeaf, Fault::SpotTaken]
@@ -1331,9 +1397,12 @@
     }
 }
 
-fn run_for(task: TaskId) -> Duration {
-    Duration::from_millis(1500 + (task.job.0 * 31 + u64::from(task.index) * 977) % 9000)
-        + if task.job.0.is_multiple_of(3) { Duration::from_secs(5) } else { Duration::ZERO }
+fn run_for(longer: Duration) -> impl Fn(TaskId) -> Duration {
+    move |task| {
+        Duration::from_millis(1500 + (task.job.0 * 31 + u64::from(task.index) * 977) % 9000)
+            + if task.job.0.is_multiple_of(3) { Duration::from_secs(5) } else { Duration::ZERO }
+            + longer
+    }
 }
 
 fn body_of(id: JobId, job: &Job) -> Vec<u8> {
