--- a/tests/simulation/machine.rs
+++ b/tests/simulation/machine.rs
@@ -30,6 +30,8 @@
     pub hung_until: Option<Duration>,
     /// Until then its reports arrive, but answers and commands don't reach it.
     pub deaf_until: Duration,
+    /// Until then it reaches no controller.
+    pub mute_until: Duration,
     pub notice: Option<Duration>,
     pub faulty: bool,
     pub session: u64,
@@ -87,7 +89,13 @@
         }
     }
 
-    fn free(&self, jobs: &BTreeMap<JobId, Job>) -> Room {
+    /// Up for a while, fit for tasks, and not being taken away.
+    pub fn settled(&self, now: Duration) -> bool {
+        let up = self.up_at.is_some_and(|at| now > at + Duration::from_secs(10));
+        up && self.runs(now) && self.notice.is_none() && !self.faulty
+    }
+
+    pub fn free(&self, jobs: &BTreeMap<JobId, Job>) -> Room {
         let mut free = self.size;
         for (task, t) in &self.tasks {
             if t.state != TaskState::Exited
--- a/tests/simulation/meetings.rs
+++ b/tests/simulation/meetings.rs
@@ -66,11 +66,38 @@
                 meanwhile(world, jobs, leader);
             });
         });
-        world.run_until(CALM_FROM + seconds(350.0));
-        assert_eq!(world.rules.broken, [] as [&str; 0], "seed {seed}");
-        assert_eq!(world.rules.unfinished(), [], "seed {seed}: accepted and neither done nor cancelled");
-        assert_eq!(world.rules.running(), 0, "seed {seed}: tasks of jobs that are over");
-        world
+        finish(seed, world)
+    }
+}
+
+/// No rule broken, and everything that was accepted is over at the end.
+fn finish(seed: u64, mut world: World) -> World {
+    world.run_until(CALM_FROM + seconds(350.0));
+    assert_eq!(world.rules.broken, [] as [&str; 0], "seed {seed}");
+    assert_eq!(world.rules.unfinished(), [], "seed {seed}: accepted and neither done nor cancelled");
+    assert_eq!(world.rules.running(), 0, "seed {seed}: tasks of jobs that are over");
+    assert!(world.rules.started > 50, "seed {seed}: only {} tasks started", world.rules.started);
+    world
+}
+
+/// Plays a world with these random faults and what `plan` adds, and checks that everything was served too.
+fn play(seed: u64, faults: Faults, size: Size, plan: impl FnOnce(&mut World)) -> World {
+    let mut world = World::new(seed, faults, CALM_FROM, size);
+    plan(&mut world);
+    let world = finish(seed, world);
+    assert_eq!(world.rules.unserved(), [] as [&str; 0], "seed {seed}");
+    world
+}
+
+fn every(world: &mut World, from: u64, until: u64, step: u64, act: impl Fn(&mut World) + Clone + 'static) {
+    for at in (from..until).step_by(step as usize) {
+        world.plan(Duration::from_secs(at), act.clone());
+    }
+}
+
+fn end_leader(world: &mut World, back_after: f64) {
+    if let Some(leader) = world.leader() {
+        world.end_controller(leader, seconds(back_after));
     }
 }
 
@@ -140,3 +167,293 @@
         }
     }
 }
+
+/// A command or its answer is held up for seconds, and the machine then goes on.
+#[test]
+fn commands_are_held_up_and_the_machines_go_on() {
+    for seed in 210..=213 {
+        play(seed, Faults { held: 0.02, ..Faults::default() }, Size::SMALL, |world| {
+            every(world, 20, 145, 5, |world| {
+                for (n, machine) in world.up(None).into_iter().enumerate() {
+                    // Within their leases, and some for longer.
+                    if n.is_multiple_of(3) {
+                        world.hang(&machine, seconds(1.0 + 4.0 * n as f64));
+                    }
+                }
+            });
+        });
+    }
+}
+
+/// Ten leaders in two minutes: no worker's lease runs out of it, and tokens don't rise without end.
+#[test]
+fn leaders_follow_each_other_quickly() {
+    for seed in 215..=217 {
+        for back_after in [0.1, 3.0, 14.0] {
+            let world = play(seed, Faults::default(), Size::SMALL, |world| {
+                every(world, 25, 145, 12, move |world| end_leader(world, back_after));
+            });
+            assert_eq!(world.leases_over, 0, "seed {seed}, back after {back_after} s");
+            // A term and a few blocks for each change.
+            assert!(world.last_token() < 12 * 12, "seed {seed}: {} tokens", world.last_token());
+        }
+    }
+}
+
+#[test]
+fn leaders_follow_each_other_inside_an_outage() {
+    for seed in 215..=217 {
+        play(seed, Faults::default(), Size::SMALL, |world| {
+            every(world, 40, 145, 10, |world| end_leader(world, 0.2));
+            world.plan(seconds(58.0), |world| world.state_outage(seconds(35.0)));
+            world.plan(seconds(110.0), |world| world.state_outage(seconds(15.0)));
+        });
+    }
+}
+
+/// Jobs bound to one zone lose machines there, and then the whole zone.
+#[test]
+fn jobs_of_one_zone_lose_its_machines() {
+    for seed in 220..=223 {
+        play(seed, Faults::default(), Size::SMALL, |world| {
+            world.bind_jobs();
+            world.longer = seconds(15.0);
+            for (at, zone, part) in [(50.0, "a", 1), (70.0, "b", 2), (95.0, "c", 1), (120.0, "a", 2)] {
+                world.plan(seconds(at), move |world| {
+                    world.up(Some(zone)).iter().step_by(part).for_each(|machine| world.kill(machine));
+                });
+            }
+            world.plan(seconds(100.0), |world| end_leader(world, 5.0));
+        });
+    }
+}
+
+/// A cancellation, a question or a repeated submission meets the end of a job's last task, with no other trouble.
+#[test]
+fn the_end_of_a_job_meets_its_cancellation() {
+    for seed in 225..=230 {
+        let faults = Faults { cancel_at_end: 1.0, odd_requests: 0.3, ..Faults::default() };
+        play(seed, faults, Size { jobs: 60, ..Size::SMALL }, |_| {});
+    }
+}
+
+/// Workers can't open connections to any controller, while direct commands reach them.
+#[test]
+fn machines_reach_no_controller_while_commands_reach_them() {
+    for seed in 235..=238 {
+        play(seed, Faults { machine_mute: 8.0, crash: 60.0, ..Faults::default() }, Size::SMALL, |world| {
+            world.longer = seconds(20.0);
+            world.plan(seconds(60.0), |world| {
+                world.up(None).iter().step_by(2).for_each(|machine| world.mute(machine, seconds(70.0)));
+                world.cancel_now(4);
+            });
+        });
+    }
+}
+
+/// ... and that does not end: direct commands renew no lease, so no long task is ever done there. They are replaced.
+#[test]
+fn machines_that_reach_no_controller_any_more_are_replaced() {
+    for seed in 235..=238 {
+        play(seed, Faults::default(), Size::SMALL, |world| {
+            world.longer = seconds(30.0);
+            world.plan(seconds(60.0), move |world| {
+                let mute: Vec<String> = world.up(None).into_iter().step_by(2).collect();
+                assert!(mute.len() > 3, "seed {seed}: {mute:?}");
+                mute.iter().for_each(|machine| world.mute(machine, seconds(1000.0)));
+                world.plan(seconds(120.0), move |world| {
+                    let left = world.up(None);
+                    assert!(!mute.iter().any(|machine| left.contains(machine)), "seed {seed}: {left:?} of {mute:?}");
+                });
+            });
+        });
+    }
+}
+
+/// Transactions without an answer are carried out late, after newer ones of the same controller.
+#[test]
+fn transactions_are_carried_out_late() {
+    for seed in 240..=245 {
+        play(seed, Faults { late_writes: 0.2, crash: 40.0, ..Faults::default() }, Size::SMALL, |_| {});
+    }
+}
+
+/// Old reports arrive after newer ones, also from an earlier session or attempt.
+#[test]
+fn old_reports_arrive_after_newer_ones() {
+    for seed in 250..=253 {
+        let faults = Faults { copies: 0.5, machine_restarts: 10.0, faulty_machines: 0.2, ..Faults::default() };
+        play(seed, faults, Size::SMALL, |world| every(world, 40, 145, 20, |world| end_leader(world, 1.0)));
+    }
+}
+
+/// Jobs of two or three tasks end far apart across a change of leader.
+#[test]
+fn tasks_of_a_job_end_far_apart_across_changes_of_leader() {
+    for seed in 255..=258 {
+        play(seed, Faults::default(), Size { tasks: 4, ..Size::SMALL }, |world| {
+            world.apart = seconds(25.0);
+            every(world, 30, 150, 15, |world| end_leader(world, 4.0));
+        });
+    }
+}
+
+/// The state service is slow, refuses the leader alone, and is out for longer than `cancel_s`, while users cancel and ask.
+#[test]
+fn the_state_service_is_slow_and_out_while_users_ask() {
+    for seed in 260..=262 {
+        let faults = Faults { state_slow: 25.0, odd_requests: 0.1, ..Faults::default() };
+        play(seed, faults, Size::SMALL, |world| {
+            world.plan(seconds(52.0), |world| {
+                let leader = world.leader().expect("led by now");
+                world.cut_state(leader, seconds(20.0));
+                world.cancel_now(4);
+            });
+            world.plan(seconds(58.0), |world| world.state_outage(seconds(60.0)));
+            every(world, 60, 118, 10, |world| {
+                world.cancel_now(1);
+            });
+        });
+    }
+}
+
+/// A team is at its limit when the leader changes, some of its machines can't be asked, and its jobs are cancelled.
+#[test]
+fn a_team_at_its_limit_with_machines_that_cannot_be_asked() {
+    for seed in 265..=268 {
+        play(seed, Faults::default(), Size { jobs: 40, teams: 0.5, ..Size::SMALL }, |world| {
+            world.longer = seconds(10.0);
+            every(world, 40, 140, 25, |world| {
+                world.up(None).iter().step_by(3).for_each(|machine| world.hang(machine, seconds(24.0)));
+                world.up(None).iter().skip(1).step_by(3).for_each(|machine| world.deafen(machine, seconds(24.0)));
+                end_leader(world, 6.0);
+                world.plan(Duration::ZERO, |world| {
+                    world.cancel_now(2);
+                });
+            });
+        });
+    }
+}
+
+/// More work than room, urgent and not, over slow links.
+#[test]
+fn more_work_than_room_over_slow_links() {
+    for seed in 270..=272 {
+        let faults = Faults { lost: 0.02, crash: 60.0, ..Faults::default() };
+        let size = Size { jobs: 45, stock: [3, 1], ..Size::SMALL };
+        play(seed, faults, size, |world| world.latency = Duration::from_millis(600));
+    }
+}
+
+/// All controllers are away for longer than a lease; then one is back within a second, again and again.
+#[test]
+fn all_controllers_are_away_for_longer_than_a_lease() {
+    for seed in 275..=277 {
+        play(seed, Faults::default(), Size::SMALL, |world| {
+            world.longer = seconds(10.0);
+            world.plan(seconds(50.0), |world| {
+                (0..NODES).for_each(|node| world.end_controller(node, seconds(24.0 + node as f64)));
+            });
+            world.plan(seconds(110.0), |world| {
+                (0..NODES).for_each(|node| world.end_controller(node, seconds(28.0)));
+            });
+        });
+    }
+}
+
+/// A report is held back until a new leader has acted, and then arrives there.
+#[test]
+fn reports_arrive_after_a_new_leader_has_acted() {
+    for seed in 280..=283 {
+        play(seed, Faults { faulty_machines: 0.2, ..Faults::default() }, Size::SMALL, |world| {
+            every(world, 30, 145, 22, |world| {
+                world.hold_reports(seconds(3.0));
+                end_leader(world, 12.0);
+            });
+            world.plan(seconds(70.0), |world| {
+                world.hold_reports(seconds(24.0));
+            });
+        });
+    }
+}
+
+/// A zone with workers and a controller is cut off for longer than a lease, and jobs are cancelled outside.
+#[test]
+fn a_zone_is_cut_off_for_longer_than_a_lease_while_jobs_are_cancelled() {
+    for seed in 285..=288 {
+        play(seed, Faults { machine_hangs: 20.0, ..Faults::default() }, Size::SMALL, |world| {
+            world.longer = seconds(20.0);
+            for (at, how_long) in [(50.0, 28.0), (95.0, 55.0)] {
+                world.plan(seconds(at), move |world| {
+                    let zone = ["a", "b", "c"][world.leader().unwrap_or(0)];
+                    world.cut_zone(zone, seconds(how_long));
+                });
+                world.plan(seconds(at + 2.0), |world| {
+                    world.cancel_now(4);
+                });
+            }
+        });
+    }
+}
+
+/// A leader ends while machines with long tasks can't be reached, or don't hear the new leader's answer.
+#[test]
+fn a_leader_ends_while_machines_cannot_be_reached() {
+    for seed in 290..=293 {
+        play(seed, Faults::default(), Size::SMALL, |world| {
+            world.longer = seconds(30.0);
+            every(world, 45, 140, 30, |world| {
+                world.up(None).iter().step_by(4).for_each(|machine| world.hang(machine, seconds(15.0)));
+                world.up(None).iter().skip(1).step_by(4).for_each(|machine| world.deafen(machine, seconds(40.0)));
+                world.up(None).iter().skip(2).step_by(4).for_each(|machine| world.mute(machine, seconds(18.0)));
+                end_leader(world, 20.0);
+            });
+        });
+    }
+}
+
+/// A leader is cut from the state service and the other controllers while workers and users still reach it, and jobs are
+/// cancelled through the new one.
+#[test]
+fn a_leader_on_an_island_while_jobs_are_cancelled_through_the_new_one() {
+    for seed in 295..=298 {
+        play(seed, Faults::default(), Size::SMALL, |world| {
+            world.longer = seconds(30.0);
+            for (at, how_long) in [(45.0, 20.0), (80.0, 60.0)] {
+                world.plan(seconds(at), move |world| {
+                    let leader = world.leader().expect("led by now");
+                    world.island(leader, seconds(how_long));
+                });
+                // Before the new one has taken over, and after.
+                for later in [1.0, 6.0] {
+                    world.plan(seconds(at + later), |world| {
+                        for machine in machines_of(world, &world.running_jobs(2)) {
+                            world.hang(&machine, seconds(25.0));
+                        }
+                        world.cancel_now(3);
+                    });
+                }
+            }
+        });
+    }
+}
+
+/// Controllers hand over and back, all end, and one returns, also within a second.
+#[test]
+fn controllers_hand_over_and_back_and_all_end() {
+    for seed in 300..=303 {
+        play(seed, Faults { copies: 0.05, ..Faults::default() }, Size::SMALL, |world| {
+            for at in [30, 60, 95, 130] {
+                every(world, at, at + 6, 2, |world| end_leader(world, 0.3));
+                world.plan(seconds(at as f64 + 7.0), move |world| {
+                    let back = |node: usize| if node == at as usize % NODES { 0.2 } else { 9.0 };
+                    (0..NODES).for_each(|node| world.end_controller(node, seconds(back(node))));
+                });
+                // In the middle of the election.
+                world.plan(seconds(at as f64 + 10.8), move |world| {
+                    world.end_controller(at as usize % NODES, seconds(0.1));
+                });
+            }
+        });
+    }
+}
--- a/tests/simulation/rules.rs
+++ b/tests/simulation/rules.rs
@@ -33,10 +33,14 @@
     began: Option<Duration>,
     /// Since when its user's questions have gone unanswered.
     unanswered: Option<Duration>,
+    /// Since when it has waited beside a machine with room.
+    beside_room: Option<Duration>,
 }
 
 /// Troubles over, a job with no question answered for this long is forgotten.
 const ANSWER_WITHIN: Duration = Duration::from_secs(75);
+/// Troubles over, no job waits this long while a machine that fits has room and its team is under its limit.
+const USED_WITHIN: Duration = Duration::from_secs(90);
 /// The largest jobs begin within this.
 const BEGIN_WITHIN: Duration = Duration::from_secs(240);
 
@@ -85,6 +89,7 @@
             accepted: None,
             began: None,
             unanswered: None,
+            beside_room: None,
         });
     }
 
@@ -268,6 +273,49 @@
         }
     }
 
+    /// What was sent should have been refused with this status: by a controller that can decide, and at once.
+    pub fn odd_answered(&mut self, now: Duration, expected: u16, status: u16) {
+        if ![expected, 429, 503].contains(&status) {
+            self.break_rule(now, format!("odd: a request is answered {status} instead of {expected}"));
+        }
+    }
+
+    /// Accepted jobs with tasks to do.
+    pub fn waiting(&self) -> Vec<JobId> {
+        let waits = |known: &Known| known.told == Some(Told::Accepted) && !known.cancel_asked;
+        self.jobs.iter().filter(|(_, known)| waits(known)).map(|(id, _)| *id).collect()
+    }
+
+    pub fn done(&self, id: JobId) -> u32 {
+        self.jobs.get(&id).map_or(0, |known| known.done.len() as u32)
+    }
+
+    pub fn all_done(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|known| known.done.len() == known.job.tasks as usize)
+    }
+
+    pub fn team_has_room(&self, id: JobId) -> bool {
+        let Some(job) = self.jobs.get(&id).map(|known| &known.job) else { return false };
+        let of_team = self.jobs.values().filter(|known| known.job.team == job.team);
+        let used: f64 = of_team.map(|known| known.job.need.cpus * known.on.len() as f64).sum();
+        used + job.need.cpus <= self.limits[&job.team]
+    }
+
+    /// The jobs that wait beside room now.
+    pub fn beside_room(&mut self, now: Duration, jobs: BTreeSet<JobId>) {
+        let calm = self.calm;
+        let mut late = Vec::new();
+        for (id, known) in &mut self.jobs {
+            known.beside_room = if jobs.contains(id) { known.beside_room.or(Some(now)) } else { None };
+            if known.beside_room.is_some_and(|at| now > at.max(calm) + USED_WITHIN) {
+                late.push(*id);
+            }
+        }
+        for id in late {
+            self.break_rule(now, format!("idle: {id} has waited for long beside a machine with room"));
+        }
+    }
+
     pub fn told_state(&self, id: JobId) -> Option<Told> {
         self.jobs.get(&id).and_then(|known| known.told)
     }
@@ -387,4 +435,23 @@
         r.told(at(11), JobId(1), Some("running"));
     };
     expect("went_back", broken(job(1, 1.0), &back));
+    let beside = |from: u64, to: u64| {
+        accepted_then(&move |r| {
+            (from..=to).for_each(|second| r.beside_room(at(second), [JobId(1)].into()));
+        })
+    };
+    assert_eq!(beside(2, 95), None, "counted from when troubles are over");
+    expect("idle", beside(2, 96));
+    let gap = |r: &mut Rules| {
+        (6..=110)
+            .for_each(|second| r.beside_room(at(second), (second != 50).then_some(JobId(1)).into_iter().collect()));
+    };
+    assert_eq!(accepted_then(&gap), None, "now and then it finds none");
+    expect("odd", broken(job(1, 1.0), &|r| r.odd_answered(at(1), 422, 201)));
+    assert_eq!(broken(job(1, 1.0), &|r| r.odd_answered(at(1), 422, 503)), None);
+    let mut rules = Rules::new([("red".into(), 8.0)].into(), at(50), at(5));
+    rules.submitted(JobId(1), job(1, 1.0));
+    cancelled(&mut rules);
+    rules.starts(at(12), task(0), place("a", ordinary));
+    assert_eq!(rules.started_cancelled, [(task(0), at(2))]);
 }
--- a/tests/simulation/state.rs
+++ b/tests/simulation/state.rs
@@ -5,7 +5,7 @@
 
 use ciborium::Value;
 use dappleshore::config::StateLimits;
-use dappleshore::store::records::{LEADER, Leader};
+use dappleshore::store::records::{LEADER, Leader, SEAL, Seal};
 use dappleshore::store::{Change, Op, Outcome, Txn};
 
 struct Key {
@@ -72,6 +72,11 @@
         self.keys.get(LEADER)?.value.deserialized().ok()
     }
 
+    pub fn last_token(&self) -> u64 {
+        let seal = self.keys.get(SEAL).and_then(|key| key.value.deserialized::<Seal>().ok());
+        seal.map_or(0, |seal| seal.last)
+    }
+
     /// Ends holds that were not extended. Returns whether anything changed.
     pub fn expire(&mut self, now: Duration) -> bool {
         let gone: Vec<u64> = self.holds.iter().filter(|(_, (_, until))| *until <= now).map(|(id, _)| *id).collect();
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -63,6 +63,17 @@
     pub mass_loss: f64,
     /// A controller loses the state service and its peers, but not its workers.
     pub island: f64,
+    /// Of all transactions: no answer comes, and it is carried out 2 to 12 s later, after newer ones.
+    pub late_writes: f64,
+    /// A machine reaches no controller for up to a minute, while direct commands reach it.
+    pub machine_mute: f64,
+    /// The state service takes up to a second for each request, for up to half a minute.
+    pub state_slow: f64,
+    /// Of all jobs that end: called off at the moment of the end.
+    pub cancel_at_end: f64,
+    /// Of all questions: an unfinished job is submitted again, one that is done is called off, or a job is sent that fits
+    /// no machine or lacks a field.
+    pub odd_requests: f64,
     /// A launch is also executed by another machine: breaks a rule on purpose.
     pub sabotage: bool,
 }
@@ -89,6 +100,11 @@
             island: 80.0,
             freeze: 60.0,
             mass_loss: 150.0,
+            late_writes: 0.01,
+            machine_mute: 50.0,
+            state_slow: 90.0,
+            cancel_at_end: 0.1,
+            odd_requests: 0.05,
             sabotage: false,
         }
     }
@@ -186,6 +202,8 @@
     Island,
     Freeze,
     MassLoss,
+    MachineMute,
+    StateSlow,
 }
 
 /// How much there is of everything.
@@ -223,8 +241,20 @@
 
 #[derive(Clone)]
 enum Asker {
-    User { user: usize, asked: Ask },
-    Worker { machine: String, session: u64, seq: u64, sent: Duration },
+    User {
+        user: usize,
+        asked: Ask,
+    },
+    /// Whoever sent a job that is to be answered with this status, unless the controller can't decide yet.
+    Odd {
+        expected: u16,
+    },
+    Worker {
+        machine: String,
+        session: u64,
+        seq: u64,
+        sent: Duration,
+    },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -268,6 +298,7 @@
     config: Config,
     state: StateService,
     state_out_until: Duration,
+    state_slow_until: Duration,
     cloud_out_until: Duration,
     peers_cut_until: Duration,
     zone_cut: (Zone, Duration),
@@ -282,8 +313,17 @@
     pub rules: Rules,
     pub rented: usize,
     size: Size,
+    looked_for_idle: Duration,
     /// Tasks that start now run for so much longer than they would.
     pub longer: Duration,
+    /// ... and each of a job so much longer than the one before it.
+    pub apart: Duration,
+    /// The most that a message takes.
+    pub latency: Duration,
+    /// Reports sent until then arrive then, at whoever leads by that time.
+    reports_held_until: Duration,
+    /// Leases that ran out on machines that were up.
+    pub leases_over: usize,
     pub events_handled: u64,
     /// What controllers said to each other, as it goes over the wire.
     pub peer_bytes: usize,
@@ -291,6 +331,9 @@
     pub most_commands: usize,
 }
 
+/// How often it is looked for jobs that wait beside room.
+const IDLE_EVERY: Duration = Duration::from_secs(2);
+
 /// Cuts, hangs and held messages last for up to a minute after the last fault.
 const LAST_TROUBLES: Duration = Duration::from_secs(60);
 
@@ -344,6 +387,7 @@
             calm_from,
             state: StateService::new(config.state_limits),
             state_out_until: Duration::ZERO,
+            state_slow_until: Duration::ZERO,
             cloud_out_until: Duration::ZERO,
             peers_cut_until: Duration::ZERO,
             zone_cut: (Zone::from("a"), Duration::ZERO),
@@ -358,7 +402,12 @@
             rules: Rules::new(limits, config.cancel_within, calm_from + LAST_TROUBLES),
             rented: 0,
             size,
+            looked_for_idle: Duration::ZERO,
             longer: Duration::ZERO,
+            apart: Duration::ZERO,
+            latency: Duration::from_millis(6),
+            reports_held_until: Duration::ZERO,
+            leases_over: 0,
             events_handled: 0,
             peer_bytes: 0,
             most_machines: 0,
@@ -387,6 +436,8 @@
             (Fault::Island, faults.island),
             (Fault::Freeze, faults.freeze),
             (Fault::MassLoss, faults.mass_loss),
+            (Fault::MachineMute, faults.machine_mute),
+            (Fault::StateSlow, faults.state_slow),
         ] {
             if mean > 0.0 {
                 let mut at = 0.0;
@@ -461,15 +512,20 @@
     }
 
     fn soon(&mut self, event: Ev) {
-        let at = self.now + Duration::from_micros(self.rng.random_range(500..6000));
+        let at = self.now + self.transit();
         self.at(at, event);
     }
 
+    fn transit(&mut self) -> Duration {
+        let most = u64::try_from(self.latency.as_micros()).expect("short");
+        Duration::from_micros(self.rng.random_range(500..most))
+    }
+
     /// A request on its way: sometimes held for long, sometimes its answer is lost. Returns when it arrives and
     /// whether it will be answered.
     fn fate(&mut self) -> (Duration, bool) {
         let calm = self.now >= self.calm_from;
-        let quick = self.now + Duration::from_micros(self.rng.random_range(500..6000));
+        let quick = self.now + self.transit();
         if !calm && self.rng.random_bool(self.faults.held) {
             let held = Duration::from_secs_f64(self.rng.random_range(1.0..60.0));
             return (self.now + held, false);
@@ -539,7 +595,15 @@
         match effect {
             Effect::Store { tag, op } => {
                 let sent = self.clock(node).steady;
-                let (at, answer) = self.fate();
+                let (mut at, mut answer) = self.fate();
+                if self.now < self.state_slow_until && !matches!(op, Op::Follow { .. }) {
+                    at += Duration::from_millis(self.rng.random_range(50..1000));
+                }
+                let calm = self.now >= self.calm_from;
+                if matches!(op, Op::Commit(_)) && !calm && self.rng.random_bool(self.faults.late_writes) {
+                    at = self.now + Duration::from_secs_f64(self.rng.random_range(2.0..12.0));
+                    answer = false;
+                }
                 if !answer {
                     let unknown = Event::Store { tag: tag.clone(), sent, outcome: Outcome::Unknown };
                     let after = Duration::from_millis(1500);
@@ -596,11 +660,14 @@
                     self.at(at, Ev::Peer { node: target, message });
                 }
             }
-            Effect::Answer { id, response } => {
-                if let Some(Asker::User { user, asked }) = self.slots[node].waiting.remove(&id) {
-                    self.user_answered(user, asked, &response);
+            Effect::Answer { id, response } => match self.slots[node].waiting.remove(&id) {
+                Some(Asker::User { user, asked }) => self.user_answered(user, asked, &response),
+                Some(Asker::Odd { expected }) => {
+                    let (Response::State { status, .. } | Response::Problem { status, .. }) = response;
+                    self.rules.odd_answered(self.now, expected, status);
                 }
-            }
+                _ => {}
+            },
             Effect::AnswerWorker { id, answer, until } => {
                 let over = self.clock(node).steady >= until && matches!(answer, Answer::Orders(_));
                 let answer = if over { Answer::Unavailable } else { answer };
@@ -852,11 +919,22 @@
                         self.results.insert(task);
                     }
                     self.rules.ends(task, id, done);
+                    if done && self.rules.all_done(task.job) {
+                        self.ended(task.job);
+                    }
                 }
             }
         }
     }
 
+    /// A job's last task is done: now and then its user calls it off at that very moment.
+    fn ended(&mut self, job: JobId) {
+        if self.now >= self.calm_from || !self.rng.random_bool(self.faults.cancel_at_end) {
+            return;
+        }
+        self.call_off(job);
+    }
+
     fn command(&mut self, node: usize, boot: u64, command: Command, answer: bool) {
         let id = command.machine.0.to_string();
         if self.faults.sabotage {
@@ -913,7 +991,7 @@
             machine.seal = body.seal;
             machine.changed = true;
         }
-        let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for(self.longer));
+        let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for(self.longer, self.apart));
         self.happened(id, happened);
         true
     }
@@ -930,7 +1008,7 @@
             .map(|(id, _)| id.clone());
         if let Some(other) = other {
             let machine = self.machines.get_mut(&other).expect("just found");
-            let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for(self.longer));
+            let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for(self.longer, self.apart));
             self.happened(&other, happened);
         }
     }
@@ -1010,6 +1088,7 @@
             dead: false,
             hung_until: None,
             deaf_until: Duration::ZERO,
+            mute_until: Duration::ZERO,
             notice: None,
             faulty,
             session: 1,
@@ -1040,6 +1119,10 @@
         for user in 0..self.users.len() {
             self.step_user(user);
         }
+        if self.size.jobs <= Size::SMALL.jobs && self.now >= self.looked_for_idle + IDLE_EVERY {
+            self.looked_for_idle = self.now;
+            self.look_for_idle_room();
+        }
     }
 
     fn step_machine(&mut self, id: &str) {
@@ -1064,7 +1147,9 @@
         if !machine.runs(now) {
             return;
         }
+        let session = machine.session;
         let mut happened = machine.check_lease(now, lease);
+        self.leases_over += usize::from(machine.session != session);
         if machine.hung_until.take().is_some() {
             let backlog = std::mem::take(&mut machine.backlog);
             self.happened(id, happened);
@@ -1073,7 +1158,7 @@
             }
             return;
         }
-        happened.extend(machine.progress(STEP, &self.jobs, &self.results, run_for(self.longer)));
+        happened.extend(machine.progress(STEP, &self.jobs, &self.results, run_for(self.longer, self.apart)));
         if machine.report.is_some_and(|(_, sent)| now > sent + REPORT_TIMEOUT) {
             machine.report = None;
             machine.node = (machine.node + 1) % NODES;
@@ -1094,7 +1179,15 @@
                 let node = self.rng.random_range(0..NODES);
                 self.at(late, Ev::Copy { node, report: Box::new(report.clone()) });
             }
-            if up {
+            let mute = now < self.machines[id].mute_until;
+            if now < self.reports_held_until {
+                let held = self.reports_held_until;
+                self.plan(held, move |world| {
+                    if let Some(node) = world.leader() {
+                        world.take(Ev::Copy { node, report: Box::new(report) });
+                    }
+                });
+            } else if up && !mute {
                 let (at, _) = self.fate();
                 self.at(at, Ev::Report { node, report: Box::new(report) });
             } else {
@@ -1124,7 +1217,8 @@
                     machine.changed = true;
                 }
                 machine.lease_from = sent;
-                let happened = machine.execute(&orders.orders, &self.jobs, &self.results, run_for(self.longer));
+                let happened =
+                    machine.execute(&orders.orders, &self.jobs, &self.results, run_for(self.longer, self.apart));
                 self.happened(id, happened);
             }
             Some(Answer::Elsewhere(Some(holder))) => {
@@ -1169,10 +1263,21 @@
             Some(_) if user.again && self.rng.random_bool(0.3) => Ask::Submit,
             Some(_) => Ask::Poll,
         };
+        let odd = now < self.calm_from && self.rng.random_bool(self.faults.odd_requests);
+        let asked = match told {
+            Some(Told::Accepted) if odd => Ask::Submit,
+            Some(Told::Done) if odd => Ask::Cancel,
+            _ => asked,
+        };
+        if odd {
+            self.send_odd(index);
+        }
         let within = if asked == Ask::Poll { 2 } else { 5 };
         self.users[index].pending = Some((asked, now + Duration::from_secs(within)));
         match asked {
             Ask::Submit => self.rules.submitted(job, self.jobs[&job].clone()),
+            // What is done stays done, whoever calls it off.
+            Ask::Cancel if told == Some(Told::Done) => {}
             Ask::Cancel => self.rules.cancel_asked(job),
             Ask::Poll => {}
         }
@@ -1206,6 +1311,67 @@
         self.soon(Ev::Deliver { node, boot, event: Box::new(event) });
     }
 
+    /// A job that can't run or lacks a field, under a name that nobody uses.
+    fn send_odd(&mut self, index: usize) {
+        let job = self.jobs[&self.users[index].job].clone();
+        let id = JobId(500_000 + self.order);
+        let (body, expected) = match self.rng.random_range(0..4) {
+            0 => (body_of(id, &Job { team: "nobody".into(), ..job }), 422),
+            1 => (body_of(id, &Job { need: Room { cpus: 17.0, ..job.need }, ..job }), 422),
+            2 => (body_of(id, &Job { need: Room { cpus: -1.0, ..job.need }, ..job }), 400),
+            _ => {
+                let mut body = body_of(id, &job);
+                body.truncate(body.len() / 2);
+                (body, 400)
+            }
+        };
+        let node = self.rng.random_range(0..NODES);
+        let slot = &mut self.slots[node];
+        if slot.node.is_none() {
+            return;
+        }
+        slot.next_request += 1;
+        let id = slot.next_request;
+        slot.waiting.insert(id, Asker::Odd { expected });
+        let boot = slot.boot;
+        self.soon(Ev::Deliver { node, boot, event: Box::new(Event::Submit { id, body }) });
+    }
+
+    /// Jobs that wait while a machine that fits has room and their team is under its limit.
+    fn look_for_idle_room(&mut self) {
+        let mut free: Vec<(&Machine, Room)> = Vec::new();
+        for machine in self.machines.values().filter(|machine| machine.settled(self.now)) {
+            free.push((machine, machine.free(&self.jobs)));
+        }
+        let mut beside = BTreeSet::new();
+        for id in self.rules.waiting() {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let mut listed: BTreeMap<&Zone, u32> = BTreeMap::new();
+            for machine in self.machines.values() {
+                let of_job = TaskId { job: id, index: 0 }..=TaskId { job: id, index: u32::MAX };
+                let there = machine.tasks.range(of_job).filter(|(_, t)| t.state != TaskState::Exited);
+                *listed.entry(&machine.zone).or_default() += there.count() as u32;
+            }
+            let all: u32 = listed.values().sum();
+            if all + self.rules.done(id) >= job.tasks {
+                continue;
+            }
+            let fits = |machine: &Machine, room: &Room| {
+                let here = listed.get(&machine.zone).copied().unwrap_or(0);
+                job.allows_type(&machine.type_name)
+                    && job.allows_zone(&machine.zone)
+                    && job.allows_tenure(machine.tenure)
+                    && here < job.zone_limit()
+                    && (!job.one_zone || here == all)
+                    && room.fits(&job.need)
+            };
+            if self.rules.team_has_room(id) && free.iter().any(|(machine, room)| fits(machine, room)) {
+                beside.insert(id);
+            }
+        }
+        self.rules.beside_room(self.now, beside);
+    }
+
     fn user_answered(&mut self, index: usize, asked: Ask, response: &Response) {
         let now = self.now;
         let user = &mut self.users[index];
@@ -1282,21 +1448,82 @@
         }
     }
 
+    /// Reports on their way from now on arrive when this is over, at whoever leads by then.
+    pub fn hold_reports(&mut self, how_long: Duration) {
+        self.reports_held_until = self.now + how_long;
+    }
+
+    /// Everything that crosses the zone's border is held for so long.
+    pub fn cut_zone(&mut self, zone: &str, how_long: Duration) {
+        self.zone_cut = (zone.into(), self.now + how_long);
+    }
+
+    /// The machines that are up, in a zone or all.
+    pub fn up(&self, zone: Option<&str>) -> Vec<String> {
+        let here = |m: &&Machine| m.up && !m.dead && zone.is_none_or(|zone| *m.zone.0 == *zone);
+        self.machines.values().filter(here).map(|m| m.id.clone()).collect()
+    }
+
+    pub fn kill(&mut self, machine: &str) {
+        let Some(found) = self.machines.get_mut(machine) else { return };
+        found.dead = true;
+        let happened = found.gone();
+        self.happened(machine, happened);
+    }
+
+    /// Answers and commands don't reach it.
+    pub fn deafen(&mut self, machine: &str, how_long: Duration) {
+        if let Some(machine) = self.machines.get_mut(machine) {
+            machine.deaf_until = self.now + how_long;
+        }
+    }
+
+    /// All arrays are bound to one zone: every other one to a given zone.
+    pub fn bind_jobs(&mut self) {
+        for (n, user) in self.users.iter_mut().enumerate() {
+            let Some(job) = self.jobs.get_mut(&user.job).filter(|job| job.kind == Kind::Array) else { continue };
+            job.one_zone = n.is_multiple_of(2);
+            job.zone = (!job.one_zone).then(|| ZONES[n % NODES].into());
+            user.body = body_of(user.job, job);
+        }
+    }
+
+    /// The highest token given out so far.
+    pub fn last_token(&self) -> u64 {
+        self.state.last_token()
+    }
+
+    /// It reaches no controller, while direct commands reach it.
+    pub fn mute(&mut self, machine: &str, how_long: Duration) {
+        if let Some(machine) = self.machines.get_mut(machine) {
+            machine.mute_until = self.now + how_long;
+        }
+    }
+
+    /// Up to so many accepted jobs that run.
+    pub fn running_jobs(&self, count: usize) -> Vec<JobId> {
+        let running = |job: &JobId| {
+            self.rules.told_state(*job) == Some(Told::Accepted) && !self.rules.machines_of(*job).is_empty()
+        };
+        self.users.iter().map(|user| user.job).filter(running).take(count).collect()
+    }
+
     /// Users call off up to so many jobs that run. Returns the jobs.
     pub fn cancel_now(&mut self, count: usize) -> Vec<JobId> {
+        let jobs = self.running_jobs(count);
+        for job in &jobs {
+            self.call_off(*job);
+        }
+        jobs
+    }
+
+    fn call_off(&mut self, job: JobId) {
         let now = self.now;
-        let running = |user: &&mut User| {
-            self.rules.told_state(user.job) == Some(Told::Accepted) && !self.rules.machines_of(user.job).is_empty()
-        };
-        let chosen = self.users.iter_mut().filter(running).take(count);
-        chosen
-            .map(|user| {
-                user.cancel_at = Some(now);
-                user.next_ask = now;
-                user.pending = None;
-                user.job
-            })
-            .collect()
+        if let Some(user) = self.users.iter_mut().find(|user| user.job == job) {
+            user.cancel_at = Some(now);
+            user.next_ask = now;
+            user.pending = None;
+        }
     }
 
     fn fault(&mut self, fault: Fault) {
@@ -1334,6 +1561,7 @@
                     self.fault(kind);
                 }
             }
+            Fault::StateSlow => self.state_slow_until = self.now + long(&mut self.rng, 30.0),
             Fault::CloudOutage => self.cloud_out_until = self.now + long(&mut self.rng, 30.0),
             Fault::ZoneCut => {
                 let zone = Zone::from(ZONES[self.rng.random_range(0..NODES)]);
@@ -1344,6 +1572,7 @@
             | Fault::MachineHangs
             | Fault::SpotTaken
             | Fault::MachineDeaf
+            | Fault::MachineMute
             | Fault::MachineRestarts => {
                 let spot = fault == Fault::SpotTaken;
                 let fits = |m: &&Machine| m.up && !m.dead && (!spot || m.tenure.is_spot());
@@ -1356,13 +1585,10 @@
                 let notice = Duration::from_secs(if self.rng.random_bool(0.5) { 5 } else { 0 });
                 let machine = self.machines.get_mut(&id).expect("just found");
                 match fault {
-                    Fault::MachineDies => {
-                        machine.dead = true;
-                        let happened = machine.gone();
-                        self.happened(&id, happened);
-                    }
+                    Fault::MachineDies => self.kill(&id),
                     Fault::MachineHangs => machine.hung_until = Some(self.now + hang),
                     Fault::MachineDeaf => machine.deaf_until = self.now + hang,
+                    Fault::MachineMute => machine.mute_until = self.now + hang,
                     Fault::MachineRestarts => {
                         let happened = machine.restart(self.now);
                         self.happened(&id, happened);
@@ -1397,11 +1623,12 @@
     }
 }
 
-fn run_for(longer: Duration) -> impl Fn(TaskId) -> Duration {
+fn run_for(longer: Duration, apart: Duration) -> impl Fn(TaskId) -> Duration {
     move |task| {
         Duration::from_millis(1500 + (task.job.0 * 31 + u64::from(task.index) * 977) % 9000)
             + if task.job.0.is_multiple_of(3) { Duration::from_secs(5) } else { Duration::ZERO }
             + longer
+            + apart * task.index
     }
 }
 
