Machines that reach no controller are replaced though they answer commands

Cause: an answer to a command counted as a sign of life like a report, but renews no lease. Such a machine was given tasks for ever and lost them with each lease. Only reports that reach us count now.

--- a/src/fleet/block.rs
+++ b/src/fleet/block.rs
@@ -32,6 +32,14 @@
 const CONDITIONS_PER_CHANGE: usize = 4;
 const OWN_CONDITIONS: usize = 3;
 
+/// How a worker came to say something. Only a report that reached us can renew its lease: a worker that answers commands
+/// and reaches no controller loses its tasks again and again, so that its answers are no sign of its being well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Said {
+    Reporting,
+    Answering,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum End {
     Done,
@@ -190,7 +198,7 @@
     }
 
     /// The one place where what a worker says is taken in.
-    pub(super) fn take_report(&mut self, now: Now, report: Report, view: &View) {
+    pub(super) fn take_report(&mut self, now: Now, report: Report, view: &View, said: Said) {
         let seal = self.seal;
         let Some(worker) = self.workers.get_mut(&report.machine) else { return };
         let newer = (report.session, report.seq) > (worker.session, worker.seq);
@@ -208,9 +216,14 @@
         self.unsaid.insert(report.machine.clone());
         worker.session = report.session;
         worker.seq = report.seq;
-        worker.heard = now.steady;
-        if worker.deaf.is_none() {
-            worker.probed = None;
+        match said {
+            Said::Reporting => {
+                worker.heard = now.steady;
+                if worker.deaf.is_none() {
+                    worker.probed = None;
+                }
+            }
+            Said::Answering => worker.probed = worker.probed.map(|(at, _)| (at, false)),
         }
         worker.reported = true;
         worker.notice = report.notice_s.is_some();
@@ -407,7 +420,7 @@
             CommandOutcome::Executed(report) | CommandOutcome::Rejected(report) => {
                 if report.machine == *machine {
                     worker.deaf = None;
-                    self.take_report(now, report, view);
+                    self.take_report(now, report, view, Said::Answering);
                 }
             }
             CommandOutcome::Unknown => {
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -37,7 +37,7 @@
     pub(super) session: u64,
     pub(super) seq: u64,
     pub(super) seal: u64,
-    /// Steady time of the last report, or of the grant if there was none yet.
+    /// Steady time of the last report that reached us, or of the grant if there was none yet. Answers don't count.
     pub(super) heard: Instant,
     pub(super) reported: bool,
     pub(super) notice: bool,
