--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -292,48 +292,4 @@
 }
 
 #[cfg(test)]
-pub mod tests {
-    use super::*;
-
-    pub const SETTINGS: &str = include_str!("../../tests/data/settings.toml");
-
-    #[test]
-    fn the_settings_of_a_node_are_read() {
-        let config = Config::parse("s.toml", SETTINGS).expect("the sample is valid");
-        assert_eq!(&*config.name.0, "node-0");
-        assert_eq!(config.peers.len(), 2);
-        assert_eq!(config.state_limits.value_bytes, 8192);
-        assert_eq!(config.lease, Duration::from_secs(20));
-    }
-
-    #[test]
-    fn nonsense_is_refused_by_the_name_of_its_field() {
-        let cases = [
-            (
-                "lease_s = 20.0",
-                "lease_s = -1.0",
-                "s.toml: `params.workers.lease_s` must be seconds above 0, a day at most",
-            ),
-            ("cancel_s = 50.0", "cancel_s = 19.0", "s.toml: `params.workers.cancel_s` must exceed `lease_s`"),
-            (
-                "back = \"10.0.0.1:8081\"",
-                "back = \"nowhere\"",
-                "s.toml: `back` must be an IP address and port, not `nowhere`",
-            ),
-            ("cpus = 16.0", "cpus = 999.0", "s.toml: `params.teams.red.cpus` must not exceed `cpus_max`"),
-            ("txn_ops = 16", "txn_ops = 0", "s.toml: `params.state.txn_ops` must be at least 4"),
-            ("domain = \"a\"", "", "s.toml: TOML parse error at line 1, column 1: missing field `domain`"),
-        ];
-        for (from, to, message) in cases {
-            assert!(SETTINGS.contains(from), "{from}");
-            let error = Config::parse("s.toml", &SETTINGS.replacen(from, to, 1)).expect_err(to);
-            assert_eq!(error.to_string(), message);
-        }
-    }
-
-    #[test]
-    fn unknown_fields_are_ignored() {
-        let more = format!("later = 1\n{SETTINGS}\n[params.later]\nx = [1]\n");
-        assert!(Config::parse("s.toml", &more).is_ok());
-    }
-}
+pub mod tests;
--- /dev/null
+++ b/src/fleet/wire/tests.rs
@@ -0,0 +1,40 @@
+use ciborium::cbor;
+
+use super::*;
+
+fn bytes_of<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).expect("to memory");
+    bytes
+}
+
+#[test]
+fn reports_with_more_or_fewer_fields_are_read() {
+    let value = cbor!({
+        "berth" => "m-000231", "endpoint" => "10.1.0.232:9000", "berthKind" => "g8", "wing" => "a",
+        "loaner" => true, "shift" => 1, "folio" => 88, "seal" => 41, "later" => [1, 2],
+        "entries" => [
+            {"entry" => "j-000412/3", "try" => 2, "status" => "running"},
+            {"entry" => "j-000398/0", "try" => 1, "status" => "exited", "cause" => "done"},
+            {"entry" => "j-000398/1", "try" => 1, "status" => "dozing", "cause" => "whim"}
+        ]
+    })
+    .expect("valid");
+    let report: Report = ciborium::from_reader(bytes_of(&value).as_slice()).expect("readable");
+    assert_eq!(report.notice_s, None);
+    assert_eq!(report.tasks[1].cause, Some(Cause::Done));
+    assert_eq!(report.tasks[2].state, TaskState::Other);
+    assert_eq!(report.tasks[2].cause, Some(Cause::Other));
+}
+
+#[test]
+fn orders_have_the_form_of_the_protocol() {
+    let task = "j-000377/1".parse().expect("valid");
+    let orders = Orders { seal: 41, session: Some(1), orders: vec![Order::Stop { task, number: 1, grace_s: 10.0 }] };
+    let value: ciborium::Value = ciborium::from_reader(bytes_of(&orders).as_slice()).expect("readable");
+    let expected = cbor!({
+        "seal" => 41, "shift" => 1,
+        "orders" => [{"order" => "stop", "entry" => "j-000377/1", "try" => 1, "leaveS" => 10.0}]
+    });
+    assert_eq!(value, expected.expect("valid"));
+}
--- /dev/null
+++ b/src/intake/wire/tests.rs
@@ -0,0 +1,79 @@
+use super::*;
+
+pub fn sample() -> Vec<(&'static str, Value)> {
+    vec![
+        ("id", "j-000412".into()),
+        ("docket", "train".into()),
+        ("desk", "red".into()),
+        ("shape", "sweep".into()),
+        ("precedence", "high".into()),
+        ("entries", 16.into()),
+        ("cpus", 8.into()),
+        ("cards", 0.0.into()),
+        ("ramGb", 64.0.into()),
+        ("bundle", "img-07".into()),
+        ("imageGb", 6.2.into()),
+        ("berthKinds", Value::Array(vec!["g8".into()])),
+        ("wing", Value::Null),
+        ("samePlace", true.into()),
+        ("scatter", false.into()),
+        ("loaner", true.into()),
+        ("expectS", 240.0.into()),
+        ("stampEveryS", 30.0.into()),
+        ("stampS", 4.0.into()),
+        ("dueS", 900.0.into()),
+    ]
+}
+
+pub fn body(fields: &[(&str, Value)]) -> Vec<u8> {
+    let map = fields.iter().map(|(key, value)| ((*key).into(), value.clone())).collect();
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&Value::Map(map), &mut bytes).expect("to memory");
+    bytes
+}
+
+#[test]
+fn a_submission_is_read_with_integers_for_decimals() {
+    let (id, job) = parse(&body(&sample()), 7).expect("valid");
+    assert_eq!(id, JobId(412));
+    assert!((job.need.cpus - 8.0).abs() < 1e-9);
+    assert_eq!(job.deadline_s, Some(900.0));
+    let optional: Vec<_> = sample().into_iter().filter(|(k, _)| !["dueS", "wing", "berthKinds"].contains(k)).collect();
+    let (_, job) = parse(&body(&optional), 7).expect("null fields may be omitted");
+    assert_eq!((job.types, job.zone, job.deadline_s), (None, None, None));
+}
+
+#[test]
+fn every_wrong_field_is_refused() {
+    let wrong: [(&str, Value); 14] = [
+        ("id", "j-412".into()),
+        ("id", 412.into()),
+        ("shape", "gang".into()),
+        ("precedence", "urgent".into()),
+        ("entries", 0.into()),
+        ("entries", 100_001.into()),
+        ("entries", 1.5.into()),
+        ("entries", (-1).into()),
+        ("cpus", (-1.0).into()),
+        ("cpus", f64::NAN.into()),
+        ("ramGb", f64::INFINITY.into()),
+        ("loaner", "yes".into()),
+        ("berthKinds", "g8".into()),
+        ("bundle", "x".repeat(201).as_str().into()),
+    ];
+    for (key, value) in wrong {
+        let mut fields = sample();
+        fields.iter_mut().filter(|(k, _)| *k == key).for_each(|(_, v)| *v = value.clone());
+        assert!(parse(&body(&fields), 0).is_err(), "{key}: {value:?}");
+    }
+    for key in ["id", "desk", "cpus", "scatter", "stampS", "bundle"] {
+        let fields: Vec<_> = sample().into_iter().filter(|(k, _)| *k != key).collect();
+        assert!(parse(&body(&fields), 0).is_err(), "{key} missing");
+    }
+    assert!(parse(b"", 0).is_err());
+    assert!(parse(b"\xa1", 0).is_err());
+    assert!(parse(&[0x80], 0).is_err());
+    let mut trailing = body(&sample());
+    trailing.push(0);
+    assert!(parse(&trailing, 0).is_err());
+}
--- /dev/null
+++ b/src/placement/tests.rs
@@ -0,0 +1,63 @@
+use super::*;
+use crate::domain::{Kind, Priority};
+
+pub fn job(tasks: u32, cpus: f64) -> Job {
+    Job {
+        class: "c".into(),
+        team: "red".into(),
+        kind: Kind::Array,
+        priority: Priority::Standard,
+        tasks,
+        need: Room { cpus, gpus: 0.0, memory_gb: 1.0 },
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        image: "img".into(),
+        image_gb: 1.0,
+        estimate_s: 10.0,
+        checkpoint_every_s: 0.0,
+        checkpoint_s: 0.0,
+        deadline_s: None,
+        accepted_ms: 0,
+    }
+}
+
+fn machine(name: &str, tenure: Tenure, free: f64, images: &[&str]) -> Candidate {
+    Candidate {
+        machine: name.into(),
+        type_name: "small".into(),
+        zone: "a".into(),
+        tenure,
+        size: Room { cpus: 8.0, gpus: 0.0, memory_gb: 32.0 },
+        free: Room { cpus: free, gpus: 0.0, memory_gb: 32.0 },
+        images: images.iter().map(|image| Image::from(*image)).collect(),
+        fetch_s_per_gb: 2.0,
+    }
+}
+
+#[test]
+fn images_first_then_the_tightest_fit_and_never_a_forbidden_machine() {
+    let mut list = vec![
+        machine("m-1", Tenure::Ordinary, 8.0, &[]),
+        machine("m-2", Tenure::Ordinary, 4.0, &[]),
+        machine("m-3", Tenure::Ordinary, 1.0, &["img"]),
+        machine("m-4", Tenure::Spot, 4.0, &["img"]),
+    ];
+    let chosen = |list: &[Candidate], job: &Job| choose(list.iter(), job, |_| true).map(|c| c.machine.clone());
+    let mut work = job(1, 2.0);
+    assert_eq!(chosen(&list, &work), Some("m-2".into()));
+    list.push(machine("m-5", Tenure::Ordinary, 8.0, &["img"]));
+    assert_eq!(chosen(&list, &work), Some("m-5".into()));
+    work.spot = true;
+    assert_eq!(chosen(&list, &work), Some("m-4".into()));
+    let mut ranking = Ranking::new(&list, &work, |_| true);
+    let first = ranking.best(&list, &work).map(|c| c.machine.clone());
+    assert_eq!(first, Some("m-4".into()));
+    list[3].free.cpus = 1.0;
+    assert_eq!(ranking.best(&list, &work).map(|c| c.machine.clone()), Some("m-5".into()));
+    work.zone = Some("b".into());
+    assert_eq!(chosen(&list, &work), None);
+    assert!(choose(list.iter(), &job(1, 2.0), |_| false).is_none());
+}
--- /dev/null
+++ b/src/provisioning/wire/tests.rs
@@ -0,0 +1,34 @@
+use ciborium::cbor;
+
+use super::*;
+
+/// A machine type of 16 CPUs in zone `a`.
+pub fn flavor() -> Flavor {
+    Flavor {
+        name: "large".into(),
+        cpus: Amount(16.0),
+        gpus: Amount(0.0),
+        memory_gb: Amount(64.0),
+        cache_gb: Amount(20.0),
+        fetch_gb_per_s: Amount(1.0),
+        price: Amount(1.0),
+        spot_price: Amount(0.3),
+        boot_s: Amount(10.0),
+        zones: vec!["a".into()],
+    }
+}
+
+#[test]
+fn no_capacity_is_told_from_an_outage() {
+    let rent = Call::Rent(RentRequest {
+        request: "r-1-1".into(),
+        type_name: "g8".into(),
+        zone: "a".into(),
+        spot: false,
+        count: 2,
+    });
+    let reply = |error: &str| Reply { status: 503, body: write(&cbor!({"error" => error}).expect("valid")).into() };
+    assert_eq!(outcome(&rent, Some(&reply("no capacity"))), CallOutcome::NoCapacity);
+    assert_eq!(outcome(&rent, Some(&reply("trouble"))), CallOutcome::Refused);
+    assert_eq!(outcome(&rent, None), CallOutcome::Unknown);
+}
