Jobs that can't run are refused at once in an outage too; tests of intake

Cause: a submission that nothing can ever make run was answered 503 while the state service was away, so its user kept asking. Now it is judged first, unless our copy knows the job as accepted.

--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -101,18 +101,24 @@
         if let Some(response) = ended(cx.view, job_id) {
             return Some(response);
         }
+        // What can't run is refused at once in an outage as well, unless it may be a job that was accepted once.
+        let known = cx.view.open.contains_key(&job_id);
+        if cx.view.ready()
+            && cx.flavors.known()
+            && !known
+            && let Some(problem) = never_runs(cx.config, cx.flavors, &job)
+        {
+            return Some(refuse(422, problem));
+        }
         if let Some(response) = self.unable(now, cx) {
             return Some(response);
         }
-        if cx.view.open.contains_key(&job_id) {
+        if known {
             return self.wait(now, id, Question::Submit(job_id), SUBMIT_WITHIN, cx);
         }
         if !cx.flavors.known() {
             return Some(later(503, "the machine types are not known yet"));
         }
-        if let Some(problem) = never_runs(cx.config, cx.flavors, &job) {
-            return Some(refuse(422, problem));
-        }
         let delay = cx.budget.user_delay();
         if delay > LONGEST_QUEUE {
             let retry_after = Some(Duration::from_secs(delay.as_secs().clamp(1, 20)));
@@ -321,3 +327,6 @@
     }
     None
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/intake/tests.rs
@@ -0,0 +1,124 @@
+//! What users are answered, and when.
+
+use super::*;
+use crate::config::tests::SETTINGS;
+use crate::intake::wire::tests::{body, sample};
+use crate::placement::tests::job;
+use crate::provisioning::wire::FlavorList;
+use crate::provisioning::wire::tests::flavor;
+use crate::store::Change;
+use crate::store::records::encode;
+
+struct Desk {
+    config: Config,
+    flavors: Flavors,
+    view: View,
+    budget: Budget<RequestId>,
+    intake: Intake,
+    now: Now,
+}
+
+impl Desk {
+    fn new() -> Self {
+        let config = Config::parse("s.toml", SETTINGS).expect("valid");
+        let mut flavors = Flavors::default();
+        flavors.answered(Some(FlavorList { types: vec![flavor()] }));
+        let now = Now::read();
+        let mut budget = Budget::new(&config.state_limits, config.controllers(), now);
+        budget.note(now, &Outcome::Missing { revision: 1 });
+        Desk { config, flavors, view: View::following(), budget, intake: Intake::new(), now }
+    }
+
+    fn after(&mut self, passed: Duration) {
+        self.now = Now { steady: self.now.steady + passed, wall: self.now.wall + passed };
+    }
+
+    fn outage(&mut self) {
+        self.after(Duration::from_secs(5));
+        self.budget.note(self.now, &Outcome::Refused);
+    }
+
+    /// The status of the answer that comes at once, if one does.
+    fn submit(&mut self, changed: &[(&'static str, ciborium::Value)]) -> Option<u16> {
+        let mut fields = sample();
+        fields.push(("berthKinds", ciborium::Value::Null));
+        for (name, value) in changed {
+            fields.retain(|(known, _)| known != name);
+            fields.push((name, value.clone()));
+        }
+        fields.dedup_by_key(|(name, _)| *name);
+        let mut cx = Context {
+            config: &self.config,
+            flavors: &self.flavors,
+            view: &mut self.view,
+            budget: &mut self.budget,
+            tag: |id| id,
+        };
+        let response = self.intake.submit(self.now, 1, &body(&fields), &mut cx)?;
+        if let Response::Problem { status: 429 | 503, retry_after, .. } = response {
+            assert!(retry_after.is_some(), "says when to come back");
+        }
+        let (Response::State { status, .. } | Response::Problem { status, .. }) = response;
+        Some(status)
+    }
+}
+
+/// A user who sent something wrong must not be kept asking because the state service is away.
+#[test]
+fn bad_input_is_refused_at_once_in_an_outage_as_well() {
+    let mut desk = Desk::new();
+    let any = ("berthKinds", ciborium::Value::Null);
+    let unfit = [any.clone(), ("cpus", 17.0.into())];
+    let missing = [any.clone(), ("entries", ciborium::Value::Null)];
+    let fits = [any];
+    assert_eq!(desk.submit(&unfit), Some(422));
+    assert_eq!(desk.submit(&missing), Some(400));
+    assert_eq!(desk.submit(&fits), None, "answered once it is committed");
+    desk.outage();
+    assert_eq!(desk.submit(&unfit), Some(422));
+    assert_eq!(desk.submit(&missing), Some(400));
+    assert_eq!(desk.submit(&fits), Some(503));
+    desk.flavors = Flavors::default();
+    assert_eq!(desk.submit(&unfit), Some(503), "can't decide");
+}
+
+/// A job that was accepted stays known, whatever is thought of it by now.
+#[test]
+fn a_repeated_submission_of_an_accepted_job_is_never_refused_for_good() {
+    let mut desk = Desk::new();
+    let id = JobId(412);
+    let key = job_key(id);
+    desk.view.apply(Change { key: key.clone(), version: 1, value: Some(encode(&JobRecord::Open(job(1, 17.0)))) });
+    let unfit = [("berthKinds", ciborium::Value::Null), ("cpus", 17.0.into())];
+    assert_eq!(desk.submit(&unfit), None, "answered once the copy is fresh");
+    desk.outage();
+    assert_eq!(desk.submit(&unfit), Some(503));
+    let end = JobRecord::Ended(Final::Done, 1);
+    desk.view.apply(Change { key, version: 2, value: Some(encode(&end)) });
+    assert_eq!(desk.submit(&unfit), Some(200), "what is final is told from any copy");
+}
+
+/// Others are told of a cancellation only once it is committed, with the version that it was committed as.
+#[test]
+fn a_cancellation_is_told_once_it_is_committed() {
+    let mut desk = Desk::new();
+    let id = JobId(412);
+    desk.view.apply(Change { key: job_key(id), version: 3, value: Some(encode(&JobRecord::Open(job(1, 1.0)))) });
+    let at_ms = desk.now.unix_ms();
+    let mut cx = Context {
+        config: &desk.config,
+        flavors: &desk.flavors,
+        view: &mut desk.view,
+        budget: &mut desk.budget,
+        tag: |id| id,
+    };
+    assert_eq!(desk.intake.cancel(desk.now, 5, "j-000412", &mut cx), None);
+    assert_eq!(desk.intake.cancelled(5, &Outcome::Committed { revision: 4 }), None, "nothing was sent yet");
+    let txn = Txn::default();
+    desk.intake.pending.get_mut(&5).expect("asked").state = State::Committing { txn, at_ms };
+    for outcome in [Outcome::Unknown, Outcome::Conflict, Outcome::Refused] {
+        assert_eq!(desk.intake.cancelled(5, &outcome), None, "{outcome:?}");
+    }
+    let told = desk.intake.cancelled(5, &Outcome::Committed { revision: 4 });
+    assert_eq!(told, Some(CancelledJob::new(id, 4, at_ms)));
+}
