Holders that hear all other controllers go on in an outage of the state service

Cause: in an outage longer than a grant's life nobody answered reports, so that after a lease more all tasks were lost, for the sake of cancellations that nobody can confirm meanwhile. Each controller now names, every second, all the cancellations it knows of and the last sign of life it has heard of each of the others. What all others have named since we sent something is known here as if it had been read then, and a grant's life counts from it too. A controller that was started since, has no copy, or names only some, does not count.

Tests: no_lease_runs_out_in_an_outage_in_which_controllers_hear_each_other; unit tests of what counts.

--- a/src/cancellation/mod.rs
+++ b/src/cancellation/mod.rs
@@ -5,14 +5,14 @@
 //! stopped or deleted, whoever leads. So this works on while the state service is out for everybody, which is when
 //! nobody is certain to lead, and hung machines would keep their cancelled tasks for as long as they hang.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use tracing::warn;
 
 use crate::config::Config;
 use crate::domain::{Attempt, BlockId, JobId, MachineId, NodeName, Now, since};
-use crate::peer::CancelledJob;
+use crate::peer::{Alive, CancelledJob};
 use crate::provisioning::wire::MachineNames;
 use crate::provisioning::{Call, CallOutcome, Tag};
 use crate::store::View;
@@ -38,12 +38,18 @@
     Duration::from_millis(now.unix_ms().saturating_sub(cancelled_ms)) >= patience
 }
 
-/// What this controller knows of the others.
-#[derive(Debug, Default)]
+/// Signs of life of ours whose times are kept: answers to older ones are of no use.
+const MOST_SENT: usize = 64;
+
+/// What this controller knows of another.
+#[derive(Debug)]
 struct Peer {
     boot: u64,
     number: u64,
-    at: Option<Instant>,
+    at: Instant,
+    /// It has named all cancellations that it knew of at this time or later: the time at which we sent what it had heard
+    /// by then.
+    covers: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -51,6 +57,8 @@
     /// Cancelled jobs whose tasks are not all proven gone, by our copy: version and time of day.
     open: BTreeMap<JobId, (u64, u64)>,
     peers: BTreeMap<NodeName, Peer>,
+    /// Our signs of life, and when we gave them.
+    sent: VecDeque<(u64, Instant)>,
     looked: Option<Instant>,
     /// The deletion that is under way.
     deleting: Vec<MachineId>,
@@ -82,9 +90,27 @@
         self.deleted.retain(|machine| view.machines.contains_key(machine));
     }
 
-    /// What the others are told again and again: a message may be lost, and who is cut off from the state service
-    /// learns of it in no other way.
-    pub fn told(&self) -> Vec<CancelledJob> {
+    /// What the others are told every second. Cancellations again and again: a message may be lost, and who is cut off
+    /// from the state service learns of them in no other way.
+    pub fn sign(&mut self, now: Now, node: &NodeName, boot: u64, view: &View, reaches_state: bool) -> Alive {
+        let number = self.sent.back().map_or(1, |(number, _)| number + 1);
+        self.sent.push_back((number, now.steady));
+        if self.sent.len() > MOST_SENT {
+            self.sent.pop_front();
+        }
+        Alive {
+            node: node.clone(),
+            boot,
+            number,
+            reaches_state,
+            // Without a copy an earlier process of this controller may have confirmed what we have not read yet.
+            complete: view.ready() && self.open.len() <= MOST_TOLD,
+            cancelled: self.told(),
+            heard: self.peers.iter().map(|(node, peer)| (node.clone(), (peer.boot, peer.number))).collect(),
+        }
+    }
+
+    fn told(&self) -> Vec<CancelledJob> {
         let mut newest: Vec<CancelledJob> =
             self.open.iter().map(|(job, (version, at_ms))| CancelledJob::new(*job, *version, *at_ms)).collect();
         newest.sort_by_key(|job| std::cmp::Reverse(job.version));
@@ -92,26 +118,40 @@
         newest
     }
 
-    /// A sign of life, numbered, for a late one tells nothing of the present.
-    pub fn heard_from(&mut self, now: Now, node: &NodeName, boot: u64, number: u64) {
-        let peer = self.peers.entry(node.clone()).or_default();
-        if peer.boot != boot || number > peer.number {
-            *peer = Peer { boot, number, at: Some(now.steady) };
+    /// A sign of life, numbered, for a late one tells nothing of the present. What it says of cancellations has been
+    /// taken in. `us`: our name and process.
+    pub fn heard_from(&mut self, now: Now, us: (&NodeName, u64), alive: &Alive) {
+        let Alive { node, boot, number, complete, heard, .. } = alive;
+        let known = self.peers.get(node);
+        if known.is_some_and(|peer| peer.boot == *boot && *number <= peer.number) {
+            return;
         }
+        let before = known.filter(|peer| peer.boot == *boot).and_then(|peer| peer.covers);
+        let answered = heard.get(us.0).filter(|(boot, _)| *complete && *boot == us.1);
+        let covers = answered.and_then(|(_, of_ours)| self.sent.iter().find(|(number, _)| number == of_ours));
+        let covers = before.max(covers.map(|(_, at)| *at));
+        self.peers.insert(node.clone(), Peer { boot: *boot, number: *number, at: now.steady, covers });
+    }
+
+    /// Every cancellation that a user was told of before this time is known here, whatever our copy shows: each of the
+    /// others has named all it knew of after we had sent something at this time. So an outage of the state service need
+    /// not end the tasks of holders that hear all other controllers, for nobody can confirm what they don't hear of.
+    pub fn known_until(&self, config: &Config) -> Option<Instant> {
+        let covers = config.peers.iter().map(|peer| self.peers.get(&peer.name)?.covers);
+        covers.collect::<Option<Vec<Instant>>>()?.into_iter().min()
     }
 
     /// This process stood still: what it did not hear meanwhile is no silence of the others.
     pub fn stood_still(&mut self, gap: Duration) {
-        for at in self.peers.values_mut().filter_map(|peer| peer.at.as_mut()) {
-            *at += gap;
+        for peer in self.peers.values_mut() {
+            peer.at += gap;
         }
     }
 
     /// Whether the process that holds this grant was heard lately.
     pub fn holder_heard(&self, now: Now, grant: &Grant) -> bool {
-        self.peers
-            .get(&grant.holder)
-            .is_some_and(|peer| peer.boot == grant.boot && peer.at.is_some_and(|at| since(now, at) < HEARD_WITHIN))
+        let peer = self.peers.get(&grant.holder);
+        peer.is_some_and(|peer| peer.boot == grant.boot && since(now, peer.at) < HEARD_WITHIN)
     }
 
     /// Deletes machines that must be rid of a cancelled task: those of our blocks of which that is not proven, and
--- a/src/cancellation/tests.rs
+++ b/src/cancellation/tests.rs
@@ -57,8 +57,35 @@
     }
 
     fn hear_holder(&mut self, after: Duration, boot: u64, number: u64) {
-        let node = self.config.peers[0].name.clone();
-        self.cancellations.heard_from(self.at(after), &node, boot, number);
+        self.hear(0, after, boot, number, true, None);
+    }
+
+    /// `heard`: the last of our signs of life that it has heard.
+    fn hear(
+        &mut self,
+        peer: usize,
+        after: Duration,
+        boot: u64,
+        number: u64,
+        complete: bool,
+        heard: Option<(u64, u64)>,
+    ) {
+        let us = self.config.name.clone();
+        let alive = Alive {
+            node: self.config.peers[peer].name.clone(),
+            boot,
+            number,
+            reaches_state: false,
+            cancelled: Vec::new(),
+            complete,
+            heard: heard.into_iter().map(|heard| (us.clone(), heard)).collect(),
+        };
+        self.cancellations.heard_from(self.at(after), (&us, BOOT), &alive);
+    }
+
+    fn sign(&mut self, after: Duration) -> Alive {
+        let (now, us) = (self.at(after), self.config.name.clone());
+        self.cancellations.sign(now, &us, BOOT, &self.view, false)
     }
 
     /// The machines that are deleted then.
@@ -124,3 +151,42 @@
     copy.cancellations.sync(&copy.view, &touched);
     assert_eq!(copy.cancellations.told(), []);
 }
+
+/// In an outage all holders may go on only while they know of all that can have been confirmed.
+#[test]
+fn what_all_others_have_named_is_known_since_we_sent_what_they_had_heard() {
+    let mut copy = Copy::new();
+    let seconds = Duration::from_secs;
+    let known = |copy: &Copy| {
+        copy.cancellations.known_until(&copy.config).map(|at| at.saturating_duration_since(copy.start.steady))
+    };
+    for second in 1..=9 {
+        assert_eq!(copy.sign(seconds(second)).number, second);
+    }
+    copy.hear(0, seconds(10), 3, 1, true, Some((BOOT, 5)));
+    assert_eq!(known(&copy), None, "only one of two");
+    copy.hear(1, seconds(10), 4, 1, true, Some((BOOT, 7)));
+    assert_eq!(known(&copy), Some(seconds(5)), "when we sent that, not when the answer came");
+    copy.hear(0, seconds(11), 3, 2, false, Some((BOOT, 9)));
+    copy.hear(0, seconds(11), 3, 3, true, Some((BOOT + 1, 9)));
+    copy.hear(0, seconds(11), 3, 4, true, None);
+    assert_eq!(known(&copy), Some(seconds(5)), "not all it knows; another process of ours; it has not heard us");
+    copy.hear(0, seconds(12), 3, 6, true, Some((BOOT, 9)));
+    assert_eq!(known(&copy), Some(seconds(7)));
+    copy.hear(1, seconds(12), 4, 1, true, Some((BOOT, 9)));
+    assert_eq!(known(&copy), Some(seconds(7)), "a copy of an earlier message");
+    copy.hear(1, seconds(13), 5, 1, false, Some((BOOT, 9)));
+    assert_eq!(known(&copy), None, "started since: what its last process confirmed it does not know");
+}
+
+#[test]
+fn a_controller_without_a_copy_or_with_too_much_to_tell_does_not_claim_to_name_all() {
+    let mut copy = Copy::new();
+    assert!(copy.sign(Duration::ZERO).complete);
+    let ready = std::mem::replace(&mut copy.view, View::new(&copy.config.state_limits, 3));
+    assert!(!copy.sign(Duration::ZERO).complete, "started in an outage");
+    copy.view = ready;
+    copy.cancellations.open.extend((10..10 + MOST_TOLD as u64).map(|id| (JobId(id), (id, 0))));
+    let alive = copy.sign(Duration::ZERO);
+    assert!(!alive.complete && alive.cancelled.len() == MOST_TOLD);
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -116,8 +116,6 @@
     reported: Instant,
     told: Option<Instant>,
     told_all: Option<Instant>,
-    /// The signs of life given so far.
-    signs: u64,
     /// When each of the others last said that it reaches the state service.
     peers_reach_state: BTreeMap<NodeName, Instant>,
     /// Zones of which a controller has spoken to this process.
@@ -170,7 +168,6 @@
             reported: now.steady,
             told: None,
             told_all: None,
-            signs: 0,
             peers_reach_state: BTreeMap::new(),
             heard_zones: BTreeSet::new(),
             cut_off: None,
@@ -224,9 +221,11 @@
         );
     }
 
-    /// Until when what we know of the grants may be acted on: counted from before it was asked for.
+    /// Until when what we know of the grants may be acted on: counted from before it was asked for. That others may hold
+    /// them by now is what tokens are for; what has an end is how long a cancellation may be unknown to us.
     fn entitled_until(&self, now: Now) -> Instant {
-        self.view.fresh_since().map_or(now.steady, |fresh| fresh + self.policy.grant_life)
+        let fresh = self.view.fresh_since().map(|fresh| self.cancellations.known_until(&self.config).max(Some(fresh)));
+        fresh.flatten().map_or(now.steady, |known| known + self.policy.grant_life)
     }
 
     /// Whether users should come here. Not if only we can't reach the state service; during an outage for all,
@@ -407,9 +406,10 @@
                 }
             }
             Message::Cancelled(jobs) => self.note_cancellations(jobs),
-            Message::Alive(Alive { node, boot, number, reaches_state, cancelled }) => {
-                self.cancellations.heard_from(now, &node, boot, number);
-                self.note_cancellations(cancelled);
+            Message::Alive(alive) => {
+                self.note_cancellations(alive.cancelled.iter().copied());
+                self.cancellations.heard_from(now, (&self.config.name, self.boot), &alive);
+                let Alive { node, reaches_state, .. } = alive;
                 let zone = self.config.peers.iter().find(|peer| peer.name == node).map(|peer| peer.zone.clone());
                 self.heard_zones.extend(zone);
                 if reaches_state {
@@ -589,14 +589,7 @@
             return;
         }
         self.told_all = Some(now.steady);
-        self.signs += 1;
-        let alive = Alive {
-            node: self.config.name.clone(),
-            boot: self.boot,
-            number: self.signs,
-            reaches_state,
-            cancelled: self.cancellations.told(),
-        };
+        let alive = self.cancellations.sign(now, &self.config.name, self.boot, &self.view, reaches_state);
         self.tell_peers(&Message::Alive(alive), effects);
     }
 
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -23,7 +23,9 @@
     node.budget.note(at(2000), &Outcome::Refused);
     let mut healthy = |now: Now, reaches_state: bool| {
         let number = now.unix_ms() + u64::try_from(since(now, start.steady).as_millis()).expect("short");
-        let alive = Alive { node: "node-1".into(), boot: 1, number, reaches_state, cancelled: Vec::new() };
+        let (cancelled, heard) = (Vec::new(), BTreeMap::new());
+        let node_1 = NodeName::from("node-1");
+        let alive = Alive { node: node_1, boot: 1, number, reaches_state, cancelled, complete: true, heard };
         node.handle(now, Event::Peer(Message::Alive(alive)));
         let effects = node.handle(now, Event::Health { id: 2 });
         effects.iter().any(|effect| matches!(effect, Effect::AnswerHealth { healthy: true, .. }))
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,8 @@
 //! What controllers say to each other. None of it is trusted beyond what the state service's conditions allow:
 //! a message that is late, lost or repeated costs time, not a rule.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::domain::{Attempt, BlockId, Image, JobId, MachineId, NodeName};
@@ -26,6 +28,10 @@
     pub reaches_state: bool,
     /// Cancelled jobs of which tasks may be left, for those whose copy of the records does not show it.
     pub cancelled: Vec<CancelledJob>,
+    /// Whether these are all that this controller or an earlier process of it can have told a user of.
+    pub complete: bool,
+    /// The last sign of life of each of the others, by process and number, that came before this was said.
+    pub heard: BTreeMap<NodeName, (u64, u64)>,
 }
 
 /// A cancellation that was committed: it is final, so that whoever hears of it may act on it.
--- a/tests/simulation/meetings.rs
+++ b/tests/simulation/meetings.rs
@@ -117,6 +117,16 @@
     }
 }
 
+/// As long as the controllers hear each other, an outage of the state service costs no worker its lease, however long:
+/// nobody can confirm a cancellation that the others don't hear of.
+#[test]
+fn no_lease_runs_out_in_an_outage_in_which_controllers_hear_each_other() {
+    for seed in 200..=203 {
+        let world = Gap { out_for: 2 * OUT_FOR, ..Gap::new(seed, 1.5) }.play(|_, _, _| {});
+        assert_eq!(world.leases_over, 0, "seed {seed}");
+    }
+}
+
 /// Who knows of a cancellation tells the others: tasks under a controller that the state service refuses end as soon.
 #[test]
 fn the_old_leader_hears_of_cancellations_from_the_others() {
