What others name counts only in an outage for all; tighter tests

A controller that the state service refuses alone is replaced; were it to go on for as long as it hears the others, its successor would give up the workers that it can't find. On reading the change again, not seen to happen.

--- a/src/cancellation/mod.rs
+++ b/src/cancellation/mod.rs
@@ -38,6 +38,9 @@
     Duration::from_millis(now.unix_ms().saturating_sub(cancelled_ms)) >= patience
 }
 
+/// An outage counts as lasting for all until this long after the others have last said that they are in it: they are out of
+/// it one by one.
+const OUT_FOR_ALL: Duration = Duration::from_secs(6);
 /// Signs of life of ours whose times are kept: answers to older ones are of no use.
 const MOST_SENT: usize = 64;
 
@@ -47,6 +50,8 @@
     boot: u64,
     number: u64,
     at: Instant,
+    /// When it last said that it doesn't reach the state service.
+    out: Option<Instant>,
     /// It has named all cancellations that it knew of at this time or later: the time at which we sent what it had heard
     /// by then.
     covers: Option<Instant>,
@@ -121,7 +126,7 @@
     /// A sign of life, numbered, for a late one tells nothing of the present. What it says of cancellations has been
     /// taken in. `us`: our name and process.
     pub fn heard_from(&mut self, now: Now, us: (&NodeName, u64), alive: &Alive) {
-        let Alive { node, boot, number, complete, heard, .. } = alive;
+        let Alive { node, boot, number, reaches_state, complete, heard, .. } = alive;
         let known = self.peers.get(node);
         if known.is_some_and(|peer| peer.boot == *boot && *number <= peer.number) {
             return;
@@ -130,14 +135,21 @@
         let answered = heard.get(us.0).filter(|(boot, _)| *complete && *boot == us.1);
         let covers = answered.and_then(|(_, of_ours)| self.sent.iter().find(|(number, _)| number == of_ours));
         let covers = before.max(covers.map(|(_, at)| *at));
-        self.peers.insert(node.clone(), Peer { boot: *boot, number: *number, at: now.steady, covers });
+        let out = if *reaches_state { known.and_then(|peer| peer.out) } else { Some(now.steady) };
+        self.peers.insert(node.clone(), Peer { boot: *boot, number: *number, at: now.steady, out, covers });
     }
 
     /// Every cancellation that a user was told of before this time is known here, whatever our copy shows: each of the
     /// others has named all it knew of after we had sent something at this time. So an outage of the state service need
     /// not end the tasks of holders that hear all other controllers, for nobody can confirm what they don't hear of.
-    pub fn known_until(&self, config: &Config) -> Option<Instant> {
-        let covers = config.peers.iter().map(|peer| self.peers.get(&peer.name)?.covers);
+    ///
+    /// Only in an outage for all: where others reach the state service, who does not is replaced, and goes on answering the
+    /// workers that nobody else can find only for the life of its grant.
+    pub fn known_until(&self, now: Now, config: &Config) -> Option<Instant> {
+        let covers = config.peers.iter().map(|peer| {
+            let peer = self.peers.get(&peer.name)?;
+            peer.covers.filter(|_| peer.out.is_some_and(|at| since(now, at) < OUT_FOR_ALL))
+        });
         covers.collect::<Option<Vec<Instant>>>()?.into_iter().min()
     }
 
--- a/src/cancellation/tests.rs
+++ b/src/cancellation/tests.rs
@@ -16,6 +16,8 @@
     view: View,
     start: Now,
     cancellations: Cancellations,
+    /// Whether the others reach the state service.
+    reaches_state: bool,
 }
 
 impl Copy {
@@ -49,7 +51,7 @@
         let mut cancellations = Cancellations::new();
         let touched = view.take_touched();
         cancellations.sync(&view, &touched);
-        Copy { config, view, start, cancellations }
+        Copy { config, view, start, cancellations, reaches_state: false }
     }
 
     fn at(&self, after: Duration) -> Now {
@@ -75,7 +77,7 @@
             node: self.config.peers[peer].name.clone(),
             boot,
             number,
-            reaches_state: false,
+            reaches_state: self.reaches_state,
             cancelled: Vec::new(),
             complete,
             heard: heard.into_iter().map(|heard| (us.clone(), heard)).collect(),
@@ -158,7 +160,8 @@
     let mut copy = Copy::new();
     let seconds = Duration::from_secs;
     let known = |copy: &Copy| {
-        copy.cancellations.known_until(&copy.config).map(|at| at.saturating_duration_since(copy.start.steady))
+        let known = copy.cancellations.known_until(copy.at(seconds(13)), &copy.config);
+        known.map(|at| at.saturating_duration_since(copy.start.steady))
     };
     for second in 1..=9 {
         assert_eq!(copy.sign(seconds(second)).number, second);
@@ -179,6 +182,23 @@
     assert_eq!(known(&copy), None, "started since: what its last process confirmed it does not know");
 }
 
+/// Who is cut off from the state service alone is replaced, and must leave its workers to its successor.
+#[test]
+fn what_others_name_counts_only_in_an_outage_for_all() {
+    let mut copy = Copy::new();
+    let seconds = Duration::from_secs;
+    let known = |copy: &Copy, second| copy.cancellations.known_until(copy.at(seconds(second)), &copy.config).is_some();
+    copy.sign(seconds(1));
+    copy.hear(0, seconds(2), 3, 1, true, Some((BOOT, 1)));
+    copy.hear(1, seconds(2), 4, 1, true, Some((BOOT, 1)));
+    assert!(known(&copy, 3));
+    copy.reaches_state = true;
+    copy.hear(0, seconds(4), 3, 2, true, Some((BOOT, 1)));
+    assert!(known(&copy, 7), "it is out of it first, we follow");
+    copy.hear(0, seconds(8), 3, 3, true, Some((BOOT, 1)));
+    assert!(!known(&copy, 8));
+}
+
 #[test]
 fn a_controller_without_a_copy_or_with_too_much_to_tell_does_not_claim_to_name_all() {
     let mut copy = Copy::new();
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -158,6 +158,11 @@
     holder.now.steady += REVIEW_EVERY;
     holder.tick();
     assert_eq!(holder.unentitled(), []);
+    // What the leader wants stopped to make room, which another leader may see otherwise by now.
+    let attempt = Attempt { task: TaskId { job: JobId(1), index: 0 }, number: 9 };
+    let version = holder.fleet.grant_version(&"a.0".into());
+    assert!(holder.fleet.work(Work { stop: vec![attempt], ..work_of(version, 2, Vec::new()) }));
+    assert_eq!(holder.unentitled(), []);
     holder.cancel();
     let stop = Order::Stop { task: TaskId { job: JobId(1), index: 0 }, number: 9, grace_s: 0.0 };
     assert_eq!(holder.unentitled(), [stop]);
@@ -165,7 +170,6 @@
     let gone = holder.message("m-1", 4, &[(9, TaskState::Exited, Some(Cause::Stopped))]);
     let answer = holder.fleet.report(holder.now, gone, &holder.config, &holder.view, false);
     assert_eq!(answer, Answer::Unavailable);
-    let attempt = Attempt { task: TaskId { job: JobId(1), index: 0 }, number: 9 };
     assert!(holder.fleet.proven_gone(&"a.0".into(), &"m-1".into(), &attempt));
     assert!(!holder.fleet.proven_gone(&"a.1".into(), &"m-1".into(), &attempt), "not ours to say");
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -224,7 +224,8 @@
     /// Until when what we know of the grants may be acted on: counted from before it was asked for. That others may hold
     /// them by now is what tokens are for; what has an end is how long a cancellation may be unknown to us.
     fn entitled_until(&self, now: Now) -> Instant {
-        let fresh = self.view.fresh_since().map(|fresh| self.cancellations.known_until(&self.config).max(Some(fresh)));
+        let fresh =
+            self.view.fresh_since().map(|fresh| self.cancellations.known_until(now, &self.config).max(Some(fresh)));
         fresh.flatten().map_or(now.steady, |known| known + self.policy.grant_life)
     }
 
--- a/tests/simulation/meetings.rs
+++ b/tests/simulation/meetings.rs
@@ -204,8 +204,9 @@
                 every(world, 25, 145, 12, move |world| end_leader(world, back_after));
             });
             assert_eq!(world.leases_over, 0, "seed {seed}, back after {back_after} s");
-            // A term and a few blocks for each change.
-            assert!(world.last_token() < 12 * 12, "seed {seed}: {} tokens", world.last_token());
+            // A term for each of the ten, and the blocks that the ended one held: raised by every leader for all blocks,
+            // they would come to 44 and more.
+            assert!(world.last_token() <= 36, "seed {seed}: {} tokens", world.last_token());
         }
     }
 }
