--- a/src/node.rs
+++ b/src/node.rs
@@ -406,9 +406,12 @@
                     }
                 }
             }
-            Message::Cancelled(jobs) => self.note_cancellations(jobs),
-            Message::Alive(alive) => {
-                self.note_cancellations(alive.cancelled.iter().copied());
+            Message::Cancelled(jobs) => {
+                // Repeated by all that know of them.
+                self.note_cancellations(jobs);
+            }
+            Message::Alive(mut alive) => {
+                alive.complete &= self.note_cancellations(alive.cancelled.iter().copied());
                 self.cancellations.heard_from(now, (&self.config.name, self.boot), &alive);
                 let Alive { node, reaches_state, .. } = alive;
                 let zone = self.config.peers.iter().find(|peer| peer.name == node).map(|peer| peer.zone.clone());
@@ -600,10 +603,13 @@
         }
     }
 
-    fn note_cancellations(&mut self, jobs: impl IntoIterator<Item = CancelledJob>) {
+    /// Whether all of them could be kept in mind.
+    fn note_cancellations(&mut self, jobs: impl IntoIterator<Item = CancelledJob>) -> bool {
+        let mut noted = true;
         for CancelledJob { job, version, at_ms } in jobs {
-            self.view.note_cancellation(job, version, at_ms);
+            noted &= self.view.note_cancellation(job, version, at_ms);
         }
+        noted
     }
 
     fn tell_leader(&mut self, now: Now, effects: &mut Vec<Effect>) {
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -430,14 +430,19 @@
 
     /// Takes in a cancellation that was committed as this version, before the watch tells of it: a controller that the
     /// state service refuses has no other way to learn of it. A copy that has reached that version and shows otherwise
-    /// knows better.
-    pub fn note_cancellation(&mut self, id: JobId, version: u64, at_ms: u64) {
+    /// knows better. False: there is no room to keep it in mind.
+    #[must_use]
+    pub fn note_cancellation(&mut self, id: JobId, version: u64, at_ms: u64) -> bool {
         let shown = self.state == State::Following && self.revision >= version;
-        if shown || self.ended.contains_key(&id) || self.cancellations.len() >= MOST_CANCELLATIONS {
-            return;
+        if shown || self.ended.contains_key(&id) {
+            return true;
+        }
+        if self.cancellations.len() >= MOST_CANCELLATIONS && !self.cancellations.contains_key(&id) {
+            return false;
         }
         self.cancellations.insert(id, (version, at_ms));
         self.apply_cancellation(id);
+        true
     }
 
     fn apply_cancellation(&mut self, id: JobId) {
--- a/src/store/view/tests.rs
+++ b/src/store/view/tests.rs
@@ -74,14 +74,14 @@
     (1..=3).for_each(|id| view.apply(put(id, id)));
     view.revision = 10;
     let _ = view.take_touched();
-    view.note_cancellation(JobId(1), 9, 1000);
+    assert!(view.note_cancellation(JobId(1), 9, 1000));
     assert!(!view.open[&JobId(1)].cancelled, "the copy is newer and shows otherwise");
-    view.note_cancellation(JobId(2), 12, 1000);
-    view.note_cancellation(JobId(2), 12, 1000);
+    assert!(view.note_cancellation(JobId(2), 12, 1000));
+    assert!(view.note_cancellation(JobId(2), 12, 1000));
     assert!(view.open[&JobId(2)].cancelled && view.open[&JobId(2)].version == 12);
     assert!(view.has_touched() && view.take_touched().ended.contains(&JobId(2)));
     // Of a job that is not in the copy yet.
-    view.note_cancellation(JobId(4), 13, 1000);
+    assert!(view.note_cancellation(JobId(4), 13, 1000));
     view.apply(put(4, 11));
     assert!(view.open[&JobId(4)].cancelled);
     // Pages that were read before it was committed.
@@ -92,4 +92,9 @@
     let news = Outcome::News { revision: 14, changes: Vec::new() };
     view.news(Now::read(), news);
     assert!(view.cancellations.is_empty(), "the copy is new enough to know by itself");
+    // Nothing is claimed to be known that could not be kept.
+    let most = 100..100 + MOST_CANCELLATIONS as u64;
+    assert!(most.clone().all(|id| view.note_cancellation(JobId(id), 20, 1000)));
+    assert!(!view.note_cancellation(JobId(most.end), 20, 1000));
+    assert!(view.note_cancellation(JobId(100), 20, 1000), "a repeat");
 }
