--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -1,7 +1,7 @@
 //! Blocks: machines of one zone, leased together to a controller. Only the leader grants them.
 //!
-//! The number of a grant, its seal, is the token that workers check. A grant is written anew by every new
-//! leader: with the same seal when the same process keeps the block, with a higher one when it changes hands.
+//! The number of a grant, its token, is the token that workers check. A grant is written anew by every new
+//! leader: with the same token when the same process keeps the block, with a higher one when it changes hands.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -12,7 +12,7 @@
 use crate::domain::{BlockId, NodeName, Now, Zone, since};
 use crate::leadership::Lead;
 use crate::policy::Policy;
-use crate::store::records::{Grant, LEADER, SEAL, Seal, grant_key};
+use crate::store::records::{Grant, LEADER, TOKEN, Token, grant_key};
 use crate::store::{Op, Outcome, Txn, View, Writer};
 
 /// A zone's block by its number.
@@ -37,7 +37,7 @@
     leading_since: Option<(u64, Instant)>,
     /// When each controller last spoke to us.
     heard: BTreeMap<NodeName, (u64, Instant)>,
-    /// Blocks whose holder asked for a new seal.
+    /// Blocks whose holder asked for a new token.
     renew: BTreeMap<BlockId, u64>,
     /// Controllers that could not do a holder's work: until when they get no blocks, and how often in a row.
     unfit: BTreeMap<NodeName, (Instant, u32)>,
@@ -62,9 +62,9 @@
         self.heard.insert(node.clone(), (boot, now.steady));
     }
 
-    /// A holder has lost track of a command: only a higher seal makes sure that it can't be executed late.
-    pub fn wants_new_seal(&mut self, block: &BlockId, seal: u64) {
-        self.renew.insert(block.clone(), seal);
+    /// A holder has lost track of a command: only a higher token makes sure that it can't be executed late.
+    pub fn wants_new_token(&mut self, block: &BlockId, token: u64) {
+        self.renew.insert(block.clone(), token);
     }
 
     /// This process stood still: what it did not hear meanwhile is no silence of the others.
@@ -129,14 +129,14 @@
                 *count += 1;
             }
         }
-        let mut last = view.max_seal();
+        let mut last = view.max_token();
         let mut changes = Vec::new();
         for (block, zone) in wanted(zones, config, policy, view) {
             let old = view.grants.get(&block);
             let kept = old.filter(|old| {
                 members.contains(&old.value.holder) && boot_of(&old.value.holder) == Some(old.value.boot)
             });
-            let renewed = kept.filter(|old| self.renew.get(&block) != Some(&old.value.seal));
+            let renewed = kept.filter(|old| self.renew.get(&block) != Some(&old.value.token));
             if let Some(old) = renewed {
                 if old.value.term != term {
                     changes.push((block, old.version, Grant { term, ..old.value.clone() }));
@@ -166,25 +166,25 @@
             }
             last += 1;
             let version = old.map_or(0, |old| old.version);
-            changes.push((block, version, Grant { zone, holder, boot, seal: last, term }));
+            changes.push((block, version, Grant { zone, holder, boot, token: last, term }));
         }
         if changes.is_empty() {
             if let Some((block, node, version)) = self.unbalanced(now, lead, zones, &held, view) {
                 let zone = view.grants.get(&block).map(|grant| grant.value.zone.clone())?;
                 let boot = boot_of(&node)?;
                 last += 1;
-                changes.push((block, version, Grant { zone, holder: node, boot, seal: last, term }));
+                changes.push((block, version, Grant { zone, holder: node, boot, token: last, term }));
             } else {
                 return None;
             }
         }
         changes.truncate(config.state_limits.txn_ops - 1);
         let mut txn = Txn::default().when(LEADER, leader_version);
-        if last > view.max_seal() {
-            txn = txn.when(SEAL, view.seal.as_ref().map_or(0, |seal| seal.version)).put(SEAL, &Seal { last });
+        if last > view.max_token() {
+            txn = txn.when(TOKEN, view.token.as_ref().map_or(0, |token| token.version)).put(TOKEN, &Token { last });
         }
         for (block, version, grant) in &changes {
-            info!(%block, holder = %grant.holder, seal = grant.seal, term, "grant");
+            info!(%block, holder = %grant.holder, token = grant.token, term, "grant");
             txn = txn.when(grant_key(block), *version).put(grant_key(block), grant);
         }
         self.writer.sent();
--- a/src/cancellation/tests.rs
+++ b/src/cancellation/tests.rs
@@ -37,7 +37,7 @@
             let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Spot, draining: false, rented_s: 0 };
             let machines = on.iter().map(|(machine, _)| ((*machine).into(), entry())).collect();
             put(roster_key(&block.into()), encode(&Roster { zone: "a".into(), on: machines }));
-            let grant = Grant { zone: "a".into(), holder: holder.clone(), boot, seal: 4, term: 3 };
+            let grant = Grant { zone: "a".into(), holder: holder.clone(), boot, token: 4, term: 3 };
             put(grant_key(&block.into()), encode(&grant));
             let mut places = Places::default();
             for (machine, job) in on {
--- a/src/fleet/block.rs
+++ b/src/fleet/block.rs
@@ -19,9 +19,9 @@
 
 /// A lost launch is repeated after this long.
 const RELAUNCH: Duration = Duration::from_millis(1500);
-/// A command of unknown outcome that stands in the way this long is fenced by a new seal.
+/// A command of unknown outcome that stands in the way this long is fenced by a new token.
 pub(super) const RENEW_AFTER: Duration = Duration::from_secs(3);
-/// Ended tasks that a worker remembers, so that no copy of a launch starts them again, before a new seal lets it forget
+/// Ended tasks that a worker remembers, so that no copy of a launch starts them again, before a new token lets it forget
 /// them. Each makes its reports longer.
 const MOST_REMEMBERED: usize = 40;
 /// A block that found nothing to write looks again after this long.
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 pub(super) struct Block {
     pub(super) id: BlockId,
-    pub(super) seal: u64,
+    pub(super) token: u64,
     pub(super) grant_version: u64,
     pub(super) places: Places,
     pub(super) places_version: u64,
@@ -91,7 +91,7 @@
     pub(super) fn new(id: BlockId, grant: &Versioned<Grant>, places: Places, places_version: u64) -> Self {
         Block {
             id,
-            seal: grant.value.seal,
+            token: grant.value.token,
             grant_version: grant.version,
             places,
             places_version,
@@ -118,14 +118,14 @@
         }
     }
 
-    /// Takes a new seal. Workers that have shown it execute nothing that was sent under the old one, so what
+    /// Takes a new token. Workers that have shown it execute nothing that was sent under the old one, so what
     /// was unsure about it is settled as each of them does.
-    pub(super) fn raise(&mut self, seal: u64) {
-        if seal == self.seal {
+    pub(super) fn raise(&mut self, token: u64) {
+        if token == self.token {
             return;
         }
-        info!(block = %self.id, old = self.seal, seal, "new seal");
-        self.seal = seal;
+        info!(block = %self.id, old = self.token, token, "new token");
+        self.token = token;
         self.blocked_since = None;
         self.fenced = false;
         for (id, worker) in &mut self.workers {
@@ -199,7 +199,7 @@
 
     /// The one place where what a worker says is taken in.
     pub(super) fn take_report(&mut self, now: Now, report: Report, view: &View, said: Said) {
-        let seal = self.seal;
+        let token = self.token;
         let Some(worker) = self.workers.get_mut(&report.machine) else { return };
         let newer = (report.session, report.seq) > (worker.session, worker.seq);
         if !newer {
@@ -245,9 +245,9 @@
             }
         }
         worker.tasks = tasks;
-        let raised = report.seal >= seal && worker.seal < seal;
-        worker.seal = report.seal;
-        if worker.seal < seal || raised {
+        let raised = report.token >= token && worker.token < token;
+        worker.token = report.token;
+        if worker.token < token || raised {
             // Raise its token, or start what waited for it.
             worker.due = true;
         }
@@ -274,10 +274,10 @@
                     if seen.state != TaskState::Exited {
                         // Started by a command that was under way when its job was cancelled. Workers that show a newer
                         // token are another holder's, and would refuse this for ever.
-                        worker.due |= !wanted_alive(view, attempt.task.job) && worker.seal <= seal;
+                        worker.due |= !wanted_alive(view, attempt.task.job) && worker.token <= token;
                         continue;
                     }
-                    if worker.seal < seal {
+                    if worker.token < token {
                         // An older holder could still give it commands.
                         continue;
                     }
@@ -300,10 +300,10 @@
                 }
                 None => {
                     let unwanted = !wanted_alive(view, attempt.task.job) || self.stops.contains(&attempt);
-                    if unwanted && worker.seal >= seal && !worker.may_start_late(&attempt) {
+                    if unwanted && worker.token >= token && !worker.may_start_late(&attempt) {
                         // Not there, and nothing that could start it is under way.
                         self.ended.insert(key, End::Gone);
-                    } else if worker.seal >= seal {
+                    } else if worker.token >= token {
                         worker.due = true;
                     }
                 }
@@ -325,7 +325,7 @@
         entitled: bool,
     ) -> Orders {
         let mut orders = Vec::new();
-        let seal = self.seal;
+        let token = self.token;
         if let Some(worker) = self.workers.get_mut(machine) {
             let here: BTreeMap<TaskId, u64> = self
                 .places
@@ -353,9 +353,9 @@
                     }
                 }
             }
-            // Nothing is launched before the worker has shown our seal; direct commands only, so that each
+            // Nothing is launched before the worker has shown our token; direct commands only, so that each
             // launch has an answer of its own.
-            if session.is_some() && entitled && worker.seal >= seal {
+            if session.is_some() && entitled && worker.token >= token {
                 for (task, number) in &here {
                     let attempt = Attempt { task: *task, number: *number };
                     let there = worker.tasks.get(task).is_some_and(|seen| seen.number == *number);
@@ -367,7 +367,7 @@
                     let wanted = wanted_alive(view, task.job) && !self.stops.contains(&attempt);
                     let ended = self.ended.contains_key(&(machine.clone(), attempt));
                     if !there && !recent && wanted && !ended {
-                        debug!(%attempt, %machine, seal, worker.session, "launch");
+                        debug!(%attempt, %machine, token, worker.session, "launch");
                         worker.launches.insert(attempt, Launch::Sent { at: now.steady });
                         worker.launched.insert(attempt);
                         orders.push(Order::Launch { task: *task, number: *number });
@@ -375,7 +375,7 @@
                 }
             }
         }
-        Orders { seal, session, orders }
+        Orders { token, session, orders }
     }
 
     pub(super) fn commanded(
@@ -395,7 +395,7 @@
             Order::Launch { task, number } => Some(Attempt { task: *task, number: *number }),
             _ => None,
         });
-        let current = body.session == Some(worker.session) && body.seal == self.seal;
+        let current = body.session == Some(worker.session) && body.token == self.token;
         for attempt in launched {
             let next = match &outcome {
                 CommandOutcome::Executed(_) => Some(Launch::Confirmed),
@@ -436,7 +436,7 @@
         for (id, worker) in &self.workers {
             let Some(machine) = view.machines.get(id) else { continue };
             let Some(flavor) = flavors.get(&machine.type_name) else { continue };
-            if machine.draining || !worker.usable(now, self.seal) {
+            if machine.draining || !worker.usable(now, self.token) {
                 continue;
             }
             let mut taken = Room::default();
@@ -516,7 +516,7 @@
                     .or_else(|| placement::choose(candidates.iter().filter(clear), &open.job, |_| true))
                     .map(|c| c.machine.clone());
                 let Some(machine) = chosen else {
-                    // Only a machine that must remember an earlier attempt has room: a new seal lets it forget.
+                    // Only a machine that must remember an earlier attempt has room: a new token lets it forget.
                     fenced |= candidates.iter().any(|c| c.allows(&open.job) && c.free.fits(&open.job.need));
                     self.refused.push(wanted.attempt.number);
                     continue;
@@ -596,7 +596,7 @@
             let Some(worker) = self.workers.get(&id) else { continue };
             let status = MachineStatus {
                 machine: id.clone(),
-                usable: worker.usable(now, self.seal),
+                usable: worker.usable(now, self.token),
                 seen: worker.reported,
                 silent: worker.silent(now, policy),
                 notice: worker.notice,
@@ -618,14 +618,14 @@
         pending.extend(&self.unsure);
         BlockStatus {
             block: self.id.clone(),
-            seal: self.seal,
+            token: self.token,
             grant_version: self.grant_version,
             last_work: self.last_work,
             pending,
             refused: self.refused.clone(),
             ended: self.ended.keys().map(|(_, attempt)| attempt.number).collect(),
             revision: self.places_version,
-            wants_new_seal: self.blocked_since.is_some_and(|at| since(now, at) > RENEW_AFTER),
+            wants_new_token: self.blocked_since.is_some_and(|at| since(now, at) > RENEW_AFTER),
             expected: self.workers.values().filter(|worker| worker.addr.is_some()).count() as u32,
             overdue: self.overdue,
             number: self.number,
@@ -650,14 +650,14 @@
             if !worker.busy && (worker.due || worker.probe_due(now, quiet)) {
                 self.due.insert(id.clone());
             }
-            let (silent, usable) = (worker.silent(now, policy), worker.usable(now, self.seal));
+            let (silent, usable) = (worker.silent(now, policy), worker.usable(now, self.token));
             if worker.told.as_ref().is_none_or(|(told, _)| (told.silent, told.usable) != (silent, usable)) {
                 self.unsaid.insert(id.clone());
             }
         }
     }
 
-    /// Notes whether launches of unknown outcome are about, which only a new seal settles.
+    /// Notes whether launches of unknown outcome are about, which only a new token settles.
     pub(super) fn note_blocked(&mut self, now: Now) {
         let full = |worker: &Worker| {
             worker.tasks.values().filter(|seen| seen.state == TaskState::Exited).count() > MOST_REMEMBERED
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! The holder's side of a block: its machines' reports, the tasks on them, and the record of both.
 //!
 //! Every task is in the block's places before it is launched, and leaves them only when it is proven gone:
-//! its worker, having seen our seal, reports its exit; or the machine's record is removed, which the leader
+//! its worker, having seen our token, reports its exit; or the machine's record is removed, which the leader
 //! does only after the cloud has deleted it.
 
 mod block;
@@ -104,7 +104,7 @@
         self.blocks.retain(|id, block| {
             let kept = ours(id).is_some();
             if !kept {
-                info!(block = %id, seal = block.seal, "block given up");
+                info!(block = %id, token = block.token, "block given up");
             }
             kept
         });
@@ -119,7 +119,7 @@
                     // A new leader. What the old one wanted is void, and no write under the old version can
                     // be committed any more, so our copy holds all that were.
                     block.grant_version = grant.version;
-                    block.raise(grant.value.seal);
+                    block.raise(grant.value.token);
                     block.places = places;
                     block.places_version = places_version;
                     block.last_work = 0;
@@ -134,7 +134,7 @@
                     }
                 }
                 None => {
-                    info!(block = %id, seal = grant.value.seal, tasks = places.attempts().count(), "block taken up");
+                    info!(block = %id, token = grant.value.token, tasks = places.attempts().count(), "block taken up");
                     let mut block = Block::new(id.clone(), grant, places, places_version);
                     block.sync_machines(now, view);
                     self.blocks.insert(id.clone(), block);
@@ -151,7 +151,7 @@
         }
         if !entitled {
             let block = view.machines.get(&report.machine).and_then(|machine| self.blocks.get_mut(&machine.block));
-            if let Some(block) = block.filter(|block| report.seal <= block.seal) {
+            if let Some(block) = block.filter(|block| report.token <= block.token) {
                 block.take_report(now, report, view, Said::Reporting);
             }
             return Answer::Unavailable;
@@ -167,7 +167,7 @@
             self.strays.insert(report.machine, now.steady);
             return Answer::Elsewhere(holder.filter(|holder| *holder != config.name));
         };
-        if report.seal > block.seal {
+        if report.token > block.token {
             // Somebody was granted the block after us. A 200 from us would be dropped and the lease run out.
             return Answer::Elsewhere(None);
         }
@@ -296,11 +296,11 @@
                     body.orders.retain(|order| is_final(order, view));
                 }
                 let id = block.id.clone();
-                let seal = block.seal;
+                let token = block.token;
                 let Some(worker) = block.workers.get_mut(&machine) else { continue };
                 // What else it is to be told waits until we are entitled again: the next review finds it.
                 worker.due = !entitled;
-                if body.orders.is_empty() && (worker.seal >= seal || !entitled) && !probe {
+                if body.orders.is_empty() && (worker.token >= token || !entitled) && !probe {
                     continue;
                 }
                 if probe {
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -29,7 +29,7 @@
 }
 
 impl Holder {
-    /// Holds block `a.0` under seal 4, with `m-1` and `m-2` that have shown it, and job 1.
+    /// Holds block `a.0` under token 4, with `m-1` and `m-2` that have shown it, and job 1.
     fn new(job: Job) -> Self {
         let config = Config::parse("s.toml", SETTINGS).expect("valid");
         let mut flavors = Flavors::default();
@@ -57,13 +57,13 @@
         self.fleet.sync(self.now, &self.config, BOOT, &self.view, &touched);
     }
 
-    fn grant(&mut self, seal: u64) {
+    fn grant(&mut self, token: u64) {
         let holder = self.config.name.clone();
-        let grant = Grant { zone: "a".into(), holder, boot: BOOT, seal, term: 3 };
+        let grant = Grant { zone: "a".into(), holder, boot: BOOT, token, term: 3 };
         self.put(grant_key(&"a.0".into()), encode(&grant));
     }
 
-    fn message(&mut self, machine: &str, seal: u64, tasks: &[(u64, TaskState, Option<Cause>)]) -> Report {
+    fn message(&mut self, machine: &str, token: u64, tasks: &[(u64, TaskState, Option<Cause>)]) -> Report {
         self.seq += 1;
         let task = TaskId { job: JobId(1), index: 0 };
         let of = |(number, state, cause): &(u64, TaskState, Option<Cause>)| ReportedTask {
@@ -80,14 +80,14 @@
             spot: false,
             session: 1,
             seq: self.seq,
-            seal,
+            token,
             notice_s: None,
             tasks: tasks.iter().map(of).collect(),
         }
     }
 
-    fn report(&mut self, machine: &str, seal: u64, tasks: &[(u64, TaskState, Option<Cause>)]) -> Answer {
-        let report = self.message(machine, seal, tasks);
+    fn report(&mut self, machine: &str, token: u64, tasks: &[(u64, TaskState, Option<Cause>)]) -> Answer {
+        let report = self.message(machine, token, tasks);
         self.fleet.report(self.now, report, &self.config, &self.view, true)
     }
 
@@ -234,7 +234,7 @@
 }
 
 #[test]
-fn nothing_is_launched_before_it_is_recorded_nor_before_the_worker_has_shown_the_seal() {
+fn nothing_is_launched_before_it_is_recorded_nor_before_the_worker_has_shown_the_token() {
     let mut holder = Holder::new(job(1, 1.0));
     holder.want(9, "m-1", 1);
     assert_eq!(launches(&holder.commands()), 0, "not recorded yet");
@@ -246,7 +246,7 @@
     holder.write();
     holder.grant(6);
     let raising = holder.commands();
-    assert!(raising.iter().all(|command| command.body.seal == 6) && launches(&raising) == 0);
+    assert!(raising.iter().all(|command| command.body.token == 6) && launches(&raising) == 0);
     let shown = holder.message("m-1", 6, &[]);
     let to_first = raising.iter().find(|command| &*command.machine.0 == "m-1").expect("raised").clone();
     holder.answer(&to_first, CommandOutcome::Executed(shown));
@@ -255,7 +255,7 @@
 
 /// Found by a seeded run with zone cuts: see `tainted`.
 #[test]
-fn an_unanswered_launch_holds_back_reaping_and_the_next_attempt_until_a_new_seal() {
+fn an_unanswered_launch_holds_back_reaping_and_the_next_attempt_until_a_new_token() {
     let mut holder = Holder::new(job(1, 1.0));
     holder.want(9, "m-1", 1);
     holder.write();
@@ -275,7 +275,7 @@
     holder.now.steady += RENEW_AFTER + Duration::from_secs(1);
     holder.tick();
     let policy = Policy::defaults(&holder.config);
-    assert!(holder.fleet.status(holder.now, &policy)[0].wants_new_seal);
+    assert!(holder.fleet.status(holder.now, &policy)[0].wants_new_token);
     holder.grant(6);
     assert!(reaped(holder.report("m-1", 6, &failed)));
 }
@@ -288,7 +288,7 @@
     let entry = Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
     let roster = Roster { zone: "a".into(), on: [("m-3".into(), entry)].into() };
     holder.put(roster_key(&"a.1".into()), encode(&roster));
-    let grant = Grant { zone: "a".into(), holder: holder.config.name.clone(), boot: BOOT, seal: 5, term: 3 };
+    let grant = Grant { zone: "a".into(), holder: holder.config.name.clone(), boot: BOOT, token: 5, term: 3 };
     holder.put(grant_key(&"a.1".into()), encode(&grant));
     holder.report("m-3", 5, &[]);
     // Each round brings new work for both, but only one write can be sent.
@@ -354,7 +354,7 @@
 /// A launch was answered and its task stopped; then a copy of the launch comes. A worker that has been told to forget
 /// the attempt would start it again beside the next one.
 #[test]
-fn an_attempt_that_could_be_launched_by_a_copy_is_remembered_until_a_new_seal() {
+fn an_attempt_that_could_be_launched_by_a_copy_is_remembered_until_a_new_token() {
     let mut holder = Holder::new(job(1, 1.0));
     holder.want(9, "m-1", 1);
     holder.write();
@@ -375,7 +375,7 @@
     holder.now.steady += RENEW_AFTER * 2;
     holder.tick();
     let policy = Policy::defaults(&holder.config);
-    assert!(!holder.fleet.status(holder.now, &policy)[0].wants_new_seal, "nothing waits for it");
+    assert!(!holder.fleet.status(holder.now, &policy)[0].wants_new_token, "nothing waits for it");
     holder.grant(6);
     assert!(reaped(holder.report("m-1", 6, &stopped)));
     // What is done ends again at once, so it may be forgotten.
@@ -411,7 +411,7 @@
 /// Found on the bench: a controller that lost the state service went on answering its workers for the life of its
 /// grant, the new holder knew none of their addresses and heard nothing, and they were given up with all on them.
 #[test]
-fn a_new_holder_raises_the_seal_of_workers_that_it_was_told_of() {
+fn a_new_holder_raises_the_token_of_workers_that_it_was_told_of() {
     let mut holder = Holder::new(job(1, 1.0));
     let policy = Policy::defaults(&holder.config);
     holder.put(grant_key(&"a.0".into()), ciborium::Value::Null);
@@ -423,13 +423,13 @@
     let addresses = vec![("m-1".into(), "10.1.0.1:9000".to_owned())];
     assert!(holder.fleet.work(Work { addresses, ..work_of(grant_version, 1, Vec::new()) }));
     let command = holder.commands().remove(0);
-    assert_eq!((command.body.seal, command.body.session, command.body.orders.len()), (6, Some(1), 0));
+    assert_eq!((command.body.token, command.body.session, command.body.orders.len()), (6, Some(1), 0));
     // Its session is another: it says so, and is asked again.
     let mut shown = holder.message("m-1", 4, &[]);
     shown.session = 3;
     holder.answer(&command, CommandOutcome::Rejected(shown));
     let command = holder.commands().remove(0);
-    assert_eq!((command.body.seal, command.body.session), (6, Some(3)));
+    assert_eq!((command.body.token, command.body.session), (6, Some(3)));
 }
 
 /// Found on the bench: a controller that had stood still took all its workers for silent when it went on, and
@@ -518,7 +518,7 @@
 }
 
 #[test]
-fn a_report_with_a_higher_seal_or_an_old_grant_is_not_answered_with_orders() {
+fn a_report_with_a_higher_token_or_an_old_grant_is_not_answered_with_orders() {
     let mut holder = Holder::new(job(1, 1.0));
     assert_eq!(holder.report("m-1", 5, &[]), Answer::Elsewhere(None));
     let report = holder.message("m-1", 4, &[]);
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -21,7 +21,7 @@
     #[serde(rename = "folio")]
     pub seq: u64,
     #[serde(rename = "seal")]
-    pub seal: u64,
+    pub token: u64,
     #[serde(rename = "recallS", default)]
     pub notice_s: Option<Amount>,
     #[serde(rename = "entries")]
@@ -77,7 +77,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Orders {
     #[serde(rename = "seal")]
-    pub seal: u64,
+    pub token: u64,
     /// Only in direct commands.
     #[serde(rename = "shift", skip_serializing_if = "Option::is_none")]
     pub session: Option<u64>,
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -12,7 +12,7 @@
 pub(super) const QUIET: Duration = Duration::from_secs(9);
 pub(super) const PROBE_AGAIN: Duration = Duration::from_secs(4);
 
-/// How a launch under the present seal and session went.
+/// How a launch under the present token and session went.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum Launch {
     /// Sent; no answer yet.
@@ -36,7 +36,7 @@
     pub(super) addr: Option<String>,
     pub(super) session: u64,
     pub(super) seq: u64,
-    pub(super) seal: u64,
+    pub(super) token: u64,
     /// Steady time of the last report that reached us, or of the grant if there was none yet. Answers don't count.
     pub(super) heard: Instant,
     pub(super) reported: bool,
@@ -44,10 +44,10 @@
     pub(super) tasks: BTreeMap<TaskId, Seen>,
     pub(super) launches: HashMap<Attempt, Launch>,
     /// Attempts of which some launch went unanswered: it may still be executed, minutes later, as long as
-    /// seal and session stay the same. Only the worker's memory of the attempt keeps it from starting again.
+    /// token and session stay the same. Only the worker's memory of the attempt keeps it from starting again.
     pub(super) tainted: HashSet<Attempt>,
-    /// Every attempt that was launched under the present seal and session. Copies of a launch may come late though it
-    /// was answered, so those that did not end as done are remembered by the worker until the seal has changed: a
+    /// Every attempt that was launched under the present token and session. Copies of a launch may come late though it
+    /// was answered, so those that did not end as done are remembered by the worker until the token has changed: a
     /// finished task ends again at once, any other would run a second time.
     pub(super) launched: HashSet<Attempt>,
     /// A direct command is on its way.
@@ -74,7 +74,7 @@
             addr: None,
             session: 0,
             seq: 0,
-            seal: 0,
+            token: 0,
             heard: now.steady,
             reported: false,
             notice: false,
@@ -100,9 +100,9 @@
             && self.probed.is_none_or(|(at, _)| since(now, at) > PROBE_AGAIN)
     }
 
-    /// Whether it has shown the seal, reports, hears us, and is not being taken away.
-    pub(super) fn usable(&self, now: Now, seal: u64) -> bool {
-        let reachable = self.seal >= seal && self.deaf.is_none();
+    /// Whether it has shown the token, reports, hears us, and is not being taken away.
+    pub(super) fn usable(&self, now: Now, token: u64) -> bool {
+        let reachable = self.token >= token && self.deaf.is_none();
         self.reported && reachable && !self.notice && since(now, self.heard) < QUIET
     }
 
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -14,7 +14,7 @@
 use crate::domain::{NodeName, Now, since};
 use crate::policy::Policy;
 use crate::provisioning::Flavors;
-use crate::store::records::{LEADER, Leader, Member, SEAL, Seal, member_key};
+use crate::store::records::{LEADER, Leader, Member, TOKEN, Token, member_key};
 use crate::store::{Op, Outcome, Txn, View};
 
 /// Long enough that a slow process is not taken for dead, short enough that a dead one is noticed.
@@ -210,13 +210,13 @@
     }
 
     fn run_for_leader(&mut self, hold: u64, alive: Instant, view: &View, ops: &mut Vec<(Tag, Op)>) {
-        let term = view.max_seal() + 1;
+        let term = view.max_token() + 1;
         let record = Leader { node: self.node.clone(), boot: self.boot, term };
         let txn = Txn::default()
             .when(LEADER, view.leader.as_ref().map_or(0, |leader| leader.version))
-            .when(SEAL, view.seal.as_ref().map_or(0, |seal| seal.version))
+            .when(TOKEN, view.token.as_ref().map_or(0, |token| token.version))
             .put_held(LEADER, &record, Some(hold))
-            .put(SEAL, &Seal { last: term });
+            .put(TOKEN, &Token { last: term });
         self.leader = Hold::Attaching { id: hold, alive };
         ops.push((Tag::Attach(Which::Leader, hold), Op::Commit(txn)));
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -392,13 +392,13 @@
                     let current = granted.is_some_and(|grant| {
                         grant.value.holder == status.node
                             && grant.value.boot == status.boot
-                            && grant.value.seal == block.seal
+                            && grant.value.token == block.token
                     });
                     if !current {
                         continue;
                     }
-                    if block.wants_new_seal {
-                        self.granting.wants_new_seal(&block.block, block.seal);
+                    if block.wants_new_token {
+                        self.granting.wants_new_token(&block.block, block.token);
                     }
                     if let Some(leading) = &mut self.leading {
                         leading.queues.status(now, block);
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -63,7 +63,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BlockStatus {
     pub block: BlockId,
-    pub seal: u64,
+    pub token: u64,
     pub grant_version: u64,
     /// The last work message seen under this grant.
     pub last_work: u64,
@@ -76,8 +76,8 @@
     /// have their room.
     pub ended: Vec<u64>,
     pub revision: u64,
-    /// The seal must be renewed: a command of unknown outcome stands in the way.
-    pub wants_new_seal: bool,
+    /// The token must be renewed: a command of unknown outcome stands in the way.
+    pub wants_new_token: bool,
     /// Workers that this holder has heard from or could ask, and how many of them are overdue.
     pub expected: u32,
     pub overdue: u32,
@@ -90,7 +90,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineStatus {
     pub machine: MachineId,
-    /// Has shown our seal, reports, and is not being taken away.
+    /// Has shown our token, reports, and is not being taken away.
     pub usable: bool,
     /// Has reported to this holder at all.
     pub seen: bool,
--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -42,7 +42,7 @@
             config,
         };
         let holder = desktop.config.name.clone();
-        let grant = Grant { zone: "a".into(), holder, boot: 1, seal: 4, term: TERM };
+        let grant = Grant { zone: "a".into(), holder, boot: 1, token: 4, term: TERM };
         desktop.put(grant_key(&"a.0".into()), encode(&grant));
         desktop.roster(0..machines);
         desktop.plan();
@@ -74,14 +74,14 @@
         let grant = &self.view.grants[&BlockId::from("a.0")];
         let status = BlockStatus {
             block: "a.0".into(),
-            seal: grant.value.seal,
+            token: grant.value.token,
             grant_version: grant.version,
             last_work,
             pending: pending.to_vec(),
             refused: Vec::new(),
             ended: Vec::new(),
             revision: self.view.places.get(&"a.0".into()).map_or(0, |places| places.version),
-            wants_new_seal: false,
+            wants_new_token: false,
             expected: machines,
             overdue: 0,
             number: self.version * 1000 + last_work + 1,
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -12,7 +12,7 @@
 /// Everything of ours lies under this prefix, so that one watch sees all of it.
 pub const ROOT: &str = "dappleshore/";
 pub const LEADER: &str = "dappleshore/leader";
-pub const SEAL: &str = "dappleshore/seal";
+pub const TOKEN: &str = "dappleshore/token";
 /// Never written: reading it tells the current revision.
 pub const NOWHERE: &str = "dappleshore/nowhere";
 
@@ -46,7 +46,7 @@
     ciborium::Value::serialized(record).unwrap_or(ciborium::Value::Null)
 }
 
-/// Who leads, attached to a hold. `term` comes from the same rising counter as seals.
+/// Who leads, attached to a hold. `term` comes from the same rising counter as tokens.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Leader {
     pub node: NodeName,
@@ -54,9 +54,9 @@
     pub term: u64,
 }
 
-/// The rising counter that seals and terms are taken from.
+/// The rising counter that tokens and terms are taken from.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Seal {
+pub struct Token {
     pub last: u64,
 }
 
@@ -73,7 +73,7 @@
     pub zone: Zone,
     pub holder: NodeName,
     pub boot: u64,
-    pub seal: u64,
+    pub token: u64,
     pub term: u64,
 }
 
@@ -367,7 +367,7 @@
 macro_rules! records {
     ($($name:ident),*) => { $(impl Record for $name {})* };
 }
-records!(Leader, Seal, Member, Grant, Roster, Order, Places, JobRecord, Progress);
+records!(Leader, Token, Member, Grant, Roster, Order, Places, JobRecord, Progress);
 
 /// A changed key.
 #[derive(Debug, Clone, PartialEq)]
@@ -382,7 +382,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Records {
     Leader,
-    Seal,
+    Token,
     Member(NodeName),
     Grant(BlockId),
     Places(BlockId),
@@ -397,7 +397,7 @@
         let name = key.strip_prefix(ROOT)?;
         match name.split_once('/') {
             None if key == LEADER => Some(Records::Leader),
-            None if key == SEAL => Some(Records::Seal),
+            None if key == TOKEN => Some(Records::Token),
             None => None,
             Some(("node", rest)) => Some(Records::Member(rest.into())),
             Some(("grant", rest)) => Some(Records::Grant(rest.into())),
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -7,7 +7,7 @@
 
 use super::records::{
     Change, Grant, JobRecord, Leader, Member, NOWHERE, Order, PlacedText, Places, Progress, ROOT, Ranges, Record,
-    Records, Roster, Seal,
+    Records, Roster, Token,
 };
 use super::{Op, Outcome};
 use crate::config::StateLimits;
@@ -136,7 +136,7 @@
     barrier: Barrier,
 
     pub leader: Option<Versioned<Leader>>,
-    pub seal: Option<Versioned<Seal>>,
+    pub token: Option<Versioned<Token>>,
     pub members: BTreeMap<NodeName, Versioned<Member>>,
     pub grants: BTreeMap<BlockId, Versioned<Grant>>,
     pub places: BTreeMap<BlockId, Versioned<Places>>,
@@ -212,7 +212,7 @@
             retry_at: None,
             barrier: Barrier::default(),
             leader: None,
-            seal: None,
+            token: None,
             members: BTreeMap::new(),
             grants: BTreeMap::new(),
             places: BTreeMap::new(),
@@ -485,7 +485,7 @@
         let version = change.version;
         match which {
             Records::Leader => set(&mut self.leader, change),
-            Records::Seal => set(&mut self.seal, change),
+            Records::Token => set(&mut self.token, change),
             Records::Member(node) => set_in(&mut self.members, node, change),
             Records::Grant(block) => {
                 self.touched.grants = true;
@@ -636,8 +636,8 @@
         })
     }
 
-    pub fn max_seal(&self) -> u64 {
-        self.seal.as_ref().map_or(0, |seal| seal.value.last)
+    pub fn max_token(&self) -> u64 {
+        self.token.as_ref().map_or(0, |token| token.value.last)
     }
 }
 
--- a/tests/simulation/machine.rs
+++ b/tests/simulation/machine.rs
@@ -36,7 +36,7 @@
     pub faulty: bool,
     pub session: u64,
     pub seq: u64,
-    pub seal: u64,
+    pub token: u64,
     /// When the last answered report was sent, or the session began.
     pub lease_from: Duration,
     pub tasks: BTreeMap<TaskId, Task>,
@@ -79,7 +79,7 @@
             spot: self.tenure.is_spot(),
             session: self.session,
             seq: self.seq,
-            seal: self.seal,
+            token: self.token,
             notice_s: self.notice.map(|_| Amount(5.0)),
             tasks: self
                 .tasks
--- a/tests/simulation/state.rs
+++ b/tests/simulation/state.rs
@@ -5,7 +5,7 @@
 
 use ciborium::Value;
 use dappleshore::config::StateLimits;
-use dappleshore::store::records::{LEADER, Leader, SEAL, Seal};
+use dappleshore::store::records::{LEADER, Leader, TOKEN, Token};
 use dappleshore::store::{Change, Op, Outcome, Txn};
 
 struct Key {
@@ -73,8 +73,8 @@
     }
 
     pub fn last_token(&self) -> u64 {
-        let seal = self.keys.get(SEAL).and_then(|key| key.value.deserialized::<Seal>().ok());
-        seal.map_or(0, |seal| seal.last)
+        let token = self.keys.get(TOKEN).and_then(|key| key.value.deserialized::<Token>().ok());
+        token.map_or(0, |token| token.last)
     }
 
     /// Ends holds that were not extended. Returns whether anything changed.
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -984,11 +984,11 @@
     /// A direct command at a machine that runs. False: token or session did not match.
     fn direct(&mut self, id: &str, body: &Orders) -> bool {
         let Some(machine) = self.machines.get_mut(id) else { return false };
-        if body.seal < machine.seal || body.session != Some(machine.session) {
+        if body.token < machine.token || body.session != Some(machine.session) {
             return false;
         }
-        if body.seal > machine.seal {
-            machine.seal = body.seal;
+        if body.token > machine.token {
+            machine.token = body.token;
             machine.changed = true;
         }
         let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for(self.longer, self.apart));
@@ -1093,7 +1093,7 @@
             faulty,
             session: 1,
             seq: 0,
-            seal: 0,
+            token: 0,
             lease_from: self.now + boot,
             tasks: BTreeMap::new(),
             images: BTreeSet::new(),
@@ -1209,11 +1209,11 @@
         tracing::debug!(at = now.as_secs_f64(), machine = id, node, ?answer, "hears");
         match answer {
             Some(Answer::Orders(orders)) => {
-                if orders.seal < machine.seal {
+                if orders.token < machine.token {
                     return;
                 }
-                if orders.seal > machine.seal {
-                    machine.seal = orders.seal;
+                if orders.token > machine.token {
+                    machine.token = orders.token;
                     machine.changed = true;
                 }
                 machine.lease_from = sent;
