--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -45,6 +45,7 @@
     pub addr: SocketAddr,
 }
 
+/// What a team is guaranteed, and what its tasks may use at any time: infinite if it has no limit.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TeamLimits {
     pub name: Team,
@@ -54,6 +55,12 @@
     pub gpus_max: f64,
 }
 
+/// A limit as the settings state it, in which 0 means none. Guests come without a guarantee and without a limit; taken
+/// for a limit of nothing, all their jobs were refused as never to run.
+fn limit(stated: f64) -> f64 {
+    if stated > 0.0 { stated } else { f64::INFINITY }
+}
+
 #[derive(Debug, Clone, Copy)]
 pub struct StateLimits {
     pub rps: f64,
@@ -165,9 +172,9 @@
             teams.push(TeamLimits {
                 name: team.name.as_str().into(),
                 cpus: check.amount(&field("cpus"), team.cpus)?,
-                cpus_max: check.amount(&field("cpus_max"), team.cpus_max)?,
+                cpus_max: limit(check.amount(&field("cpus_max"), team.cpus_max)?),
                 gpus: check.amount(&field("gpus"), team.gpus)?,
-                gpus_max: check.amount(&field("gpus_max"), team.gpus_max)?,
+                gpus_max: limit(check.amount(&field("gpus_max"), team.gpus_max)?),
             });
             if team.cpus > team.cpus_max {
                 return Err(check.wrong(&field("cpus"), "must not exceed `cpus_max`"));
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -37,3 +37,17 @@
     let more = format!("later = 1\n{SETTINGS}\n[params.later]\nx = [1]\n");
     assert!(Config::parse("s.toml", &more).is_ok());
 }
+
+/// Found on the bench: all jobs of a guest team were answered 422.
+#[test]
+fn a_limit_of_zero_is_none() {
+    let guest = "[[params.teams]]\nname = \"guests\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n\n";
+    let text = SETTINGS.replacen("[[params.teams]]", &format!("{guest}[[params.teams]]"), 1);
+    let config = Config::parse("s.toml", &text).expect("valid");
+    let guests = config.team(&"guests".into()).expect("known");
+    assert_eq!((guests.cpus, guests.cpus_max, guests.gpus_max), (0.0, f64::INFINITY, f64::INFINITY));
+    let red = config.team(&"red".into()).expect("known");
+    assert_eq!(red.cpus_max, 64.0);
+    let policy = crate::policy::Policy::defaults(&config);
+    assert_eq!(policy.team_shares[&"guests".into()], 1.0);
+}
