--- a/src/queueing/preemption.rs
+++ b/src/queueing/preemption.rs
@@ -12,8 +12,9 @@
 use crate::placement::Candidate;
 use crate::store::View;
 
-/// Tasks that may be stopping at a time to make room.
-const STOPS: usize = 40;
+/// Tasks that may be stopping at a time to make room: one for so many machines, and at least so many.
+const STOPS_PART: usize = 4;
+const STOPS_LEAST: usize = 40;
 
 /// A way to make room: the work it loses, the machine, and the tasks to be stopped there.
 pub(super) type Way<'c, 'v> = (f64, &'c Candidate, Vec<Victim<'v>>);
@@ -43,7 +44,8 @@
         job: &Job,
         zone_open: &impl Fn(&Zone) -> bool,
     ) -> Option<Candidate> {
-        if self.desks.values().map(|desk| desk.stops.len()).sum::<usize>() >= STOPS {
+        let most = (candidates.len() / STOPS_PART).max(STOPS_LEAST);
+        if self.desks.values().map(|desk| desk.stops.len()).sum::<usize>() >= most {
             return None;
         }
         let Lead { config, policy, .. } = *lead;
