--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -14,11 +14,15 @@
 const CALM_FROM: Duration = Duration::from_secs(150);
 const END: Duration = Duration::from_secs(420);
 
-fn world(seed: u64, faults: Faults) -> World {
-    // With LOG_LEVEL set, a failing seed tells what its controllers did and when.
+/// With LOG_LEVEL set, a failing seed tells what its controllers did and when.
+fn log_if_asked() {
     if let Some(level) = std::env::var("LOG_LEVEL").ok().and_then(|level| level.parse::<tracing::Level>().ok()) {
         let _ = tracing_subscriber::fmt().with_max_level(level).without_time().with_ansi(false).try_init();
     }
+}
+
+fn world(seed: u64, faults: Faults) -> World {
+    log_if_asked();
     let mut world = World::new(seed, faults, CALM_FROM, Size::SMALL);
     world.run_until(END);
     world
--- a/tests/simulation/meetings.rs
+++ b/tests/simulation/meetings.rs
@@ -18,9 +18,7 @@
 
 /// A quiet world in which tasks that start before `OUT_AT` run on for minutes.
 fn world(seed: u64) -> World {
-    if let Some(level) = std::env::var("LOG_LEVEL").ok().and_then(|level| level.parse::<tracing::Level>().ok()) {
-        let _ = tracing_subscriber::fmt().with_max_level(level).without_time().with_ansi(false).try_init();
-    }
+    super::log_if_asked();
     let mut world = World::new(seed, Faults::default(), CALM_FROM, Size::SMALL);
     world.longer = seconds(150.0);
     world.plan(OUT_AT + seconds(1.0), |world| world.longer = Duration::ZERO);
@@ -82,6 +80,7 @@
 
 /// Plays a world with these random faults and what `plan` adds, and checks that everything was served too.
 fn play(seed: u64, faults: Faults, size: Size, plan: impl FnOnce(&mut World)) -> World {
+    super::log_if_asked();
     let mut world = World::new(seed, faults, CALM_FROM, size);
     plan(&mut world);
     let world = finish(seed, world);
