Boot times are medians; late machines no longer count as on order

A few machines that come up late, at once or never move a median little, while it follows as soon as most boots are late, before any of them is up. A machine over twice its time is late: it stays, but another may be ordered. Machines found up by their reports were measured as boots of 0 s, which made eta small at each start; they are no samples any more.

--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -4,6 +4,7 @@
 //! leader goes on where the old one stopped: an order that is recorded is (again) sent under its name, and a
 //! draining machine without tasks is (again) deleted.
 
+mod boot_times;
 mod edits;
 mod flavors;
 pub mod rule;
@@ -22,6 +23,7 @@
 use crate::policy::Policy;
 use crate::store::records::{LEADER, Order, Rostered, order_key};
 use crate::store::{Machine, Op, Outcome, Txn, View, Writer};
+use boot_times::BootTimes;
 use edits::Edits;
 pub use flavors::Flavors;
 use wire::{Flavor, FlavorList, ListedMachine, ListedState, MachineList, MachineNames, RentRequest};
@@ -115,7 +117,13 @@
     list_after: Option<MachineId>,
     /// Workers' addresses, as the cloud lists them, for holders that have not heard from them yet.
     addresses: HashMap<MachineId, String>,
-    boot_mean: BTreeMap<TypeName, f64>,
+    boot_times: BootTimes,
+    /// When machines were rented that are not up yet. Of others, an earlier leader's or found up, that is not known well
+    /// enough to measure their boot.
+    booting: HashMap<MachineId, Instant>,
+    /// Machines that take so long to come up that others are ordered in their place. They are used if they come up all
+    /// the same.
+    late: BTreeSet<MachineId>,
     calls: f64,
     calls_filled: Instant,
 }
@@ -133,8 +141,10 @@
 /// The protocol's limit for one rental request.
 const MOST_RENTED: i64 = 50;
 const LIST_EVERY: Duration = Duration::from_secs(10);
-/// A machine that takes this many times its usual boot time never comes up.
-const BOOT_PATIENCE: f64 = 3.0;
+/// Taken for the boot time of a type that the cloud does not tell of any more.
+const BOOT_UNKNOWN: Duration = Duration::from_secs(30);
+/// A rented machine is recorded within this time, or was deleted.
+const FORGET_BOOT_AFTER: Duration = Duration::from_secs(60);
 
 /// Zones that are more likely cut off than dead: most of their machines have fallen silent, while those of another
 /// zone have not. Their tasks run on, and giving the machines up would end them.
@@ -195,7 +205,9 @@
             listed: None,
             list_after: None,
             addresses: HashMap::new(),
-            boot_mean: BTreeMap::new(),
+            boot_times: BootTimes::default(),
+            booting: HashMap::new(),
+            late: BTreeSet::new(),
             calls: 1.0,
             calls_filled: now.steady,
         }
@@ -259,17 +271,13 @@
         self.up.retain(|machine| view.machines.contains_key(machine));
         self.deleted.retain(|machine| view.machines.contains_key(machine));
         self.buried.retain(|_, at| since(now, *at) < Duration::from_secs(120));
+        self.observe_boots(now, flavors, view, health);
         for (id, machine) in &view.machines {
-            let age = Duration::from_millis(now.unix_ms().saturating_sub(machine.rented_s * 1000));
             let Some(health) = health.get(id) else { continue };
-            let boot_s = flavors.get(&machine.type_name).map_or(30.0, |flavor| flavor.boot_s.0);
-            if health.seen && self.up.insert(id.clone()) && age.as_secs_f64() < boot_s * BOOT_PATIENCE {
-                let sample = age.as_secs_f64();
-                let mean = self.boot_mean.entry(machine.type_name.clone()).or_insert(boot_s);
-                *mean += 0.2 * (sample - *mean);
-            }
             let occupied = view.places.get(&machine.block).is_some_and(|p| p.value.on.contains_key(id));
-            let never_up = age.as_secs_f64() > boot_s * BOOT_PATIENCE + 10.0;
+            let stated = flavors.get(&machine.type_name).map_or(BOOT_UNKNOWN, Flavor::boot_time);
+            let age = Duration::from_millis(now.unix_ms().saturating_sub(machine.rented_s * 1000));
+            let never_up = self.boot_times.is_lost(&machine.type_name, stated, age);
             let known_up = self.up.contains(id) || occupied;
             let mut silent = health.silent && !health.heard_elsewhere && (known_up || never_up);
             // When the cut ends, the first half of the zone's machines that are heard again must not condemn the rest.
@@ -285,6 +293,44 @@
         self.overdue(now, config, view, settled);
     }
 
+    /// Measures boot times, and finds the machines that are late.
+    fn observe_boots(&mut self, now: Now, flavors: &Flavors, view: &View, health: &BTreeMap<MachineId, Health>) {
+        self.note_up(now, view, health);
+        let mut booting: BTreeMap<&TypeName, Vec<(&MachineId, Duration)>> = BTreeMap::new();
+        for (id, rented) in &self.booting {
+            if let Some(machine) = view.machines.get(id).filter(|_| !self.lost.contains(id)) {
+                booting.entry(&machine.type_name).or_default().push((id, since(now, *rented)));
+            }
+        }
+        for flavor in flavors.all() {
+            let booting = booting.remove(&flavor.name).unwrap_or_default();
+            let ages: Vec<Duration> = booting.iter().map(|(_, age)| *age).collect();
+            self.boot_times.update(&flavor.name, flavor.boot_time(), &ages);
+            for (id, age) in booting {
+                let late = self.boot_times.is_late(&flavor.name, flavor.boot_time(), age);
+                if late && self.late.insert(id.clone()) {
+                    info!(machine = %id, ?age, "machine is late: another may be ordered in its place");
+                }
+            }
+        }
+    }
+
+    /// Takes in which machines are up.
+    fn note_up(&mut self, now: Now, view: &View, health: &BTreeMap<MachineId, Health>) {
+        let recorded_soon = |rented: Instant| since(now, rented) < FORGET_BOOT_AFTER;
+        self.booting.retain(|id, rented| view.machines.contains_key(id) || recorded_soon(*rented));
+        self.late.retain(|id| view.machines.contains_key(id));
+        let seen = health.iter().filter(|(_, health)| health.seen).map(|(id, _)| id);
+        for id in seen {
+            let Some(machine) = view.machines.get(id) else { continue };
+            self.up.insert(id.clone());
+            self.late.remove(id);
+            if let Some(rented) = self.booting.remove(id) {
+                self.boot_times.record(&machine.type_name, since(now, rented));
+            }
+        }
+    }
+
     /// Gives up machines that still have tasks of jobs cancelled long ago. Whatever keeps their holders from proving
     /// them gone (the machine hangs, or changes hands so often that nobody finds it silent), the cloud's deletion does.
     ///
@@ -373,6 +419,7 @@
                         if got < order.count as usize {
                             self.out_of_stock(now, policy, &type_name, &order);
                         }
+                        self.booting.extend(names.machines.iter().map(|machine| (machine.clone(), now.steady)));
                         self.rented.insert(type_name, (order, version, names.machines));
                     }
                     CallOutcome::NoCapacity => {
@@ -547,11 +594,11 @@
         }
     }
 
-    /// Machines of each pool, up or on order.
+    /// Machines of each pool, up or on order, without those that are late.
     pub fn machines(&self, view: &View) -> BTreeMap<Pool, u32> {
         let mut count = BTreeMap::new();
         for (id, machine) in &view.machines {
-            if !machine.draining && !self.lost.contains(id) {
+            if !machine.draining && !self.lost.contains(id) && !self.late.contains(id) {
                 *count.entry((machine.type_name.clone(), machine.tenure)).or_default() += 1;
             }
         }
@@ -633,7 +680,7 @@
     fn short_zone(&self, now: Now, pool: &Pool, view: &View, demand: &Demand) -> Option<(Zone, i64)> {
         let coming = |zone: &Zone| {
             let here = |m: &Machine| (&m.type_name, m.tenure, &m.zone) == (&pool.0, pool.1, zone) && !m.draining;
-            let booting = |id: &MachineId| !self.up.contains(id) && !self.lost.contains(id);
+            let booting = |id: &MachineId| !self.up.contains(id) && !self.lost.contains(id) && !self.late.contains(id);
             view.machines.iter().filter(|(id, machine)| here(machine) && booting(id)).count() as i64
         };
         demand
@@ -647,8 +694,8 @@
 
     /// Boot time over mean run time. Both are measured; the run time starts as if one task had run for one
     /// boot, which makes eta 1 until there is more to go by.
-    fn eta(&self, flavor: &Flavor, runs: Option<&Runs>) -> f64 {
-        let boot = self.boot_mean.get(&flavor.name).copied().unwrap_or(flavor.boot_s.0).max(0.1);
+    pub fn eta(&self, flavor: &Flavor, runs: Option<&Runs>) -> f64 {
+        let boot = self.boot_times.expected(&flavor.name, flavor.boot_time()).as_secs_f64().max(0.1);
         let Runs { time, ended } = runs.copied().unwrap_or_default();
         let mean_run = (time.as_secs_f64() + boot) / (f64::from(ended) + 1.0);
         boot / mean_run
--- a/src/provisioning/wire.rs
+++ b/src/provisioning/wire.rs
@@ -37,7 +37,15 @@
     pub zones: Vec<Zone>,
 }
 
+/// Boot times beyond this are taken for mistakes.
+const LONGEST_BOOT: Duration = Duration::from_secs(3600);
+
 impl Flavor {
+    /// The boot time that the cloud states.
+    pub fn boot_time(&self) -> Duration {
+        Duration::try_from_secs_f64(self.boot_s.0).map_or(LONGEST_BOOT, |boot| boot.min(LONGEST_BOOT))
+    }
+
     pub fn room(&self) -> Room {
         Room { cpus: self.cpus.0, gpus: self.gpus.0, memory_gb: self.memory_gb.0 }
     }
