--- a/src/blocks/mod.rs
+++ b/src/blocks/mod.rs
@@ -22,12 +22,23 @@
 
 /// The blocks that should exist: as many in each zone as give every controller as many as the policy says, and
 /// those that were opened since because the others were full.
-pub fn wanted(zones: &[Zone], config: &Config, policy: &Policy, view: &View) -> BTreeMap<BlockId, Zone> {
+pub fn wanted(
+    zones: &[Zone],
+    config: &Config,
+    policy: &Policy,
+    view: &View,
+) -> BTreeMap<BlockId, Zone> {
     let blocks = config.controllers() * policy.blocks_per_controller;
     let each = blocks.div_ceil(zones.len().max(1)).max(1);
-    let mut wanted: BTreeMap<BlockId, Zone> =
-        zones.iter().flat_map(|zone| (0..each).map(move |n| (name(zone, n), zone.clone()))).collect();
-    wanted.extend(view.rosters.iter().map(|(block, roster)| (block.clone(), roster.value.zone.clone())));
+    let mut wanted: BTreeMap<BlockId, Zone> = zones
+        .iter()
+        .flat_map(|zone| (0..each).map(move |n| (name(zone, n), zone.clone())))
+        .collect();
+    wanted.extend(
+        view.rosters
+            .iter()
+            .map(|(block, roster)| (block.clone(), roster.value.zone.clone())),
+    );
     wanted
 }
 
@@ -84,27 +95,51 @@
         if now.steady < until {
             return;
         }
-        let times = if since(now, until) < UNFIT_FOR * 4 { times } else { 0 };
+        let times = if since(now, until) < UNFIT_FOR * 4 {
+            times
+        } else {
+            0
+        };
         let pause = UNFIT_FOR * 2u32.pow(times.min(UNFIT_DOUBLINGS));
         info!(holder = %node, ?pause, "holder can't reach its machines");
-        self.unfit.insert(node.clone(), (now.steady + pause, times + 1));
+        self.unfit
+            .insert(node.clone(), (now.steady + pause, times + 1));
     }
 
-    fn trusted(&self, now: Now, node: &NodeName, config: &Config, policy: &Policy, view: &View) -> bool {
+    fn trusted(
+        &self,
+        now: Now,
+        node: &NodeName,
+        config: &Config,
+        policy: &Policy,
+        view: &View,
+    ) -> bool {
         if *node == config.name {
             return true;
         }
-        let Some(member) = view.members.get(node) else { return false };
-        let since_start = self.leading_since.map_or(Duration::ZERO, |(_, at)| since(now, at));
+        let Some(member) = view.members.get(node) else {
+            return false;
+        };
+        let since_start = self
+            .leading_since
+            .map_or(Duration::ZERO, |(_, at)| since(now, at));
         match self.heard.get(node) {
-            Some((boot, at)) if *boot == member.value.boot => since(now, *at) < policy.suspect_after,
+            Some((boot, at)) if *boot == member.value.boot => {
+                since(now, *at) < policy.suspect_after
+            }
             _ => since_start < policy.suspect_after,
         }
     }
 
     /// Grants what is not held, or held by a controller that is gone. One transaction at a time.
     pub fn poll(&mut self, now: Now, lead: &Lead<'_>, view: &mut View) -> Option<Op> {
-        let Lead { config, policy, term, version: leader_version, .. } = *lead;
+        let Lead {
+            config,
+            policy,
+            term,
+            version: leader_version,
+            ..
+        } = *lead;
         let zones = &lead.flavors.zones(config);
         if self.leading_since.is_none_or(|(known, _)| known != term) {
             self.leading_since = Some((term, now.steady));
@@ -116,9 +151,17 @@
         if !self.writer.ready(now, view) {
             return None;
         }
-        let mut members: Vec<NodeName> =
-            view.members.keys().filter(|node| self.trusted(now, node, config, policy, view)).cloned().collect();
-        let fit = |node: &NodeName| self.unfit.get(node).is_none_or(|(until, _)| now.steady >= *until);
+        let mut members: Vec<NodeName> = view
+            .members
+            .keys()
+            .filter(|node| self.trusted(now, node, config, policy, view))
+            .cloned()
+            .collect();
+        let fit = |node: &NodeName| {
+            self.unfit
+                .get(node)
+                .is_none_or(|(until, _)| now.steady >= *until)
+        };
         if members.iter().any(fit) {
             members.retain(fit);
         }
@@ -134,12 +177,20 @@
         for (block, zone) in wanted(zones, config, policy, view) {
             let old = view.grants.get(&block);
             let kept = old.filter(|old| {
-                members.contains(&old.value.holder) && boot_of(&old.value.holder) == Some(old.value.boot)
+                members.contains(&old.value.holder)
+                    && boot_of(&old.value.holder) == Some(old.value.boot)
             });
             let renewed = kept.filter(|old| self.renew.get(&block) != Some(&old.value.token));
             if let Some(old) = renewed {
                 if old.value.term != term {
-                    changes.push((block, old.version, Grant { term, ..old.value.clone() }));
+                    changes.push((
+                        block,
+                        old.version,
+                        Grant {
+                            term,
+                            ..old.value.clone()
+                        },
+                    ));
                 }
                 continue;
             }
@@ -149,16 +200,27 @@
                 if *node == config.name {
                     return Some(&config.zone);
                 }
-                config.peers.iter().find(|peer| peer.name == *node).map(|peer| &peer.zone)
+                config
+                    .peers
+                    .iter()
+                    .find(|peer| peer.name == *node)
+                    .map(|peer| &peer.zone)
             };
             let chosen = match kept {
                 Some(old) => Some(old.value.holder.clone()),
                 None => members
                     .iter()
-                    .min_by_key(|node| (zone_of(node) != Some(&zone), held.get(node).copied().unwrap_or(0)))
+                    .min_by_key(|node| {
+                        (
+                            zone_of(node) != Some(&zone),
+                            held.get(node).copied().unwrap_or(0),
+                        )
+                    })
                     .cloned(),
             };
-            let Some((holder, boot)) = chosen.and_then(|node| boot_of(&node).map(|boot| (node, boot))) else {
+            let Some((holder, boot)) =
+                chosen.and_then(|node| boot_of(&node).map(|boot| (node, boot)))
+            else {
                 continue;
             };
             if let Some(count) = held.get_mut(&holder) {
@@ -166,14 +228,37 @@
             }
             last += 1;
             let version = old.map_or(0, |old| old.version);
-            changes.push((block, version, Grant { zone, holder, boot, token: last, term }));
+            changes.push((
+                block,
+                version,
+                Grant {
+                    zone,
+                    holder,
+                    boot,
+                    token: last,
+                    term,
+                },
+            ));
         }
         if changes.is_empty() {
             if let Some((block, node, version)) = self.unbalanced(now, lead, zones, &held, view) {
-                let zone = view.grants.get(&block).map(|grant| grant.value.zone.clone())?;
+                let zone = view
+                    .grants
+                    .get(&block)
+                    .map(|grant| grant.value.zone.clone())?;
                 let boot = boot_of(&node)?;
                 last += 1;
-                changes.push((block, version, Grant { zone, holder: node, boot, token: last, term }));
+                changes.push((
+                    block,
+                    version,
+                    Grant {
+                        zone,
+                        holder: node,
+                        boot,
+                        token: last,
+                        term,
+                    },
+                ));
             } else {
                 return None;
             }
@@ -181,11 +266,15 @@
         changes.truncate(config.state_limits.txn_ops - 1);
         let mut txn = Txn::default().when(LEADER, leader_version);
         if last > view.max_token() {
-            txn = txn.when(TOKEN, view.token.as_ref().map_or(0, |token| token.version)).put(TOKEN, &Token { last });
+            txn = txn
+                .when(TOKEN, view.token.as_ref().map_or(0, |token| token.version))
+                .put(TOKEN, &Token { last });
         }
         for (block, version, grant) in &changes {
             info!(%block, holder = %grant.holder, token = grant.token, term, "grant");
-            txn = txn.when(grant_key(block), *version).put(grant_key(block), grant);
+            txn = txn
+                .when(grant_key(block), *version)
+                .put(grant_key(block), grant);
         }
         self.writer.sent();
         Some(Op::Commit(txn))
@@ -201,7 +290,9 @@
         view: &View,
     ) -> Option<(BlockId, NodeName, u64)> {
         let Lead { config, policy, .. } = *lead;
-        let settled = self.leading_since.is_some_and(|(_, at)| since(now, at) > Duration::from_secs(5));
+        let settled = self
+            .leading_since
+            .is_some_and(|(_, at)| since(now, at) > Duration::from_secs(5));
         let (idle, none) = held.iter().min_by_key(|(_, count)| **count)?;
         let (busy, most) = held.iter().max_by_key(|(_, count)| **count)?;
         if !settled || *most < none + 2 {
@@ -209,8 +300,17 @@
         }
         let (block, _) = wanted(zones, config, policy, view)
             .into_iter()
-            .filter(|(block, _)| view.grants.get(block).is_some_and(|grant| grant.value.holder == **busy))
-            .max_by_key(|(_, zone)| config.peers.iter().any(|p| p.name == **idle && p.zone == *zone))?;
+            .filter(|(block, _)| {
+                view.grants
+                    .get(block)
+                    .is_some_and(|grant| grant.value.holder == **busy)
+            })
+            .max_by_key(|(_, zone)| {
+                config
+                    .peers
+                    .iter()
+                    .any(|p| p.name == **idle && p.zone == *zone)
+            })?;
         let version = view.grants.get(&block)?.version;
         Some((block, (*idle).clone(), version))
     }
--- a/src/blocks/tests.rs
+++ b/src/blocks/tests.rs
@@ -12,32 +12,59 @@
     let config = Config::parse("s.toml", SETTINGS).expect("valid");
     let policy = Policy::defaults(&config);
     let mut flavors = Flavors::default();
-    flavors.answered(Some(FlavorList { types: vec![flavor()] }));
+    flavors.answered(Some(FlavorList {
+        types: vec![flavor()],
+    }));
     let start = Now::read();
-    let at = |seconds: u64| Now { steady: start.steady + Duration::from_secs(seconds), ..start };
+    let at = |seconds: u64| Now {
+        steady: start.steady + Duration::from_secs(seconds),
+        ..start
+    };
     let mut view = View::following();
     let other = config.peers[0].name.clone();
     for (version, node) in [(1, &config.name), (2, &other)] {
-        let change = Change { key: member_key(node), version, value: Some(encode(&Member { boot: 1 })) };
+        let change = Change {
+            key: member_key(node),
+            version,
+            value: Some(encode(&Member { boot: 1 })),
+        };
         view.apply(change);
     }
     let mut granting = Granting::new();
     let mut version = 2;
     // Grants what is due and commits it. Returns how many blocks the other one holds.
     let mut grant = |granting: &mut Granting, now: Now| {
-        let lead =
-            Lead { config: &config, policy: &policy, flavors: &flavors, term: 1, version: 1, batch: 16, spare: true };
+        let lead = Lead {
+            config: &config,
+            policy: &policy,
+            flavors: &flavors,
+            term: 1,
+            version: 1,
+            batch: 16,
+            spare: true,
+        };
         for _ in 0..40 {
             granting.heard_from(now, &other, 1);
             granting.writer = Writer::Idle;
-            let Some(Op::Commit(txn)) = granting.poll(now, &lead, &mut view) else { break };
+            let Some(Op::Commit(txn)) = granting.poll(now, &lead, &mut view) else {
+                break;
+            };
             version += 1;
             for change in txn.changes {
-                let TxnChange::Put { key, value, .. } = change else { panic!("{change:?}") };
-                view.apply(Change { key, version, value: Some(value) });
+                let TxnChange::Put { key, value, .. } = change else {
+                    panic!("{change:?}")
+                };
+                view.apply(Change {
+                    key,
+                    version,
+                    value: Some(value),
+                });
             }
         }
-        view.grants.values().filter(|grant| grant.value.holder == other).count()
+        view.grants
+            .values()
+            .filter(|grant| grant.value.holder == other)
+            .count()
     };
     grant(&mut granting, at(0));
     granting.writer = Writer::Idle;
--- a/src/cancellation/mod.rs
+++ b/src/cancellation/mod.rs
@@ -34,7 +34,10 @@
 
 /// Whether a job cancelled at `cancelled_ms` is so late that machines which still have tasks of it are given up.
 pub fn overdue(now: Now, config: &Config, cancelled_ms: u64) -> bool {
-    let patience = config.cancel_within.saturating_sub(OVERDUE_MARGIN).max(config.cancel_within / 2);
+    let patience = config
+        .cancel_within
+        .saturating_sub(OVERDUE_MARGIN)
+        .max(config.cancel_within / 2);
     Duration::from_millis(now.unix_ms().saturating_sub(cancelled_ms)) >= patience
 }
 
@@ -92,12 +95,20 @@
                 None => self.open.remove(job),
             };
         }
-        self.deleted.retain(|machine| view.machines.contains_key(machine));
+        self.deleted
+            .retain(|machine| view.machines.contains_key(machine));
     }
 
     /// What the others are told every second. Cancellations again and again: a message may be lost, and who is cut off
     /// from the state service learns of them in no other way.
-    pub fn sign(&mut self, now: Now, node: &NodeName, boot: u64, view: &View, reaches_state: bool) -> Alive {
+    pub fn sign(
+        &mut self,
+        now: Now,
+        node: &NodeName,
+        boot: u64,
+        view: &View,
+        reaches_state: bool,
+    ) -> Alive {
         let number = self.sent.back().map_or(1, |(number, _)| number + 1);
         self.sent.push_back((number, now.steady));
         if self.sent.len() > MOST_SENT {
@@ -111,13 +122,20 @@
             // Without a copy an earlier process of this controller may have confirmed what we have not read yet.
             complete: view.ready() && self.open.len() <= MOST_TOLD,
             cancelled: self.told(),
-            heard: self.peers.iter().map(|(node, peer)| (node.clone(), (peer.boot, peer.number))).collect(),
+            heard: self
+                .peers
+                .iter()
+                .map(|(node, peer)| (node.clone(), (peer.boot, peer.number)))
+                .collect(),
         }
     }
 
     fn told(&self) -> Vec<CancelledJob> {
-        let mut newest: Vec<CancelledJob> =
-            self.open.iter().map(|(job, (version, at_ms))| CancelledJob::new(*job, *version, *at_ms)).collect();
+        let mut newest: Vec<CancelledJob> = self
+            .open
+            .iter()
+            .map(|(job, (version, at_ms))| CancelledJob::new(*job, *version, *at_ms))
+            .collect();
         newest.sort_by_key(|job| std::cmp::Reverse(job.version));
         newest.truncate(MOST_TOLD);
         newest
@@ -126,17 +144,43 @@
     /// A sign of life, numbered, for a late one tells nothing of the present. What it says of cancellations has been
     /// taken in. `us`: our name and process.
     pub fn heard_from(&mut self, now: Now, us: (&NodeName, u64), alive: &Alive) {
-        let Alive { node, boot, number, reaches_state, complete, heard, .. } = alive;
+        let Alive {
+            node,
+            boot,
+            number,
+            reaches_state,
+            complete,
+            heard,
+            ..
+        } = alive;
         let known = self.peers.get(node);
         if known.is_some_and(|peer| peer.boot == *boot && *number <= peer.number) {
             return;
         }
-        let before = known.filter(|peer| peer.boot == *boot).and_then(|peer| peer.covers);
-        let answered = heard.get(us.0).filter(|(boot, _)| *complete && *boot == us.1);
-        let covers = answered.and_then(|(_, of_ours)| self.sent.iter().find(|(number, _)| number == of_ours));
+        let before = known
+            .filter(|peer| peer.boot == *boot)
+            .and_then(|peer| peer.covers);
+        let answered = heard
+            .get(us.0)
+            .filter(|(boot, _)| *complete && *boot == us.1);
+        let covers = answered
+            .and_then(|(_, of_ours)| self.sent.iter().find(|(number, _)| number == of_ours));
         let covers = before.max(covers.map(|(_, at)| *at));
-        let out = if *reaches_state { known.and_then(|peer| peer.out) } else { Some(now.steady) };
-        self.peers.insert(node.clone(), Peer { boot: *boot, number: *number, at: now.steady, out, covers });
+        let out = if *reaches_state {
+            known.and_then(|peer| peer.out)
+        } else {
+            Some(now.steady)
+        };
+        self.peers.insert(
+            node.clone(),
+            Peer {
+                boot: *boot,
+                number: *number,
+                at: now.steady,
+                out,
+                covers,
+            },
+        );
     }
 
     /// Every cancellation that a user was told of before this time is known here, whatever our copy shows: each of the
@@ -148,7 +192,8 @@
     pub fn known_until(&self, now: Now, config: &Config) -> Option<Instant> {
         let covers = config.peers.iter().map(|peer| {
             let peer = self.peers.get(&peer.name)?;
-            peer.covers.filter(|_| peer.out.is_some_and(|at| since(now, at) < OUT_FOR_ALL))
+            peer.covers
+                .filter(|_| peer.out.is_some_and(|at| since(now, at) < OUT_FOR_ALL))
         });
         covers.collect::<Option<Vec<Instant>>>()?.into_iter().min()
     }
@@ -184,13 +229,29 @@
             return None;
         }
         let mut due = BTreeSet::new();
-        for (job, _) in self.open.iter().filter(|(_, (_, at_ms))| overdue(now, config, *at_ms)) {
+        for (job, _) in self
+            .open
+            .iter()
+            .filter(|(_, (_, at_ms))| overdue(now, config, *at_ms))
+        {
             for ((index, number), place) in view.placed(*job) {
-                let left = view.machines.contains_key(&place.machine) && !self.deleted.contains(&place.machine);
-                let Some(grant) = view.grants.get(&place.block).filter(|_| left).map(|grant| &grant.value) else {
+                let left = view.machines.contains_key(&place.machine)
+                    && !self.deleted.contains(&place.machine);
+                let Some(grant) = view
+                    .grants
+                    .get(&place.block)
+                    .filter(|_| left)
+                    .map(|grant| &grant.value)
+                else {
                     continue;
                 };
-                let attempt = Attempt { task: crate::domain::TaskId { job: *job, index: *index }, number: *number };
+                let attempt = Attempt {
+                    task: crate::domain::TaskId {
+                        job: *job,
+                        index: *index,
+                    },
+                    number: *number,
+                };
                 let settled = if grant.holder == config.name && grant.boot == boot {
                     proven(&place.block, &place.machine, &attempt)
                 } else {
@@ -206,7 +267,10 @@
             return None;
         }
         self.deleting.clone_from(&due);
-        Some((Tag::DeleteCancelled, Call::Delete(MachineNames { machines: due })))
+        Some((
+            Tag::DeleteCancelled,
+            Call::Delete(MachineNames { machines: due }),
+        ))
     }
 
     /// The cloud's answer. The roster is changed by the leader, which finds the machine overdue as well.
--- a/src/cancellation/tests.rs
+++ b/src/cancellation/tests.rs
@@ -5,7 +5,9 @@
 use crate::domain::{TaskId, Tenure};
 use crate::placement::tests::job;
 use crate::store::Change;
-use crate::store::records::{JobRecord, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key};
+use crate::store::records::{
+    JobRecord, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key,
+};
 
 const BOOT: u64 = 7;
 
@@ -28,34 +30,74 @@
         let mut version = 0;
         let mut put = |key: String, value| {
             version += 1;
-            view.apply(Change { key, version, value: Some(value) });
+            view.apply(Change {
+                key,
+                version,
+                value: Some(value),
+            });
         };
         let other = config.peers[0].name.clone();
-        for (block, holder, boot, on) in
-            [("a.0", &config.name, BOOT, &[("m-1", 1), ("m-3", 2)][..]), ("b.0", &other, 3, &[("m-2", 1)])]
-        {
-            let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Spot, draining: false, rented_s: 0 };
-            let machines = on.iter().map(|(machine, _)| ((*machine).into(), entry())).collect();
-            put(roster_key(&block.into()), encode(&Roster { zone: "a".into(), on: machines }));
-            let grant = Grant { zone: "a".into(), holder: holder.clone(), boot, token: 4, term: 3 };
+        for (block, holder, boot, on) in [
+            ("a.0", &config.name, BOOT, &[("m-1", 1), ("m-3", 2)][..]),
+            ("b.0", &other, 3, &[("m-2", 1)]),
+        ] {
+            let entry = || Rostered {
+                type_name: "large".into(),
+                tenure: Tenure::Spot,
+                draining: false,
+                rented_s: 0,
+            };
+            let machines = on
+                .iter()
+                .map(|(machine, _)| ((*machine).into(), entry()))
+                .collect();
+            put(
+                roster_key(&block.into()),
+                encode(&Roster {
+                    zone: "a".into(),
+                    on: machines,
+                }),
+            );
+            let grant = Grant {
+                zone: "a".into(),
+                holder: holder.clone(),
+                boot,
+                token: 4,
+                term: 3,
+            };
             put(grant_key(&block.into()), encode(&grant));
             let mut places = Places::default();
             for (machine, job) in on {
-                let task = TaskId { job: JobId(*job), index: u32::from(block == "b.0") };
+                let task = TaskId {
+                    job: JobId(*job),
+                    index: u32::from(block == "b.0"),
+                };
                 places.add(&(*machine).into(), Attempt { task, number: 9 });
             }
             put(places_key(&block.into()), encode(&places));
         }
-        put(job_key(JobId(1)), encode(&JobRecord::Cancelled(job(2, 1.0), start.unix_ms())));
+        put(
+            job_key(JobId(1)),
+            encode(&JobRecord::Cancelled(job(2, 1.0), start.unix_ms())),
+        );
         put(job_key(JobId(2)), encode(&JobRecord::Open(job(2, 1.0))));
         let mut cancellations = Cancellations::new();
         let touched = view.take_touched();
         cancellations.sync(&view, &touched);
-        Copy { config, view, start, cancellations, reaches_state: false }
+        Copy {
+            config,
+            view,
+            start,
+            cancellations,
+            reaches_state: false,
+        }
     }
 
     fn at(&self, after: Duration) -> Now {
-        Now { steady: self.start.steady + after, wall: self.start.wall + after }
+        Now {
+            steady: self.start.steady + after,
+            wall: self.start.wall + after,
+        }
     }
 
     fn hear_holder(&mut self, after: Duration, boot: u64, number: u64) {
@@ -82,7 +124,8 @@
             complete,
             heard: heard.into_iter().map(|heard| (us.clone(), heard)).collect(),
         };
-        self.cancellations.heard_from(self.at(after), (&us, BOOT), &alive);
+        self.cancellations
+            .heard_from(self.at(after), (&us, BOOT), &alive);
     }
 
     fn sign(&mut self, after: Duration) -> Alive {
@@ -93,11 +136,15 @@
     /// The machines that are deleted then.
     fn deleted(&mut self, after: Duration, proven: bool) -> Vec<String> {
         let now = self.at(after);
-        let call = self.cancellations.poll(now, &self.config, BOOT, &self.view, |_, _, _| proven);
+        let call = self
+            .cancellations
+            .poll(now, &self.config, BOOT, &self.view, |_, _, _| proven);
         match call {
-            Some((Tag::DeleteCancelled, Call::Delete(names))) => {
-                names.machines.iter().map(|machine| machine.0.to_string()).collect()
-            }
+            Some((Tag::DeleteCancelled, Call::Delete(names))) => names
+                .machines
+                .iter()
+                .map(|machine| machine.0.to_string())
+                .collect(),
             None => Vec::new(),
             other => panic!("{other:?}"),
         }
@@ -105,20 +152,47 @@
 }
 
 #[test]
-fn machines_with_cancelled_tasks_are_deleted_in_time_by_their_holder_or_if_it_is_not_heard_by_anyone() {
+fn machines_with_cancelled_tasks_are_deleted_in_time_by_their_holder_or_if_it_is_not_heard_by_anyone()
+ {
     let mut copy = Copy::new();
     let late = copy.config.cancel_within - OVERDUE_MARGIN;
-    assert_eq!(copy.deleted(late - Duration::from_secs(1), false), [] as [&str; 0], "there is time yet");
+    assert_eq!(
+        copy.deleted(late - Duration::from_secs(1), false),
+        [] as [&str; 0],
+        "there is time yet"
+    );
     copy.hear_holder(late, 3, 1);
-    assert_eq!(copy.deleted(late, true), [] as [&str; 0], "ours is proven gone, the other holder sees to its own");
+    assert_eq!(
+        copy.deleted(late, true),
+        [] as [&str; 0],
+        "ours is proven gone, the other holder sees to its own"
+    );
     let later = late + LOOK_EVERY;
     assert_eq!(copy.deleted(later, false), ["m-1"]);
-    copy.cancellations.called(copy.at(later), &CallOutcome::Unknown);
-    assert_eq!(copy.deleted(later + LOOK_EVERY, false), [] as [&str; 0], "not at once");
-    assert_eq!(copy.deleted(later + RETRY, false), ["m-1"], "the call may be lost");
-    copy.cancellations.called(copy.at(later + RETRY), &CallOutcome::Deleted);
-    assert_eq!(copy.deleted(later + RETRY * 2, false), [] as [&str; 0], "once is enough");
-    assert_eq!(copy.deleted(late + HEARD_WITHIN, false), ["m-2"], "its holder is not heard any more");
+    copy.cancellations
+        .called(copy.at(later), &CallOutcome::Unknown);
+    assert_eq!(
+        copy.deleted(later + LOOK_EVERY, false),
+        [] as [&str; 0],
+        "not at once"
+    );
+    assert_eq!(
+        copy.deleted(later + RETRY, false),
+        ["m-1"],
+        "the call may be lost"
+    );
+    copy.cancellations
+        .called(copy.at(later + RETRY), &CallOutcome::Deleted);
+    assert_eq!(
+        copy.deleted(later + RETRY * 2, false),
+        [] as [&str; 0],
+        "once is enough"
+    );
+    assert_eq!(
+        copy.deleted(late + HEARD_WITHIN, false),
+        ["m-2"],
+        "its holder is not heard any more"
+    );
 }
 
 #[test]
@@ -126,18 +200,28 @@
     let mut copy = Copy::new();
     let late = copy.config.cancel_within - OVERDUE_MARGIN;
     let grant = copy.view.grants[&BlockId::from("b.0")].value.clone();
-    let heard = |copy: &Copy, after: Duration| copy.cancellations.holder_heard(copy.at(after), &grant);
+    let heard =
+        |copy: &Copy, after: Duration| copy.cancellations.holder_heard(copy.at(after), &grant);
     copy.hear_holder(Duration::from_secs(1), 3, 5);
     assert!(heard(&copy, Duration::from_secs(1)));
     copy.hear_holder(late, 3, 4);
     copy.hear_holder(late, 3, 5);
-    assert!(!heard(&copy, late), "an earlier message, and a copy of the last one");
+    assert!(
+        !heard(&copy, late),
+        "an earlier message, and a copy of the last one"
+    );
     copy.hear_holder(late, 3, 6);
     assert!(heard(&copy, late));
     copy.cancellations.stood_still(Duration::from_secs(30));
-    assert!(heard(&copy, late + Duration::from_secs(30)), "we were away, not it");
+    assert!(
+        heard(&copy, late + Duration::from_secs(30)),
+        "we were away, not it"
+    );
     copy.hear_holder(late, 4, 1);
-    assert!(!heard(&copy, late), "a process that was started since knows nothing of its tasks");
+    assert!(
+        !heard(&copy, late),
+        "a process that was started since knows nothing of its tasks"
+    );
     assert_eq!(copy.deleted(late, true), ["m-2"]);
 }
 
@@ -145,10 +229,17 @@
 fn others_are_told_of_cancelled_jobs_until_they_are_over() {
     let mut copy = Copy::new();
     let told = copy.cancellations.told();
-    assert_eq!(told.iter().map(|told| told.job).collect::<Vec<_>>(), [JobId(1)]);
+    assert_eq!(
+        told.iter().map(|told| told.job).collect::<Vec<_>>(),
+        [JobId(1)]
+    );
     assert_eq!(told[0].version, copy.view.open[&JobId(1)].version);
     let end = encode(&JobRecord::Ended(crate::domain::Final::Cancelled, 2));
-    copy.view.apply(Change { key: job_key(JobId(1)), version: 90, value: Some(end) });
+    copy.view.apply(Change {
+        key: job_key(JobId(1)),
+        version: 90,
+        value: Some(end),
+    });
     let touched = copy.view.take_touched();
     copy.cancellations.sync(&copy.view, &touched);
     assert_eq!(copy.cancellations.told(), []);
@@ -160,7 +251,9 @@
     let mut copy = Copy::new();
     let seconds = Duration::from_secs;
     let known = |copy: &Copy| {
-        let known = copy.cancellations.known_until(copy.at(seconds(13)), &copy.config);
+        let known = copy
+            .cancellations
+            .known_until(copy.at(seconds(13)), &copy.config);
         known.map(|at| at.saturating_duration_since(copy.start.steady))
     };
     for second in 1..=9 {
@@ -169,17 +262,33 @@
     copy.hear(0, seconds(10), 3, 1, true, Some((BOOT, 5)));
     assert_eq!(known(&copy), None, "only one of two");
     copy.hear(1, seconds(10), 4, 1, true, Some((BOOT, 7)));
-    assert_eq!(known(&copy), Some(seconds(5)), "when we sent that, not when the answer came");
+    assert_eq!(
+        known(&copy),
+        Some(seconds(5)),
+        "when we sent that, not when the answer came"
+    );
     copy.hear(0, seconds(11), 3, 2, false, Some((BOOT, 9)));
     copy.hear(0, seconds(11), 3, 3, true, Some((BOOT + 1, 9)));
     copy.hear(0, seconds(11), 3, 4, true, None);
-    assert_eq!(known(&copy), Some(seconds(5)), "not all it knows; another process of ours; it has not heard us");
+    assert_eq!(
+        known(&copy),
+        Some(seconds(5)),
+        "not all it knows; another process of ours; it has not heard us"
+    );
     copy.hear(0, seconds(12), 3, 6, true, Some((BOOT, 9)));
     assert_eq!(known(&copy), Some(seconds(7)));
     copy.hear(1, seconds(12), 4, 1, true, Some((BOOT, 9)));
-    assert_eq!(known(&copy), Some(seconds(7)), "a copy of an earlier message");
+    assert_eq!(
+        known(&copy),
+        Some(seconds(7)),
+        "a copy of an earlier message"
+    );
     copy.hear(1, seconds(13), 5, 1, false, Some((BOOT, 9)));
-    assert_eq!(known(&copy), None, "started since: what its last process confirmed it does not know");
+    assert_eq!(
+        known(&copy),
+        None,
+        "started since: what its last process confirmed it does not know"
+    );
 }
 
 /// Who is cut off from the state service alone is replaced, and must leave its workers to its successor.
@@ -187,7 +296,11 @@
 fn what_others_name_counts_only_in_an_outage_for_all() {
     let mut copy = Copy::new();
     let seconds = Duration::from_secs;
-    let known = |copy: &Copy, second| copy.cancellations.known_until(copy.at(seconds(second)), &copy.config).is_some();
+    let known = |copy: &Copy, second| {
+        copy.cancellations
+            .known_until(copy.at(seconds(second)), &copy.config)
+            .is_some()
+    };
     copy.sign(seconds(1));
     copy.hear(0, seconds(2), 3, 1, true, Some((BOOT, 1)));
     copy.hear(1, seconds(2), 4, 1, true, Some((BOOT, 1)));
@@ -206,7 +319,9 @@
     let ready = std::mem::replace(&mut copy.view, View::new(&copy.config.state_limits, 3));
     assert!(!copy.sign(Duration::ZERO).complete, "started in an outage");
     copy.view = ready;
-    copy.cancellations.open.extend((10..10 + MOST_TOLD as u64).map(|id| (JobId(id), (id, 0))));
+    copy.cancellations
+        .open
+        .extend((10..10 + MOST_TOLD as u64).map(|id| (JobId(id), (id, 0))));
     let alive = copy.sign(Duration::ZERO);
     assert!(!alive.complete && alive.cancelled.len() == MOST_TOLD);
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -11,11 +11,18 @@
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
     #[error("{path}: {source}")]
-    Unreadable { path: String, source: std::io::Error },
+    Unreadable {
+        path: String,
+        source: std::io::Error,
+    },
     #[error("{path}: {message}")]
     Malformed { path: String, message: String },
     #[error("{path}: `{field}` {problem}")]
-    Invalid { path: String, field: String, problem: String },
+    Invalid {
+        path: String,
+        field: String,
+        problem: String,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -153,20 +160,27 @@
 impl Config {
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
         let shown = path.display().to_string();
-        let text =
-            std::fs::read_to_string(path).map_err(|source| ConfigError::Unreadable { path: shown.clone(), source })?;
+        let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Unreadable {
+            path: shown.clone(),
+            source,
+        })?;
         Self::parse(&shown, &text)
     }
 
     pub fn parse(path: &str, text: &str) -> Result<Self, ConfigError> {
-        let file: File = toml::from_str(text)
-            .map_err(|error| ConfigError::Malformed { path: path.to_owned(), message: one_line(&error.to_string()) })?;
+        let file: File = toml::from_str(text).map_err(|error| ConfigError::Malformed {
+            path: path.to_owned(),
+            message: one_line(&error.to_string()),
+        })?;
         let check = Check { path };
         let mut teams = Vec::new();
         for team in &file.params.teams {
             let field = |name: &str| format!("params.teams.{}.{name}", team.name);
             check.text("params.teams.name", &team.name)?;
-            if teams.iter().any(|known: &TeamLimits| *known.name.0 == *team.name) {
+            if teams
+                .iter()
+                .any(|known: &TeamLimits| *known.name.0 == *team.name)
+            {
                 return Err(check.wrong(&field("name"), "is given twice"));
             }
             teams.push(TeamLimits {
@@ -186,8 +200,13 @@
         let mut peers = Vec::new();
         for member in &file.members {
             check.text("members.node_name", &member.node_name)?;
-            if member.node_name == file.node_name || peers.iter().any(|p: &Peer| *p.name.0 == *member.node_name) {
-                return Err(check.wrong("members.node_name", &format!("names `{}` twice", member.node_name)));
+            if member.node_name == file.node_name
+                || peers.iter().any(|p: &Peer| *p.name.0 == *member.node_name)
+            {
+                return Err(check.wrong(
+                    "members.node_name",
+                    &format!("names `{}` twice", member.node_name),
+                ));
             }
             peers.push(Peer {
                 name: member.node_name.as_str().into(),
@@ -203,10 +222,16 @@
         }
         let state = &file.params.state;
         if state.txn_ops < LEAST_TXN_OPS {
-            return Err(check.wrong("params.state.txn_ops", &format!("must be at least {LEAST_TXN_OPS}")));
+            return Err(check.wrong(
+                "params.state.txn_ops",
+                &format!("must be at least {LEAST_TXN_OPS}"),
+            ));
         }
         if !(state.value_kb >= LEAST_VALUE_KB && state.value_kb <= 65_536.0) {
-            return Err(check.wrong("params.state.value_kb", &format!("must be from {LEAST_VALUE_KB} to 65536")));
+            return Err(check.wrong(
+                "params.state.value_kb",
+                &format!("must be from {LEAST_VALUE_KB} to 65536"),
+            ));
         }
         if file.params.quota.sockets < 50 {
             return Err(check.wrong("params.quota.sockets", "must be at least 50"));
@@ -257,26 +282,50 @@
 
 impl Check<'_> {
     fn wrong(&self, field: &str, problem: &str) -> ConfigError {
-        ConfigError::Invalid { path: self.path.to_owned(), field: field.to_owned(), problem: problem.to_owned() }
+        ConfigError::Invalid {
+            path: self.path.to_owned(),
+            field: field.to_owned(),
+            problem: problem.to_owned(),
+        }
     }
 
     fn text<'t>(&self, field: &str, value: &'t str) -> Result<&'t str, ConfigError> {
-        if value.is_empty() || value.contains(char::is_whitespace) || value.contains('/') || value.len() > 100 {
-            return Err(self.wrong(field, "must be 1 to 100 characters without spaces or slashes"));
+        if value.is_empty()
+            || value.contains(char::is_whitespace)
+            || value.contains('/')
+            || value.len() > 100
+        {
+            return Err(self.wrong(
+                field,
+                "must be 1 to 100 characters without spaces or slashes",
+            ));
         }
         Ok(value)
     }
 
     fn address(&self, field: &str, value: &str) -> Result<SocketAddr, ConfigError> {
-        value.parse().map_err(|_| self.wrong(field, &format!("must be an IP address and port, not `{value}`")))
+        value.parse().map_err(|_| {
+            self.wrong(
+                field,
+                &format!("must be an IP address and port, not `{value}`"),
+            )
+        })
     }
 
     fn amount(&self, field: &str, value: f64) -> Result<f64, ConfigError> {
-        if value.is_finite() && value >= 0.0 { Ok(value) } else { Err(self.wrong(field, "must not be negative")) }
+        if value.is_finite() && value >= 0.0 {
+            Ok(value)
+        } else {
+            Err(self.wrong(field, "must not be negative"))
+        }
     }
 
     fn rate(&self, field: &str, value: f64) -> Result<f64, ConfigError> {
-        if value.is_finite() && value >= 1.0 { Ok(value) } else { Err(self.wrong(field, "must be at least 1")) }
+        if value.is_finite() && value >= 1.0 {
+            Ok(value)
+        } else {
+            Err(self.wrong(field, "must be at least 1"))
+        }
     }
 
     fn duration(&self, field: &str, seconds: f64) -> Result<Duration, ConfigError> {
@@ -290,7 +339,9 @@
 
 /// TOML errors come with an excerpt over several lines; a log line wants the place and the sentence.
 fn one_line(message: &str) -> String {
-    let mut lines = message.lines().filter(|line| !line.contains('|') && !line.trim().is_empty());
+    let mut lines = message
+        .lines()
+        .filter(|line| !line.contains('|') && !line.trim().is_empty());
     let place = lines.next().unwrap_or_default().to_owned();
     match lines.next_back() {
         Some(problem) => format!("{place}: {problem}"),
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -14,16 +14,36 @@
 #[test]
 fn nonsense_is_refused_by_the_name_of_its_field() {
     let cases = [
-        ("lease_s = 20.0", "lease_s = -1.0", "s.toml: `params.workers.lease_s` must be seconds above 0, a day at most"),
-        ("cancel_s = 50.0", "cancel_s = 19.0", "s.toml: `params.workers.cancel_s` must exceed `lease_s`"),
+        (
+            "lease_s = 20.0",
+            "lease_s = -1.0",
+            "s.toml: `params.workers.lease_s` must be seconds above 0, a day at most",
+        ),
+        (
+            "cancel_s = 50.0",
+            "cancel_s = 19.0",
+            "s.toml: `params.workers.cancel_s` must exceed `lease_s`",
+        ),
         (
             "back = \"10.0.0.1:8081\"",
             "back = \"nowhere\"",
             "s.toml: `back` must be an IP address and port, not `nowhere`",
         ),
-        ("cpus = 16.0", "cpus = 999.0", "s.toml: `params.teams.red.cpus` must not exceed `cpus_max`"),
-        ("txn_ops = 16", "txn_ops = 0", "s.toml: `params.state.txn_ops` must be at least 4"),
-        ("domain = \"a\"", "", "s.toml: TOML parse error at line 1, column 1: missing field `domain`"),
+        (
+            "cpus = 16.0",
+            "cpus = 999.0",
+            "s.toml: `params.teams.red.cpus` must not exceed `cpus_max`",
+        ),
+        (
+            "txn_ops = 16",
+            "txn_ops = 0",
+            "s.toml: `params.state.txn_ops` must be at least 4",
+        ),
+        (
+            "domain = \"a\"",
+            "",
+            "s.toml: TOML parse error at line 1, column 1: missing field `domain`",
+        ),
     ];
     for (from, to, message) in cases {
         assert!(SETTINGS.contains(from), "{from}");
@@ -45,7 +65,10 @@
     let text = SETTINGS.replacen("[[params.teams]]", &format!("{guest}[[params.teams]]"), 1);
     let config = Config::parse("s.toml", &text).expect("valid");
     let guests = config.team(&"guests".into()).expect("known");
-    assert_eq!((guests.cpus, guests.cpus_max, guests.gpus_max), (0.0, f64::INFINITY, f64::INFINITY));
+    assert_eq!(
+        (guests.cpus, guests.cpus_max, guests.gpus_max),
+        (0.0, f64::INFINITY, f64::INFINITY)
+    );
     let red = config.team(&"red".into()).expect("known");
     assert_eq!(red.cpus_max, 64.0);
     let policy = crate::policy::Policy::defaults(&config);
--- a/src/domain.rs
+++ b/src/domain.rs
@@ -19,13 +19,18 @@
 
 impl Now {
     pub fn read() -> Self {
-        Now { steady: Instant::now(), wall: SystemTime::now() }
+        Now {
+            steady: Instant::now(),
+            wall: SystemTime::now(),
+        }
     }
 
     pub fn unix_ms(&self) -> u64 {
         self.wall
             .duration_since(SystemTime::UNIX_EPOCH)
-            .map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+            .map_or(0, |since| {
+                u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+            })
     }
 }
 
@@ -44,7 +49,8 @@
         impl<'de> Deserialize<'de> for $name {
             fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
                 let text = String::deserialize(deserializer)?;
-                text.parse().map_err(|NotAName| D::Error::custom("malformed name"))
+                text.parse()
+                    .map_err(|NotAName| D::Error::custom("malformed name"))
             }
         }
     };
@@ -100,7 +106,10 @@
 
     fn from_str(text: &str) -> Result<Self, NotAName> {
         let (job, index) = text.split_once('/').ok_or(NotAName)?;
-        Ok(TaskId { job: job.parse()?, index: index.parse().map_err(|_| NotAName)? })
+        Ok(TaskId {
+            job: job.parse()?,
+            index: index.parse().map_err(|_| NotAName)?,
+        })
     }
 }
 
@@ -211,7 +220,9 @@
 
 impl Room {
     pub fn fits(&self, need: &Room) -> bool {
-        need.cpus <= self.cpus + SLACK && need.gpus <= self.gpus + SLACK && need.memory_gb <= self.memory_gb + SLACK
+        need.cpus <= self.cpus + SLACK
+            && need.gpus <= self.gpus + SLACK
+            && need.memory_gb <= self.memory_gb + SLACK
     }
 
     pub fn add(&mut self, other: &Room) {
@@ -227,13 +238,25 @@
     }
 
     pub fn times(&self, count: f64) -> Room {
-        Room { cpus: self.cpus * count, gpus: self.gpus * count, memory_gb: self.memory_gb * count }
+        Room {
+            cpus: self.cpus * count,
+            gpus: self.gpus * count,
+            memory_gb: self.memory_gb * count,
+        }
     }
 
     /// How many tasks of `need` an empty machine of this size holds.
     pub fn count_of(&self, need: &Room) -> u32 {
-        let of = |have: f64, need: f64| if need <= SLACK { f64::INFINITY } else { (have + SLACK) / need };
-        let count = of(self.cpus, need.cpus).min(of(self.gpus, need.gpus)).min(of(self.memory_gb, need.memory_gb));
+        let of = |have: f64, need: f64| {
+            if need <= SLACK {
+                f64::INFINITY
+            } else {
+                (have + SLACK) / need
+            }
+        };
+        let count = of(self.cpus, need.cpus)
+            .min(of(self.gpus, need.gpus))
+            .min(of(self.memory_gb, need.memory_gb));
         // Saturates: a task that needs nothing fits any number of times.
         count.floor().clamp(0.0, f64::from(u32::MAX)) as u32
     }
@@ -340,7 +363,11 @@
 
     /// The most tasks of this job that may be in one zone.
     pub fn zone_limit(&self) -> u32 {
-        if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
+        if self.spread {
+            self.tasks.div_ceil(2)
+        } else {
+            self.tasks
+        }
     }
 }
 
--- a/src/domain/tests.rs
+++ b/src/domain/tests.rs
@@ -4,21 +4,73 @@
 fn one_job_has_one_spelling() {
     assert_eq!("j-000412".parse(), Ok(JobId(412)));
     assert_eq!("j-1000412".parse(), Ok(JobId(1_000_412)));
-    for wrong in ["j-412", "j-0000412", "j-00041x", "k-000412", "j-", "j-+00412", "j-9999999999999999999"] {
+    for wrong in [
+        "j-412",
+        "j-0000412",
+        "j-00041x",
+        "k-000412",
+        "j-",
+        "j-+00412",
+        "j-9999999999999999999",
+    ] {
         assert_eq!(wrong.parse::<JobId>(), Err(NotAName), "{wrong}");
     }
-    assert_eq!(TaskId { job: JobId(412), index: 3 }.to_string(), "j-000412/3");
-    assert_eq!("j-000412/3".parse(), Ok(TaskId { job: JobId(412), index: 3 }));
+    assert_eq!(
+        TaskId {
+            job: JobId(412),
+            index: 3
+        }
+        .to_string(),
+        "j-000412/3"
+    );
+    assert_eq!(
+        "j-000412/3".parse(),
+        Ok(TaskId {
+            job: JobId(412),
+            index: 3
+        })
+    );
 }
 
 #[test]
 fn room_is_counted_by_the_scarcest_resource() {
-    let machine = Room { cpus: 32.0, gpus: 0.0, memory_gb: 128.0 };
-    assert_eq!(machine.count_of(&Room { cpus: 8.0, gpus: 0.0, memory_gb: 27.0 }), 4);
-    assert_eq!(machine.count_of(&Room { cpus: 1.0, gpus: 0.0, memory_gb: 64.0 }), 2);
-    assert_eq!(machine.count_of(&Room { cpus: 1.0, gpus: 1.0, memory_gb: 1.0 }), 0);
-    let tenth = Room { cpus: 0.1, ..Room::default() };
-    let mut free = Room { cpus: 0.3, ..Room::default() };
+    let machine = Room {
+        cpus: 32.0,
+        gpus: 0.0,
+        memory_gb: 128.0,
+    };
+    assert_eq!(
+        machine.count_of(&Room {
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 27.0
+        }),
+        4
+    );
+    assert_eq!(
+        machine.count_of(&Room {
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 64.0
+        }),
+        2
+    );
+    assert_eq!(
+        machine.count_of(&Room {
+            cpus: 1.0,
+            gpus: 1.0,
+            memory_gb: 1.0
+        }),
+        0
+    );
+    let tenth = Room {
+        cpus: 0.1,
+        ..Room::default()
+    };
+    let mut free = Room {
+        cpus: 0.3,
+        ..Room::default()
+    };
     for _ in 0..3 {
         assert!(free.fits(&tenth));
         free.take(&tenth);
--- a/src/fleet/block.rs
+++ b/src/fleet/block.rs
@@ -14,7 +14,9 @@
 use crate::placement::{self, Candidate};
 use crate::policy::Policy;
 use crate::provisioning::Flavors;
-use crate::store::records::{Grant, Places, done_entry, grant_key, job_key, places_key, roster_key};
+use crate::store::records::{
+    Grant, Places, done_entry, grant_key, job_key, places_key, roster_key,
+};
 use crate::store::{Op, Outcome, Txn, Versioned, View, Writer};
 
 /// A lost launch is repeated after this long.
@@ -88,7 +90,12 @@
 }
 
 impl Block {
-    pub(super) fn new(id: BlockId, grant: &Versioned<Grant>, places: Places, places_version: u64) -> Self {
+    pub(super) fn new(
+        id: BlockId,
+        grant: &Versioned<Grant>,
+        places: Places,
+        places_version: u64,
+    ) -> Self {
         Block {
             id,
             token: grant.value.token,
@@ -155,7 +162,8 @@
 
     /// Whether there may be something to write.
     fn has_news(&self, now: Now) -> bool {
-        let prune = !self.places.done.is_empty() && self.looked.is_none_or(|at| since(now, at) > RELAUNCH);
+        let prune =
+            !self.places.done.is_empty() && self.looked.is_none_or(|at| since(now, at) > RELAUNCH);
         !self.pending.is_empty() || !self.ended.is_empty() || !self.unsure.is_empty() || prune
     }
 
@@ -169,10 +177,27 @@
     }
 
     pub(super) fn sync_machines(&mut self, now: Now, view: &View) {
-        let ours = |id: &MachineId| view.machines.get(id).is_some_and(|machine| machine.block == self.id);
-        let mut known: BTreeSet<MachineId> = self.workers.keys().chain(self.places.on.keys()).cloned().collect();
-        known.extend(view.rosters.get(&self.id).iter().flat_map(|roster| roster.value.on.keys().cloned()));
-        let known: Vec<(MachineId, bool)> = known.into_iter().map(|id| (id.clone(), ours(&id))).collect();
+        let ours = |id: &MachineId| {
+            view.machines
+                .get(id)
+                .is_some_and(|machine| machine.block == self.id)
+        };
+        let mut known: BTreeSet<MachineId> = self
+            .workers
+            .keys()
+            .chain(self.places.on.keys())
+            .cloned()
+            .collect();
+        known.extend(
+            view.rosters
+                .get(&self.id)
+                .iter()
+                .flat_map(|roster| roster.value.on.keys().cloned()),
+        );
+        let known: Vec<(MachineId, bool)> = known
+            .into_iter()
+            .map(|id| (id.clone(), ours(&id)))
+            .collect();
         for (id, ours) in known {
             self.sync_machine(now, &id, ours);
         }
@@ -200,7 +225,9 @@
     /// The one place where what a worker says is taken in.
     pub(super) fn take_report(&mut self, now: Now, report: Report, view: &View, said: Said) {
         let token = self.token;
-        let Some(worker) = self.workers.get_mut(&report.machine) else { return };
+        let Some(worker) = self.workers.get_mut(&report.machine) else {
+            return;
+        };
         let newer = (report.session, report.seq) > (worker.session, worker.seq);
         if !newer {
             // Late: its task list is as old as it is.
@@ -231,10 +258,25 @@
         let tasks: BTreeMap<TaskId, Seen> = report
             .tasks
             .iter()
-            .map(|task| (task.task, Seen { number: task.number, state: task.state, cause: task.cause }))
+            .map(|task| {
+                (
+                    task.task,
+                    Seen {
+                        number: task.number,
+                        state: task.state,
+                        cause: task.cause,
+                    },
+                )
+            })
             .collect();
-        for (task, seen) in tasks.iter().filter(|(_, seen)| seen.state == TaskState::Running) {
-            let attempt = Attempt { task: *task, number: seen.number };
+        for (task, seen) in tasks
+            .iter()
+            .filter(|(_, seen)| seen.state == TaskState::Running)
+        {
+            let attempt = Attempt {
+                task: *task,
+                number: seen.number,
+            };
             let before = worker.tasks.get(task).map(|seen| seen.state);
             // Launched by us and not seen running before: others' starts happened nobody knows when.
             if before != Some(TaskState::Running)
@@ -259,7 +301,9 @@
             }
         }
         let placed = self.places.on.get(&report.machine);
-        worker.forget_launches(|attempt| placed.is_some_and(|list| list.iter().any(|placed| placed.0 == *attempt)));
+        worker.forget_launches(|attempt| {
+            placed.is_some_and(|list| list.iter().any(|placed| placed.0 == *attempt))
+        });
         let here: Vec<Attempt> = self
             .places
             .on
@@ -268,13 +312,17 @@
             .unwrap_or_default();
         for attempt in here {
             let key = (report.machine.clone(), attempt);
-            let seen = worker.tasks.get(&attempt.task).filter(|seen| seen.number == attempt.number);
+            let seen = worker
+                .tasks
+                .get(&attempt.task)
+                .filter(|seen| seen.number == attempt.number);
             match seen {
                 Some(seen) => {
                     if seen.state != TaskState::Exited {
                         // Started by a command that was under way when its job was cancelled. Workers that show a newer
                         // token are another holder's, and would refuse this for ever.
-                        worker.due |= !wanted_alive(view, attempt.task.job) && worker.token <= token;
+                        worker.due |=
+                            !wanted_alive(view, attempt.task.job) && worker.token <= token;
                         continue;
                     }
                     if worker.token < token {
@@ -282,14 +330,16 @@
                         continue;
                     }
                     let done = seen.cause == Some(Cause::Done);
-                    if let std::collections::btree_map::Entry::Vacant(entry) = self.ended.entry(key) {
+                    if let std::collections::btree_map::Entry::Vacant(entry) = self.ended.entry(key)
+                    {
                         debug!(%attempt, cause = ?seen.cause, "task ended");
                         worker.note_end(attempt.task.job, seen.cause);
                         entry.insert(if done { End::Done } else { End::Gone });
                     }
                 }
                 None => {
-                    let unwanted = !wanted_alive(view, attempt.task.job) || self.stops.contains(&attempt);
+                    let unwanted =
+                        !wanted_alive(view, attempt.task.job) || self.stops.contains(&attempt);
                     if unwanted && worker.token >= token && !worker.may_start_late(&attempt) {
                         // Not there, and nothing that could start it is under way.
                         self.ended.insert(key, End::Gone);
@@ -321,25 +371,44 @@
                 .places
                 .on
                 .get(machine)
-                .map(|list| list.iter().map(|placed| (placed.0.task, placed.0.number)).collect())
+                .map(|list| {
+                    list.iter()
+                        .map(|placed| (placed.0.task, placed.0.number))
+                        .collect()
+                })
                 .unwrap_or_default();
             for (task, seen) in &worker.tasks {
-                let attempt = Attempt { task: *task, number: seen.number };
+                let attempt = Attempt {
+                    task: *task,
+                    number: seen.number,
+                };
                 let recorded = here.get(task) == Some(&seen.number);
-                let wanted = recorded && wanted_alive(view, task.job) && !self.stops.contains(&attempt);
+                let wanted =
+                    recorded && wanted_alive(view, task.job) && !self.stops.contains(&attempt);
                 match seen.state {
                     // Reaped only once its end is recorded, and never while an old launch of it may come late.
                     TaskState::Exited if !recorded && worker.may_forget(&attempt, seen.cause) => {
-                        orders.push(Order::Reap { task: *task, number: seen.number });
+                        orders.push(Order::Reap {
+                            task: *task,
+                            number: seen.number,
+                        });
                     }
                     TaskState::Exited => {}
                     _ if wanted => {}
                     _ => {
-                        let job = view.open.get(&task.job).filter(|open| !open.cancelled).map(|open| &open.job);
+                        let job = view
+                            .open
+                            .get(&task.job)
+                            .filter(|open| !open.cancelled)
+                            .map(|open| &open.job);
                         let grace_s = job
                             .filter(|job| job.checkpoint_every_s > 0.0 && recorded)
                             .map_or(0.0, |job| job.checkpoint_s);
-                        orders.push(Order::Stop { task: *task, number: seen.number, grace_s });
+                        orders.push(Order::Stop {
+                            task: *task,
+                            number: seen.number,
+                            grace_s,
+                        });
                     }
                 }
             }
@@ -347,8 +416,14 @@
             // launch has an answer of its own.
             if session.is_some() && entitled && worker.token >= token {
                 for (task, number) in &here {
-                    let attempt = Attempt { task: *task, number: *number };
-                    let there = worker.tasks.get(task).is_some_and(|seen| seen.number == *number);
+                    let attempt = Attempt {
+                        task: *task,
+                        number: *number,
+                    };
+                    let there = worker
+                        .tasks
+                        .get(task)
+                        .is_some_and(|seen| seen.number == *number);
                     let recent = match worker.launches.get(&attempt) {
                         Some(Launch::Sent { .. }) => true,
                         Some(Launch::Lost { at }) => since(now, *at) < RELAUNCH,
@@ -358,14 +433,23 @@
                     let ended = self.ended.contains_key(&(machine.clone(), attempt));
                     if !there && !recent && wanted && !ended {
                         debug!(%attempt, %machine, token, worker.session, "launch");
-                        worker.launches.insert(attempt, Launch::Sent { at: now.steady });
+                        worker
+                            .launches
+                            .insert(attempt, Launch::Sent { at: now.steady });
                         worker.launched.insert(attempt);
-                        orders.push(Order::Launch { task: *task, number: *number });
+                        orders.push(Order::Launch {
+                            task: *task,
+                            number: *number,
+                        });
                     }
                 }
             }
         }
-        Orders { token, session, orders }
+        Orders {
+            token,
+            session,
+            orders,
+        }
     }
 
     pub(super) fn commanded(
@@ -376,13 +460,18 @@
         outcome: CommandOutcome,
         view: &View,
     ) {
-        let Some(worker) = self.workers.get_mut(machine) else { return };
+        let Some(worker) = self.workers.get_mut(machine) else {
+            return;
+        };
         worker.busy = false;
         if worker.due {
             self.due.insert(machine.clone());
         }
         let launched = body.orders.iter().filter_map(|order| match order {
-            Order::Launch { task, number } => Some(Attempt { task: *task, number: *number }),
+            Order::Launch { task, number } => Some(Attempt {
+                task: *task,
+                number: *number,
+            }),
             _ => None,
         });
         let current = body.session == Some(worker.session) && body.token == self.token;
@@ -421,16 +510,32 @@
         }
     }
 
-    pub(super) fn candidates(&self, now: Now, view: &View, flavors: &Flavors, places: &Places) -> Vec<Candidate> {
+    pub(super) fn candidates(
+        &self,
+        now: Now,
+        view: &View,
+        flavors: &Flavors,
+        places: &Places,
+    ) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         for (id, worker) in &self.workers {
-            let Some(machine) = view.machines.get(id) else { continue };
-            let Some(flavor) = flavors.get(&machine.type_name) else { continue };
+            let Some(machine) = view.machines.get(id) else {
+                continue;
+            };
+            let Some(flavor) = flavors.get(&machine.type_name) else {
+                continue;
+            };
             if machine.draining || !worker.usable(now, self.token) {
                 continue;
             }
             let mut taken = Room::default();
-            for open in places.on.get(id).into_iter().flatten().filter_map(|p| view.open.get(&p.0.task.job)) {
+            for open in places
+                .on
+                .get(id)
+                .into_iter()
+                .flatten()
+                .filter_map(|p| view.open.get(&p.0.task.job))
+            {
                 taken.add(&open.job.need);
             }
             let images = worker.images.iter().cloned().collect();
@@ -440,7 +545,13 @@
     }
 
     /// The next transaction: what ended, what is placed, what can be forgotten.
-    pub(super) fn write(&mut self, now: Now, config: &Config, view: &mut View, flavors: &Flavors) -> Option<Op> {
+    pub(super) fn write(
+        &mut self,
+        now: Now,
+        config: &Config,
+        view: &mut View,
+        flavors: &Flavors,
+    ) -> Option<Op> {
         let unsure = matches!(self.writer, Writer::Unsure { .. });
         if !self.writer.ready(now, view) {
             return None;
@@ -456,7 +567,11 @@
             self.places = places;
             self.places_version = version;
             for (machine, attempt) in self.places.attempts() {
-                if self.pending.iter().any(|wanted| wanted.attempt.number == attempt.number) {
+                if self
+                    .pending
+                    .iter()
+                    .any(|wanted| wanted.attempt.number == attempt.number)
+                {
                     self.handled.insert(attempt.number);
                     if let Some(worker) = self.workers.get_mut(machine) {
                         worker.due = true;
@@ -464,12 +579,20 @@
                     }
                 }
             }
-            self.pending.retain(|wanted| !self.handled.contains(&wanted.attempt.number));
+            self.pending
+                .retain(|wanted| !self.handled.contains(&wanted.attempt.number));
         }
         let mut draft = self.places.clone();
         for ((machine, attempt), end) in &self.ended {
-            if draft.remove(machine, *attempt) && *end == End::Done && view.open.contains_key(&attempt.task.job) {
-                draft.done.entry(attempt.task.job).or_default().insert(attempt.task.index);
+            if draft.remove(machine, *attempt)
+                && *end == End::Done
+                && view.open.contains_key(&attempt.task.job)
+            {
+                draft
+                    .done
+                    .entry(attempt.task.job)
+                    .or_default()
+                    .insert(attempt.task.index);
             }
         }
         view.forget_recorded_ends(&mut draft);
@@ -480,17 +603,27 @@
         let mut unsure = Vec::new();
         // A task is placed only if its job was not cancelled before: our copy may not show that yet.
         let mut conditions: BTreeMap<JobId, u64> = BTreeMap::new();
-        let most_jobs = (CONDITIONS_PER_CHANGE * config.state_limits.txn_ops).saturating_sub(OWN_CONDITIONS).max(1);
+        let most_jobs = (CONDITIONS_PER_CHANGE * config.state_limits.txn_ops)
+            .saturating_sub(OWN_CONDITIONS)
+            .max(1);
         if !self.pending.is_empty() {
             let mut candidates = self.candidates(now, view, flavors, &draft);
             for wanted in &self.pending {
-                let Some(open) = view.open.get(&wanted.attempt.task.job).filter(|open| !open.cancelled) else {
+                let Some(open) = view
+                    .open
+                    .get(&wanted.attempt.task.job)
+                    .filter(|open| !open.cancelled)
+                else {
                     continue;
                 };
-                if open.done.contains(wanted.attempt.task.index) || size + 64 > config.state_limits.value_bytes {
+                if open.done.contains(wanted.attempt.task.index)
+                    || size + 64 > config.state_limits.value_bytes
+                {
                     continue;
                 }
-                if conditions.len() >= most_jobs && !conditions.contains_key(&wanted.attempt.task.job) {
+                if conditions.len() >= most_jobs
+                    && !conditions.contains_key(&wanted.attempt.task.job)
+                {
                     // Left to the next write.
                     continue;
                 }
@@ -498,16 +631,25 @@
                 // would make the worker forget that one, and it could start beside the new one.
                 let task = wanted.attempt.task;
                 let clear = |c: &&Candidate| {
-                    self.workers.get(&c.machine).is_some_and(|w| w.launched.iter().all(|attempt| attempt.task != task))
+                    self.workers
+                        .get(&c.machine)
+                        .is_some_and(|w| w.launched.iter().all(|attempt| attempt.task != task))
                 };
-                let hinted = candidates.iter().filter(clear).find(|c| c.machine == wanted.machine);
+                let hinted = candidates
+                    .iter()
+                    .filter(clear)
+                    .find(|c| c.machine == wanted.machine);
                 let chosen = hinted
                     .filter(|c| c.allows(&open.job) && c.free.fits(&open.job.need))
-                    .or_else(|| placement::choose(candidates.iter().filter(clear), &open.job, |_| true))
+                    .or_else(|| {
+                        placement::choose(candidates.iter().filter(clear), &open.job, |_| true)
+                    })
                     .map(|c| c.machine.clone());
                 let Some(machine) = chosen else {
                     // Only a machine that must remember an earlier attempt has room: a new token lets it forget.
-                    fenced |= candidates.iter().any(|c| c.allows(&open.job) && c.free.fits(&open.job.need));
+                    fenced |= candidates
+                        .iter()
+                        .any(|c| c.allows(&open.job) && c.free.fits(&open.job.need));
                     self.refused.push(wanted.attempt.number);
                     continue;
                 };
@@ -525,7 +667,8 @@
         self.fenced = fenced;
         // A write of unknown outcome is made sure of by the next one, needed or not.
         if draft == self.places && self.unsure.is_empty() {
-            self.ended.retain(|(machine, attempt), _| still_there(&self.places, machine, attempt));
+            self.ended
+                .retain(|(machine, attempt), _| still_there(&self.places, machine, attempt));
             return None;
         }
         let mut txn = Txn::default()
@@ -533,7 +676,12 @@
             .when(places_key(&self.id), self.places_version);
         if !unsure.is_empty() {
             // Nothing is placed on a machine that the leader has begun to drain or has deleted meanwhile.
-            txn = txn.when(roster_key(&self.id), view.rosters.get(&self.id).map_or(0, |roster| roster.version));
+            txn = txn.when(
+                roster_key(&self.id),
+                view.rosters
+                    .get(&self.id)
+                    .map_or(0, |roster| roster.version),
+            );
         }
         for (job, version) in conditions {
             txn = txn.when(job_key(job), version);
@@ -555,7 +703,11 @@
         }
         match (outcome, draft) {
             (Outcome::Committed { revision }, Some(draft)) => {
-                let old: HashSet<u64> = self.places.attempts().map(|(_, attempt)| attempt.number).collect();
+                let old: HashSet<u64> = self
+                    .places
+                    .attempts()
+                    .map(|(_, attempt)| attempt.number)
+                    .collect();
                 let started: Vec<(MachineId, Attempt)> = draft
                     .attempts()
                     .filter(|(_, attempt)| !old.contains(&attempt.number))
@@ -566,11 +718,13 @@
                 // We know our own places; only others' records are waited for.
                 self.writer = Writer::Idle;
                 self.unsure.clear();
-                self.ended.retain(|(machine, attempt), _| still_there(&self.places, machine, attempt));
+                self.ended
+                    .retain(|(machine, attempt), _| still_there(&self.places, machine, attempt));
                 for (machine, attempt) in started {
                     debug!(%attempt, %machine, "placed");
                     self.handled.insert(attempt.number);
-                    self.pending.retain(|wanted| wanted.attempt.number != attempt.number);
+                    self.pending
+                        .retain(|wanted| wanted.attempt.number != attempt.number);
                     self.mark_due([machine]);
                 }
             }
@@ -583,7 +737,9 @@
     pub(super) fn status(&mut self, now: Now, policy: &Policy) -> BlockStatus {
         self.number += 1;
         for id in std::mem::take(&mut self.unsaid) {
-            let Some(worker) = self.workers.get(&id) else { continue };
+            let Some(worker) = self.workers.get(&id) else {
+                continue;
+            };
             let (errors, failures) = worker.told_failures();
             let status = MachineStatus {
                 machine: id.clone(),
@@ -606,7 +762,11 @@
             Some((status, number)) if *number > self.heard => Some(status.clone()),
             _ => None,
         };
-        let mut pending: Vec<u64> = self.pending.iter().map(|wanted| wanted.attempt.number).collect();
+        let mut pending: Vec<u64> = self
+            .pending
+            .iter()
+            .map(|wanted| wanted.attempt.number)
+            .collect();
         pending.extend(&self.unsure);
         BlockStatus {
             block: self.id.clone(),
@@ -615,10 +775,20 @@
             last_work: self.last_work,
             pending,
             refused: self.refused.clone(),
-            ended: self.ended.keys().map(|(_, attempt)| attempt.number).collect(),
+            ended: self
+                .ended
+                .keys()
+                .map(|(_, attempt)| attempt.number)
+                .collect(),
             revision: self.places_version,
-            wants_new_token: self.blocked_since.is_some_and(|at| since(now, at) > RENEW_AFTER),
-            expected: self.workers.values().filter(|worker| worker.addr.is_some()).count() as u32,
+            wants_new_token: self
+                .blocked_since
+                .is_some_and(|at| since(now, at) > RENEW_AFTER),
+            expected: self
+                .workers
+                .values()
+                .filter(|worker| worker.addr.is_some())
+                .count() as u32,
             overdue: self.overdue,
             number: self.number,
             machines: self.workers.values().filter_map(unheard).collect(),
@@ -632,9 +802,9 @@
         for (id, worker) in &mut self.workers {
             self.overdue += u32::from(worker.addr.is_some() && since(now, worker.heard) > quiet);
             let placed = self.places.on.get(id);
-            worker
-                .launches
-                .retain(|attempt, _| placed.is_some_and(|list| list.iter().any(|placed| placed.0 == *attempt)));
+            worker.launches.retain(|attempt, _| {
+                placed.is_some_and(|list| list.iter().any(|placed| placed.0 == *attempt))
+            });
             let lost = |launch: &Launch| matches!(launch, Launch::Lost { at } if since(now, *at) >= RELAUNCH);
             if worker.launches.values().any(lost) && since(now, worker.heard) < QUIET {
                 worker.due = true;
@@ -643,7 +813,11 @@
                 self.due.insert(id.clone());
             }
             let (silent, usable) = (worker.silent(now, policy), worker.usable(now, self.token));
-            if worker.told.as_ref().is_none_or(|(told, _)| (told.silent, told.usable) != (silent, usable)) {
+            if worker
+                .told
+                .as_ref()
+                .is_none_or(|(told, _)| (told.silent, told.usable) != (silent, usable))
+            {
                 self.unsaid.insert(id.clone());
             }
         }
@@ -652,10 +826,22 @@
     /// Notes whether launches of unknown outcome are about, which only a new token settles.
     pub(super) fn note_blocked(&mut self, now: Now) {
         let full = |worker: &Worker| {
-            worker.tasks.values().filter(|seen| seen.state == TaskState::Exited).count() > MOST_REMEMBERED
+            worker
+                .tasks
+                .values()
+                .filter(|seen| seen.state == TaskState::Exited)
+                .count()
+                > MOST_REMEMBERED
         };
-        let blocked = self.fenced || self.workers.values().any(|worker| !worker.tainted.is_empty() || full(worker));
-        self.blocked_since = self.blocked_since.filter(|_| blocked).or_else(|| blocked.then_some(now.steady));
+        let blocked = self.fenced
+            || self
+                .workers
+                .values()
+                .any(|worker| !worker.tainted.is_empty() || full(worker));
+        self.blocked_since = self
+            .blocked_since
+            .filter(|_| blocked)
+            .or_else(|| blocked.then_some(now.steady));
     }
 }
 
@@ -665,9 +851,16 @@
 }
 
 pub(super) fn recorded(view: &View, block: &BlockId) -> (Places, u64) {
-    view.places.get(block).map_or((Places::default(), 0), |places| (places.value.clone(), places.version))
+    view.places
+        .get(block)
+        .map_or((Places::default(), 0), |places| {
+            (places.value.clone(), places.version)
+        })
 }
 
 pub(super) fn still_there(places: &Places, machine: &MachineId, attempt: &Attempt) -> bool {
-    places.on.get(machine).is_some_and(|list| list.iter().any(|placed| placed.0 == *attempt))
+    places
+        .on
+        .get(machine)
+        .is_some_and(|list| list.iter().any(|placed| placed.0 == *attempt))
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -99,7 +99,9 @@
 
     fn sync_grants(&mut self, now: Now, config: &Config, boot: u64, view: &View) {
         let ours = |block: &BlockId| {
-            view.grants.get(block).filter(|grant| grant.value.holder == config.name && grant.value.boot == boot)
+            view.grants
+                .get(block)
+                .filter(|grant| grant.value.holder == config.name && grant.value.boot == boot)
         };
         self.blocks.retain(|id, block| {
             let kept = ours(id).is_some();
@@ -145,12 +147,22 @@
 
     /// A worker's report. `entitled`: our copy of the grants is recent enough to act on. If it is not, the report still
     /// tells what is gone, and which machines are alive.
-    pub fn report(&mut self, now: Now, report: Report, config: &Config, view: &View, entitled: bool) -> Answer {
+    pub fn report(
+        &mut self,
+        now: Now,
+        report: Report,
+        config: &Config,
+        view: &View,
+        entitled: bool,
+    ) -> Answer {
         if !view.ready() {
             return Answer::Unavailable;
         }
         if !entitled {
-            let block = view.machines.get(&report.machine).and_then(|machine| self.blocks.get_mut(&machine.block));
+            let block = view
+                .machines
+                .get(&report.machine)
+                .and_then(|machine| self.blocks.get_mut(&machine.block));
             if let Some(block) = block.filter(|block| report.token <= block.token) {
                 block.take_report(now, report, view, Said::Reporting);
             }
@@ -163,7 +175,10 @@
         };
         let block_id = &machine.block;
         let Some(block) = self.blocks.get_mut(block_id) else {
-            let holder = view.grants.get(block_id).map(|grant| grant.value.holder.clone());
+            let holder = view
+                .grants
+                .get(block_id)
+                .map(|grant| grant.value.holder.clone());
             self.strays.insert(report.machine, now.steady);
             return Answer::Elsewhere(holder.filter(|holder| *holder != config.name));
         };
@@ -191,13 +206,17 @@
         view: &View,
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        let Some(block) = self.blocks.get_mut(block) else { return };
+        let Some(block) = self.blocks.get_mut(block) else {
+            return;
+        };
         block.commanded(now, machine, body, outcome, view);
     }
 
     /// What the leader wants. False if our grant is not the one it means.
     pub fn work(&mut self, work: Work) -> bool {
-        let Some(block) = self.blocks.get_mut(&work.block) else { return false };
+        let Some(block) = self.blocks.get_mut(&work.block) else {
+            return false;
+        };
         if block.grant_version != work.grant_version {
             return false;
         }
@@ -207,9 +226,17 @@
         block.last_work = work.number;
         block.heard = block.heard.max(work.heard);
         block.looked = None;
-        let wanted: HashSet<u64> = work.want.iter().map(|wanted| wanted.attempt.number).collect();
+        let wanted: HashSet<u64> = work
+            .want
+            .iter()
+            .map(|wanted| wanted.attempt.number)
+            .collect();
         block.handled.retain(|number| wanted.contains(number));
-        let placed: HashSet<u64> = block.places.attempts().map(|(_, attempt)| attempt.number).collect();
+        let placed: HashSet<u64> = block
+            .places
+            .attempts()
+            .map(|(_, attempt)| attempt.number)
+            .collect();
         block.pending = work
             .want
             .into_iter()
@@ -217,7 +244,11 @@
             .filter(|wanted| !placed.contains(&wanted.attempt.number))
             .collect();
         for (machine, addr) in work.addresses {
-            if let Some(worker) = block.workers.get_mut(&machine).filter(|worker| worker.addr.is_none()) {
+            if let Some(worker) = block
+                .workers
+                .get_mut(&machine)
+                .filter(|worker| worker.addr.is_none())
+            {
                 worker.addr = Some(addr);
                 worker.due = true;
                 block.due.insert(machine);
@@ -236,7 +267,13 @@
 
     /// Prepares the next write: of the block that has waited longest. To be called when it can be sent at once,
     /// so that it holds all that has come up until then.
-    pub fn write(&mut self, now: Now, config: &Config, view: &mut View, flavors: &Flavors) -> Option<(BlockId, Op)> {
+    pub fn write(
+        &mut self,
+        now: Now,
+        config: &Config,
+        view: &mut View,
+        flavors: &Flavors,
+    ) -> Option<(BlockId, Op)> {
         let mut waiting: Vec<(Option<Instant>, BlockId)> = self
             .blocks
             .values()
@@ -245,7 +282,9 @@
             .collect();
         waiting.sort();
         for (_, id) in waiting {
-            let Some(block) = self.blocks.get_mut(&id) else { continue };
+            let Some(block) = self.blocks.get_mut(&id) else {
+                continue;
+            };
             self.looked += (block.pending.len() + block.ended.len()) as u64;
             if let Some(op) = block.write(now, config, view, flavors) {
                 block.wrote = Some(now.steady);
@@ -263,12 +302,20 @@
     }
 
     pub fn grant_version(&self, block: &BlockId) -> u64 {
-        self.blocks.get(block).map_or(0, |block| block.grant_version)
+        self.blocks
+            .get(block)
+            .map_or(0, |block| block.grant_version)
     }
 
     /// Commands that should not wait for the next report. Without a grant that is known to last (`entitled`) only those
     /// that end tasks of cancelled jobs: a cancellation is final, whoever may hold the block by now.
-    pub fn commands(&mut self, now: Now, config: &Config, view: &View, entitled: bool) -> Vec<Command> {
+    pub fn commands(
+        &mut self,
+        now: Now,
+        config: &Config,
+        view: &View,
+        entitled: bool,
+    ) -> Vec<Command> {
         let quiet = config.report_every.mul_f64(OVERDUE);
         let most = (config.max_sockets / COMMAND_PART).max(1);
         let mut commands = Vec::new();
@@ -277,7 +324,9 @@
                 && let Some(machine) = block.due.pop_first()
             {
                 self.looked += 1;
-                let Some(worker) = block.workers.get(&machine) else { continue };
+                let Some(worker) = block.workers.get(&machine) else {
+                    continue;
+                };
                 let probe = entitled && worker.probe_due(now, quiet);
                 if worker.busy || worker.addr.is_none() || !(worker.due || probe) {
                     // It comes back here with its answer, or its first report.
@@ -297,7 +346,9 @@
                 }
                 let id = block.id.clone();
                 let token = block.token;
-                let Some(worker) = block.workers.get_mut(&machine) else { continue };
+                let Some(worker) = block.workers.get_mut(&machine) else {
+                    continue;
+                };
                 // What else it is to be told waits until we are entitled again: the next review finds it.
                 worker.due = !entitled;
                 if body.orders.is_empty() && (worker.token >= token || !entitled) && !probe {
@@ -309,7 +360,12 @@
                 worker.busy = true;
                 let addr = worker.addr.clone().unwrap_or_default();
                 self.in_flight += 1;
-                commands.push(Command { block: id, machine, addr, body });
+                commands.push(Command {
+                    block: id,
+                    machine,
+                    addr,
+                    body,
+                });
             }
         }
         commands
@@ -318,13 +374,18 @@
     /// Whether an attempt of ours is proven gone, by its worker or by the end of its machine.
     pub fn proven_gone(&self, block: &BlockId, machine: &MachineId, attempt: &Attempt) -> bool {
         self.blocks.get(block).is_some_and(|block| {
-            block.ended.contains_key(&(machine.clone(), *attempt)) || !still_there(&block.places, machine, attempt)
+            block.ended.contains_key(&(machine.clone(), *attempt))
+                || !still_there(&block.places, machine, attempt)
         })
     }
 
     /// This process stood still: what it did not hear meanwhile is no silence of its workers.
     pub fn stood_still(&mut self, gap: Duration) {
-        for worker in self.blocks.values_mut().flat_map(|block| block.workers.values_mut()) {
+        for worker in self
+            .blocks
+            .values_mut()
+            .flat_map(|block| block.workers.values_mut())
+        {
             worker.heard += gap;
             worker.deaf = worker.deaf.map(|at| at + gap);
         }
@@ -340,10 +401,23 @@
     /// Tells workers at once when jobs end that have tasks on them.
     fn jobs_ended(&mut self, view: &View, touched: &Touched) {
         for (task, place) in touched.ended.iter().flat_map(|job| {
-            view.placed(*job).iter().map(|((index, _), place)| (TaskId { job: *job, index: *index }, place))
+            view.placed(*job).iter().map(|((index, _), place)| {
+                (
+                    TaskId {
+                        job: *job,
+                        index: *index,
+                    },
+                    place,
+                )
+            })
         }) {
-            let Some(block) = self.blocks.get_mut(&place.block) else { continue };
-            let there = block.workers.get(&place.machine).and_then(|worker| worker.tasks.get(&task));
+            let Some(block) = self.blocks.get_mut(&place.block) else {
+                continue;
+            };
+            let there = block
+                .workers
+                .get(&place.machine)
+                .and_then(|worker| worker.tasks.get(&task));
             if there.is_some_and(|seen| seen.state != TaskState::Exited) {
                 block.mark_due([place.machine.clone()]);
             }
@@ -352,7 +426,9 @@
 
     /// When the jobs were accepted whose tasks have been seen to start since the last call.
     pub fn take_started(&mut self) -> impl Iterator<Item = u64> {
-        self.blocks.values_mut().flat_map(|block| std::mem::take(&mut block.started))
+        self.blocks
+            .values_mut()
+            .flat_map(|block| std::mem::take(&mut block.started))
     }
 
     /// Machines and tasks looked at so far.
@@ -361,13 +437,23 @@
     }
 
     pub fn status(&mut self, now: Now, policy: &Policy) -> Vec<BlockStatus> {
-        self.looked += self.blocks.values().map(|block| block.unsaid.len() as u64).sum::<u64>();
-        self.blocks.values_mut().map(|block| block.status(now, policy)).collect()
+        self.looked += self
+            .blocks
+            .values()
+            .map(|block| block.unsaid.len() as u64)
+            .sum::<u64>();
+        self.blocks
+            .values_mut()
+            .map(|block| block.status(now, policy))
+            .collect()
     }
 
     /// Housekeeping by the clock.
     pub fn tick(&mut self, now: Now, config: &Config, policy: &Policy) {
-        if self.reviewed.is_some_and(|at| since(now, at) < REVIEW_EVERY) {
+        if self
+            .reviewed
+            .is_some_and(|at| since(now, at) < REVIEW_EVERY)
+        {
             return;
         }
         self.reviewed = Some(now.steady);
@@ -380,7 +466,9 @@
 
 /// Whether a command only ends a task whose job is known to be cancelled or over.
 fn is_final(order: &Order, view: &View) -> bool {
-    let over = |job| view.ended.contains_key(&job) || view.open.contains_key(&job) && !wanted_alive(view, job);
+    let over = |job| {
+        view.ended.contains_key(&job) || view.open.contains_key(&job) && !wanted_alive(view, job)
+    };
     matches!(order, Order::Stop { task, .. } if over(task.job))
 }
 
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -14,7 +14,9 @@
 use crate::provisioning::wire::FlavorList;
 use crate::provisioning::wire::tests::flavor;
 use crate::store::Change;
-use crate::store::records::{Grant, JobRecord, Roster, Rostered, encode, grant_key, job_key, roster_key};
+use crate::store::records::{
+    Grant, JobRecord, Roster, Rostered, encode, grant_key, job_key, roster_key,
+};
 
 const BOOT: u64 = 7;
 
@@ -33,12 +35,33 @@
     fn new(job: Job) -> Self {
         let config = Config::parse("s.toml", SETTINGS).expect("valid");
         let mut flavors = Flavors::default();
-        flavors.answered(Some(FlavorList { types: vec![flavor()] }));
+        flavors.answered(Some(FlavorList {
+            types: vec![flavor()],
+        }));
         let (view, fleet) = (View::following(), Fleet::new());
-        let mut holder = Holder { config, flavors, view, fleet, now: Now::read(), version: 0, seq: 0 };
-        let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
+        let mut holder = Holder {
+            config,
+            flavors,
+            view,
+            fleet,
+            now: Now::read(),
+            version: 0,
+            seq: 0,
+        };
+        let entry = || Rostered {
+            type_name: "large".into(),
+            tenure: Tenure::Ordinary,
+            draining: false,
+            rented_s: 0,
+        };
         let on = ["m-1", "m-2"].map(|machine| (machine.into(), entry()));
-        holder.put(roster_key(&"a.0".into()), encode(&Roster { zone: "a".into(), on: on.into() }));
+        holder.put(
+            roster_key(&"a.0".into()),
+            encode(&Roster {
+                zone: "a".into(),
+                on: on.into(),
+            }),
+        );
         holder.put(job_key(JobId(1)), encode(&JobRecord::Open(job)));
         holder.grant(4);
         holder.report("m-1", 4, &[]);
@@ -48,24 +71,43 @@
 
     fn put(&mut self, key: String, value: ciborium::Value) {
         self.version += 1;
-        self.view.apply(Change { key, version: self.version, value: Some(value) });
+        self.view.apply(Change {
+            key,
+            version: self.version,
+            value: Some(value),
+        });
         self.sync();
     }
 
     fn sync(&mut self) {
         let touched = self.view.take_touched();
-        self.fleet.sync(self.now, &self.config, BOOT, &self.view, &touched);
+        self.fleet
+            .sync(self.now, &self.config, BOOT, &self.view, &touched);
     }
 
     fn grant(&mut self, token: u64) {
         let holder = self.config.name.clone();
-        let grant = Grant { zone: "a".into(), holder, boot: BOOT, token, term: 3 };
+        let grant = Grant {
+            zone: "a".into(),
+            holder,
+            boot: BOOT,
+            token,
+            term: 3,
+        };
         self.put(grant_key(&"a.0".into()), encode(&grant));
     }
 
-    fn message(&mut self, machine: &str, token: u64, tasks: &[(u64, TaskState, Option<Cause>)]) -> Report {
+    fn message(
+        &mut self,
+        machine: &str,
+        token: u64,
+        tasks: &[(u64, TaskState, Option<Cause>)],
+    ) -> Report {
         self.seq += 1;
-        let task = TaskId { job: JobId(1), index: 0 };
+        let task = TaskId {
+            job: JobId(1),
+            index: 0,
+        };
         let of = |(number, state, cause): &(u64, TaskState, Option<Cause>)| ReportedTask {
             task,
             number: *number,
@@ -86,15 +128,27 @@
         }
     }
 
-    fn report(&mut self, machine: &str, token: u64, tasks: &[(u64, TaskState, Option<Cause>)]) -> Answer {
+    fn report(
+        &mut self,
+        machine: &str,
+        token: u64,
+        tasks: &[(u64, TaskState, Option<Cause>)],
+    ) -> Answer {
         let report = self.message(machine, token, tasks);
-        self.fleet.report(self.now, report, &self.config, &self.view, true)
+        self.fleet
+            .report(self.now, report, &self.config, &self.view, true)
     }
 
     fn want(&mut self, number: u64, machine: &str, message: u64) {
-        let task = TaskId { job: JobId(1), index: 0 };
+        let task = TaskId {
+            job: JobId(1),
+            index: 0,
+        };
         let grant_version = self.fleet.grant_version(&"a.0".into());
-        let want = vec![Wanted { attempt: Attempt { task, number }, machine: machine.into() }];
+        let want = vec![Wanted {
+            attempt: Attempt { task, number },
+            machine: machine.into(),
+        }];
         let work = work_of(grant_version, message, want);
         assert!(self.fleet.work(work));
     }
@@ -102,18 +156,39 @@
     /// Writes and commits what is due. Returns where the attempts are then.
     fn write(&mut self) -> Vec<(String, u64)> {
         self.now.steady += LOOK_AGAIN;
-        while let Some((block, op)) = self.fleet.write(self.now, &self.config, &mut self.view, &self.flavors) {
-            let Op::Commit(txn) = op else { panic!("{op:?}") };
+        while let Some((block, op)) =
+            self.fleet
+                .write(self.now, &self.config, &mut self.view, &self.flavors)
+        {
+            let Op::Commit(txn) = op else {
+                panic!("{op:?}")
+            };
             self.version += 1;
             for change in txn.changes {
-                let crate::store::TxnChange::Put { key, value, .. } = change else { panic!("{change:?}") };
-                self.view.apply(Change { key, version: self.version, value: Some(value) });
+                let crate::store::TxnChange::Put { key, value, .. } = change else {
+                    panic!("{change:?}")
+                };
+                self.view.apply(Change {
+                    key,
+                    version: self.version,
+                    value: Some(value),
+                });
             }
             let grant_version = self.fleet.grant_version(&block);
-            self.fleet.written(self.now, &block, grant_version, &Outcome::Committed { revision: self.version });
+            self.fleet.written(
+                self.now,
+                &block,
+                grant_version,
+                &Outcome::Committed {
+                    revision: self.version,
+                },
+            );
         }
         let places = &self.fleet.blocks[&BlockId::from("a.0")].places;
-        places.attempts().map(|(machine, attempt)| (machine.to_string(), attempt.number)).collect()
+        places
+            .attempts()
+            .map(|(machine, attempt)| (machine.to_string(), attempt.number))
+            .collect()
     }
 
     fn tick(&mut self) {
@@ -122,24 +197,40 @@
     }
 
     fn commands(&mut self) -> Vec<Command> {
-        self.fleet.commands(self.now, &self.config, &self.view, true)
+        self.fleet
+            .commands(self.now, &self.config, &self.view, true)
     }
 
     fn answer(&mut self, command: &Command, outcome: CommandOutcome) {
         let (block, machine) = (command.block.clone(), command.machine.clone());
-        self.fleet.commanded(self.now, &block, &machine, &command.body, outcome, &self.view);
+        self.fleet.commanded(
+            self.now,
+            &block,
+            &machine,
+            &command.body,
+            outcome,
+            &self.view,
+        );
     }
 }
 
 impl Holder {
     fn cancel(&mut self) {
-        self.put(job_key(JobId(1)), encode(&JobRecord::Cancelled(job(1, 1.0), self.now.unix_ms())));
+        self.put(
+            job_key(JobId(1)),
+            encode(&JobRecord::Cancelled(job(1, 1.0), self.now.unix_ms())),
+        );
     }
 
     /// The orders that go out without a grant that is known to last.
     fn unentitled(&mut self) -> Vec<Order> {
-        let commands = self.fleet.commands(self.now, &self.config, &self.view, false);
-        commands.into_iter().flat_map(|command| command.body.orders).collect()
+        let commands = self
+            .fleet
+            .commands(self.now, &self.config, &self.view, false);
+        commands
+            .into_iter()
+            .flat_map(|command| command.body.orders)
+            .collect()
     }
 }
 
@@ -159,19 +250,46 @@
     holder.tick();
     assert_eq!(holder.unentitled(), []);
     // What the leader wants stopped to make room, which another leader may see otherwise by now.
-    let attempt = Attempt { task: TaskId { job: JobId(1), index: 0 }, number: 9 };
+    let attempt = Attempt {
+        task: TaskId {
+            job: JobId(1),
+            index: 0,
+        },
+        number: 9,
+    };
     let version = holder.fleet.grant_version(&"a.0".into());
-    assert!(holder.fleet.work(Work { stop: vec![attempt], ..work_of(version, 2, Vec::new()) }));
+    assert!(holder.fleet.work(Work {
+        stop: vec![attempt],
+        ..work_of(version, 2, Vec::new())
+    }));
     assert_eq!(holder.unentitled(), []);
     holder.cancel();
-    let stop = Order::Stop { task: TaskId { job: JobId(1), index: 0 }, number: 9, grace_s: 0.0 };
+    let stop = Order::Stop {
+        task: TaskId {
+            job: JobId(1),
+            index: 0,
+        },
+        number: 9,
+        grace_s: 0.0,
+    };
     assert_eq!(holder.unentitled(), [stop]);
     // The report is not answered, but what it says counts.
     let gone = holder.message("m-1", 4, &[(9, TaskState::Exited, Some(Cause::Stopped))]);
-    let answer = holder.fleet.report(holder.now, gone, &holder.config, &holder.view, false);
+    let answer = holder
+        .fleet
+        .report(holder.now, gone, &holder.config, &holder.view, false);
     assert_eq!(answer, Answer::Unavailable);
-    assert!(holder.fleet.proven_gone(&"a.0".into(), &"m-1".into(), &attempt));
-    assert!(!holder.fleet.proven_gone(&"a.1".into(), &"m-1".into(), &attempt), "not ours to say");
+    assert!(
+        holder
+            .fleet
+            .proven_gone(&"a.0".into(), &"m-1".into(), &attempt)
+    );
+    assert!(
+        !holder
+            .fleet
+            .proven_gone(&"a.1".into(), &"m-1".into(), &attempt),
+        "not ours to say"
+    );
 }
 
 /// Its launch was under way when the job was cancelled.
@@ -184,8 +302,15 @@
     holder.cancel();
     let shown = holder.message("m-1", 4, &[(9, TaskState::Fetching, None)]);
     holder.answer(&command, CommandOutcome::Executed(shown));
-    let orders: Vec<Order> = holder.commands().into_iter().flat_map(|command| command.body.orders).collect();
-    assert!(matches!(orders[..], [Order::Stop { number: 9, .. }]), "{orders:?}");
+    let orders: Vec<Order> = holder
+        .commands()
+        .into_iter()
+        .flat_map(|command| command.body.orders)
+        .collect();
+    assert!(
+        matches!(orders[..], [Order::Stop { number: 9, .. }]),
+        "{orders:?}"
+    );
 }
 
 /// A copy of an old report, or one that was held back until a new holder had acted, shows what was once so.
@@ -201,14 +326,33 @@
     holder.cancel();
     let mut of_another_session = holder.message("m-1", 4, &[]);
     of_another_session.session = 0;
-    let attempt = Attempt { task: TaskId { job: JobId(1), index: 0 }, number: 9 };
+    let attempt = Attempt {
+        task: TaskId {
+            job: JobId(1),
+            index: 0,
+        },
+        number: 9,
+    };
     for late in [before, of_another_session] {
-        holder.fleet.report(holder.now, late, &holder.config, &holder.view, true);
-        assert!(!holder.fleet.proven_gone(&"a.0".into(), &"m-1".into(), &attempt));
+        holder
+            .fleet
+            .report(holder.now, late, &holder.config, &holder.view, true);
+        assert!(
+            !holder
+                .fleet
+                .proven_gone(&"a.0".into(), &"m-1".into(), &attempt)
+        );
     }
     let gone = holder.message("m-1", 4, &[]);
-    holder.fleet.report(holder.now, gone, &holder.config, &holder.view, true);
-    assert!(holder.fleet.proven_gone(&"a.0".into(), &"m-1".into(), &attempt), "a newer one does");
+    holder
+        .fleet
+        .report(holder.now, gone, &holder.config, &holder.view, true);
+    assert!(
+        holder
+            .fleet
+            .proven_gone(&"a.0".into(), &"m-1".into(), &attempt),
+        "a newer one does"
+    );
 }
 
 /// A placement is committed only if none of its jobs was cancelled before, whatever our copy says.
@@ -217,20 +361,41 @@
     let mut holder = Holder::new(job(1, 1.0));
     holder.want(9, "m-1", 1);
     holder.now.steady += LOOK_AGAIN;
-    let write = holder.fleet.write(holder.now, &holder.config, &mut holder.view, &holder.flavors);
-    let Some((_, Op::Commit(txn))) = write else { panic!("{write:?}") };
+    let write = holder.fleet.write(
+        holder.now,
+        &holder.config,
+        &mut holder.view,
+        &holder.flavors,
+    );
+    let Some((_, Op::Commit(txn))) = write else {
+        panic!("{write:?}")
+    };
     let version = holder.view.open[&JobId(1)].version;
-    assert!(txn.conditions.contains(&(job_key(JobId(1)), version)), "{:?}", txn.conditions);
+    assert!(
+        txn.conditions.contains(&(job_key(JobId(1)), version)),
+        "{:?}",
+        txn.conditions
+    );
 }
 
 fn work_of(grant_version: u64, number: u64, want: Vec<Wanted>) -> Work {
     let (stop, addresses) = (Vec::new(), Vec::new());
-    Work { block: "a.0".into(), grant_version, number, heard: 0, want, stop, addresses }
+    Work {
+        block: "a.0".into(),
+        grant_version,
+        number,
+        heard: 0,
+        want,
+        stop,
+        addresses,
+    }
 }
 
 fn launches(commands: &[Command]) -> usize {
     let orders = commands.iter().flat_map(|command| &command.body.orders);
-    orders.filter(|order| matches!(order, Order::Launch { .. })).count()
+    orders
+        .filter(|order| matches!(order, Order::Launch { .. }))
+        .count()
 }
 
 #[test]
@@ -248,7 +413,11 @@
     let raising = holder.commands();
     assert!(raising.iter().all(|command| command.body.token == 6) && launches(&raising) == 0);
     let shown = holder.message("m-1", 6, &[]);
-    let to_first = raising.iter().find(|command| &*command.machine.0 == "m-1").expect("raised").clone();
+    let to_first = raising
+        .iter()
+        .find(|command| &*command.machine.0 == "m-1")
+        .expect("raised")
+        .clone();
     holder.answer(&to_first, CommandOutcome::Executed(shown));
     assert_eq!(launches(&holder.commands()), 1);
 }
@@ -265,12 +434,22 @@
     holder.report("m-1", 4, &failed);
     assert_eq!(holder.write(), []);
     let reaped = |answer: Answer| match answer {
-        Answer::Orders(orders) => orders.orders.iter().any(|order| matches!(order, Order::Reap { .. })),
+        Answer::Orders(orders) => orders
+            .orders
+            .iter()
+            .any(|order| matches!(order, Order::Reap { .. })),
         other => panic!("{other:?}"),
     };
-    assert!(!reaped(holder.report("m-1", 4, &failed)), "the lost launch could start it again");
+    assert!(
+        !reaped(holder.report("m-1", 4, &failed)),
+        "the lost launch could start it again"
+    );
     holder.want(10, "m-1", 2);
-    assert_eq!(holder.write(), [("m-2".to_owned(), 10)], "away from the machine it was meant for");
+    assert_eq!(
+        holder.write(),
+        [("m-2".to_owned(), 10)],
+        "away from the machine it was meant for"
+    );
     holder.tick();
     holder.now.steady += RENEW_AFTER + Duration::from_secs(1);
     holder.tick();
@@ -284,11 +463,28 @@
 /// block's tasks were not recorded for over a minute.
 #[test]
 fn no_block_waits_for_others_that_have_more_to_write() {
-    let mut holder = Holder::new(Job { tasks: 50, ..job(1, 0.1) });
-    let entry = Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
-    let roster = Roster { zone: "a".into(), on: [("m-3".into(), entry)].into() };
+    let mut holder = Holder::new(Job {
+        tasks: 50,
+        ..job(1, 0.1)
+    });
+    let entry = Rostered {
+        type_name: "large".into(),
+        tenure: Tenure::Ordinary,
+        draining: false,
+        rented_s: 0,
+    };
+    let roster = Roster {
+        zone: "a".into(),
+        on: [("m-3".into(), entry)].into(),
+    };
     holder.put(roster_key(&"a.1".into()), encode(&roster));
-    let grant = Grant { zone: "a".into(), holder: holder.config.name.clone(), boot: BOOT, token: 5, term: 3 };
+    let grant = Grant {
+        zone: "a".into(),
+        holder: holder.config.name.clone(),
+        boot: BOOT,
+        token: 5,
+        term: 3,
+    };
     holder.put(grant_key(&"a.1".into()), encode(&grant));
     holder.report("m-3", 5, &[]);
     // Each round brings new work for both, but only one write can be sent.
@@ -297,20 +493,42 @@
         for (block, machine) in [("a.0", "m-1"), ("a.1", "m-3")] {
             let grant_version = holder.fleet.grant_version(&block.into());
             let index = round * 2 + u32::from(block == "a.1");
-            let attempt = Attempt { task: TaskId { job: JobId(1), index }, number: u64::from(index) + 20 };
-            let want = vec![Wanted { attempt, machine: machine.into() }];
+            let attempt = Attempt {
+                task: TaskId {
+                    job: JobId(1),
+                    index,
+                },
+                number: u64::from(index) + 20,
+            };
+            let want = vec![Wanted {
+                attempt,
+                machine: machine.into(),
+            }];
             let number = u64::from(round) + 1;
-            let work = Work { block: block.into(), ..work_of(grant_version, number, want) };
+            let work = Work {
+                block: block.into(),
+                ..work_of(grant_version, number, want)
+            };
             assert!(holder.fleet.work(work));
         }
         holder.now.steady += LOOK_AGAIN;
-        let next = holder.fleet.write(holder.now, &holder.config, &mut holder.view, &holder.flavors);
+        let next = holder.fleet.write(
+            holder.now,
+            &holder.config,
+            &mut holder.view,
+            &holder.flavors,
+        );
         let (block, _) = next.expect("there is work");
         let grant_version = holder.fleet.grant_version(&block);
         *written.entry(block.clone()).or_default() += 1;
         holder.version += 1;
         let revision = holder.version;
-        holder.fleet.written(holder.now, &block, grant_version, &Outcome::Committed { revision });
+        holder.fleet.written(
+            holder.now,
+            &block,
+            grant_version,
+            &Outcome::Committed { revision },
+        );
     }
     assert_eq!(written.values().min(), Some(&4), "{written:?}");
 }
@@ -325,7 +543,11 @@
     holder.write();
     let usable = |holder: &mut Holder| {
         let status = holder.fleet.status(holder.now, &policy).remove(0);
-        status.machines.iter().find(|m| &*m.machine.0 == "m-1").map(|m| (m.usable, m.silent))
+        status
+            .machines
+            .iter()
+            .find(|m| &*m.machine.0 == "m-1")
+            .map(|m| (m.usable, m.silent))
     };
     assert_eq!(usable(&mut holder), Some((true, false)));
     let command = holder.commands().remove(0);
@@ -365,21 +587,35 @@
     holder.report("m-1", 4, &stopped);
     assert_eq!(holder.write(), []);
     let reaped = |answer: Answer| match answer {
-        Answer::Orders(orders) => orders.orders.iter().any(|order| matches!(order, Order::Reap { .. })),
+        Answer::Orders(orders) => orders
+            .orders
+            .iter()
+            .any(|order| matches!(order, Order::Reap { .. })),
         other => panic!("{other:?}"),
     };
     assert!(!reaped(holder.report("m-1", 4, &stopped)));
     holder.want(10, "m-1", 2);
-    assert_eq!(holder.write(), [("m-2".to_owned(), 10)], "the worker keeps one attempt of a task in mind");
+    assert_eq!(
+        holder.write(),
+        [("m-2".to_owned(), 10)],
+        "the worker keeps one attempt of a task in mind"
+    );
     holder.tick();
     holder.now.steady += RENEW_AFTER * 2;
     holder.tick();
     let policy = Policy::defaults(&holder.config);
-    assert!(!holder.fleet.status(holder.now, &policy)[0].wants_new_token, "nothing waits for it");
+    assert!(
+        !holder.fleet.status(holder.now, &policy)[0].wants_new_token,
+        "nothing waits for it"
+    );
     holder.grant(6);
     assert!(reaped(holder.report("m-1", 6, &stopped)));
     // What is done ends again at once, so it may be forgotten.
-    let command = holder.commands().into_iter().find(|command| &*command.machine.0 == "m-2").expect("raised");
+    let command = holder
+        .commands()
+        .into_iter()
+        .find(|command| &*command.machine.0 == "m-2")
+        .expect("raised");
     let running = holder.message("m-2", 6, &[(10, TaskState::Running, None)]);
     holder.answer(&command, CommandOutcome::Executed(running));
     let done = [(10, TaskState::Exited, Some(Cause::Done))];
@@ -392,7 +628,11 @@
 #[test]
 fn a_launch_is_forgotten_once_its_worker_has_forgotten_the_attempt() {
     let mut holder = Holder::new(job(1, 1.0));
-    let remembered = |holder: &Holder| holder.fleet.blocks[&BlockId::from("a.0")].workers[&"m-1".into()].launched.len();
+    let remembered = |holder: &Holder| {
+        holder.fleet.blocks[&BlockId::from("a.0")].workers[&"m-1".into()]
+            .launched
+            .len()
+    };
     holder.want(9, "m-1", 1);
     holder.write();
     let command = holder.commands().remove(0);
@@ -418,12 +658,27 @@
     holder.grant(6);
     assert_eq!(holder.commands(), [], "nothing is known of them");
     holder.now.steady += policy.unheard_after + Duration::from_secs(1);
-    assert!(holder.fleet.status(holder.now, &policy)[0].machines.iter().all(|machine| !machine.silent));
+    assert!(
+        holder.fleet.status(holder.now, &policy)[0]
+            .machines
+            .iter()
+            .all(|machine| !machine.silent)
+    );
     let grant_version = holder.fleet.grant_version(&"a.0".into());
     let addresses = vec![("m-1".into(), "10.1.0.1:9000".to_owned())];
-    assert!(holder.fleet.work(Work { addresses, ..work_of(grant_version, 1, Vec::new()) }));
+    assert!(holder.fleet.work(Work {
+        addresses,
+        ..work_of(grant_version, 1, Vec::new())
+    }));
     let command = holder.commands().remove(0);
-    assert_eq!((command.body.token, command.body.session, command.body.orders.len()), (6, Some(1), 0));
+    assert_eq!(
+        (
+            command.body.token,
+            command.body.session,
+            command.body.orders.len()
+        ),
+        (6, Some(1), 0)
+    );
     // Its session is another: it says so, and is asked again.
     let mut shown = holder.message("m-1", 4, &[]);
     shown.session = 3;
@@ -441,7 +696,11 @@
     let silent = |holder: &mut Holder| {
         holder.tick();
         let status = holder.fleet.status(holder.now, &policy).remove(0);
-        status.machines.iter().filter(|machine| machine.silent).count()
+        status
+            .machines
+            .iter()
+            .filter(|machine| machine.silent)
+            .count()
     };
     let gap = policy.unheard_after * 2;
     holder.now.steady += gap;
@@ -457,10 +716,24 @@
 fn commands_under_way_are_bounded_and_those_without_answers_leave_room_for_others() {
     let mut holder = Holder::new(job(1, 1.0));
     let most = holder.config.max_sockets / COMMAND_PART;
-    let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
+    let entry = || Rostered {
+        type_name: "large".into(),
+        tenure: Tenure::Ordinary,
+        draining: false,
+        rented_s: 0,
+    };
     let names: Vec<String> = (0..most * 3).map(|n| format!("m-{n:06}")).collect();
-    let on = names.iter().map(|name| (name.as_str().into(), entry())).collect();
-    holder.put(roster_key(&"a.0".into()), encode(&Roster { zone: "a".into(), on }));
+    let on = names
+        .iter()
+        .map(|name| (name.as_str().into(), entry()))
+        .collect();
+    holder.put(
+        roster_key(&"a.0".into()),
+        encode(&Roster {
+            zone: "a".into(),
+            on,
+        }),
+    );
     for name in &names {
         holder.report(name, 3, &[]);
     }
@@ -471,8 +744,15 @@
     }
     holder.now.steady += PROBE_AGAIN * 2;
     holder.tick();
-    let again: BTreeSet<MachineId> = holder.commands().into_iter().map(|command| command.machine).collect();
-    let deaf = first.iter().filter(|command| again.contains(&command.machine)).count();
+    let again: BTreeSet<MachineId> = holder
+        .commands()
+        .into_iter()
+        .map(|command| command.machine)
+        .collect();
+    let deaf = first
+        .iter()
+        .filter(|command| again.contains(&command.machine))
+        .count();
     assert_eq!((again.len(), deaf), (most, most / 2));
 }
 
@@ -484,9 +764,16 @@
     let command = holder.commands().remove(0);
     holder.report("m-1", 4, &[]);
     assert_eq!(holder.write().len(), 1, "its launch is on its way");
-    holder.put(job_key(JobId(1)), encode(&JobRecord::Cancelled(job(1, 1.0), 0)));
+    holder.put(
+        job_key(JobId(1)),
+        encode(&JobRecord::Cancelled(job(1, 1.0), 0)),
+    );
     holder.report("m-1", 4, &[]);
-    assert_eq!(holder.write().len(), 1, "cancelled, but the launch may still come");
+    assert_eq!(
+        holder.write().len(),
+        1,
+        "cancelled, but the launch may still come"
+    );
     let empty = holder.message("m-1", 4, &[]);
     holder.answer(&command, CommandOutcome::Rejected(empty));
     assert_eq!(holder.write(), [], "refused: it never started");
@@ -501,15 +788,29 @@
     let policy = Policy::defaults(&holder.config);
     let mut errors = Vec::new();
     for (number, of) in [(9, 1), (10, 1), (11, 1), (12, 2)] {
-        let attempt = Attempt { task: TaskId { job: JobId(of), index: 0 }, number };
+        let attempt = Attempt {
+            task: TaskId {
+                job: JobId(of),
+                index: 0,
+            },
+            number,
+        };
         let grant_version = holder.fleet.grant_version(&"a.0".into());
-        let want = vec![Wanted { attempt, machine: "m-1".into() }];
+        let want = vec![Wanted {
+            attempt,
+            machine: "m-1".into(),
+        }];
         assert!(holder.fleet.work(work_of(grant_version, number, want)));
         holder.write();
-        for (state, cause) in [(TaskState::Running, None), (TaskState::Exited, Some(Cause::Error))] {
+        for (state, cause) in [
+            (TaskState::Running, None),
+            (TaskState::Exited, Some(Cause::Error)),
+        ] {
             let mut report = holder.message("m-1", 4, &[(number, state, cause)]);
             report.tasks[0].task = attempt.task;
-            holder.fleet.report(holder.now, report, &holder.config, &holder.view, true);
+            holder
+                .fleet
+                .report(holder.now, report, &holder.config, &holder.view, true);
         }
         holder.write();
         errors.push(holder.fleet.status(holder.now, &policy)[0].machines[0].errors);
@@ -522,6 +823,8 @@
     let mut holder = Holder::new(job(1, 1.0));
     assert_eq!(holder.report("m-1", 5, &[]), Answer::Elsewhere(None));
     let report = holder.message("m-1", 4, &[]);
-    let answer = holder.fleet.report(holder.now, report, &holder.config, &holder.view, false);
+    let answer = holder
+        .fleet
+        .report(holder.now, report, &holder.config, &holder.view, false);
     assert_eq!(answer, Answer::Unavailable);
 }
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -117,8 +117,19 @@
 
     /// What the leader is told of failures here. One job alone never makes a machine faulty.
     pub(super) fn told_failures(&self) -> (u32, Vec<JobFailures>) {
-        let errors = if self.failures.len() > 1 { self.errors } else { self.errors.min(2) };
-        let failures = self.failures.iter().map(|(job, count)| JobFailures { job: *job, count: *count }).collect();
+        let errors = if self.failures.len() > 1 {
+            self.errors
+        } else {
+            self.errors.min(2)
+        };
+        let failures = self
+            .failures
+            .iter()
+            .map(|(job, count)| JobFailures {
+                job: *job,
+                count: *count,
+            })
+            .collect();
         (errors, failures)
     }
 
@@ -126,7 +137,9 @@
     pub(super) fn probe_due(&self, now: Now, quiet: Duration) -> bool {
         (self.reported || self.addr.is_some())
             && (since(now, self.heard) > quiet || self.deaf.is_some())
-            && self.probed.is_none_or(|(at, _)| since(now, at) > PROBE_AGAIN)
+            && self
+                .probed
+                .is_none_or(|(at, _)| since(now, at) > PROBE_AGAIN)
     }
 
     /// Whether it has shown the token, reports, hears us, and is not being taken away.
@@ -143,9 +156,13 @@
             (false, Some(_)) => policy.unheard_after,
             // Nobody knows where it is, so it can't be asked, and the block's last holder, if it lost only the state
             // service, answers its reports for the life of its grant.
-            (false, None) => policy.unheard_after.max(policy.grant_life + policy.silent_after),
+            (false, None) => policy
+                .unheard_after
+                .max(policy.grant_life + policy.silent_after),
         };
-        let deaf = self.deaf.is_some_and(|at| since(now, at) >= policy.unheard_after);
+        let deaf = self
+            .deaf
+            .is_some_and(|at| since(now, at) >= policy.unheard_after);
         since(now, self.heard) >= patience || deaf
     }
 
@@ -158,15 +175,23 @@
     /// Forgets launches of attempts that the worker has forgotten too: those that it neither lists nor is to list.
     /// Without this every task that ever ran here would be kept in mind.
     pub(super) fn forget_launches(&mut self, placed: impl Fn(&Attempt) -> bool) {
-        let Worker { launched, tasks, tainted, .. } = self;
+        let Worker {
+            launched,
+            tasks,
+            tainted,
+            ..
+        } = self;
         launched.retain(|attempt| {
-            let listed = tasks.get(&attempt.task).is_some_and(|seen| seen.number == attempt.number);
+            let listed = tasks
+                .get(&attempt.task)
+                .is_some_and(|seen| seen.number == attempt.number);
             listed || tainted.contains(attempt) || placed(attempt)
         });
     }
 
     /// Whether a launch of this attempt may still be on its way.
     pub(super) fn may_start_late(&self, attempt: &Attempt) -> bool {
-        self.tainted.contains(attempt) || matches!(self.launches.get(attempt), Some(Launch::Sent { .. }))
+        self.tainted.contains(attempt)
+            || matches!(self.launches.get(attempt), Some(Launch::Sent { .. }))
     }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -25,11 +25,23 @@
 
 impl Request {
     pub fn get(path: String, timeout: Duration) -> Self {
-        Request { post: false, path, body: Vec::new(), timeout, close: false }
+        Request {
+            post: false,
+            path,
+            body: Vec::new(),
+            timeout,
+            close: false,
+        }
     }
 
     pub fn post(path: String, body: Vec<u8>, timeout: Duration) -> Self {
-        Request { post: true, path, body, timeout, close: false }
+        Request {
+            post: true,
+            path,
+            body,
+            timeout,
+            close: false,
+        }
     }
 }
 
@@ -78,7 +90,11 @@
 
     /// None: no answer. The request may have been executed, or may still be.
     pub async fn send(&self, addr: SocketAddr, request: Request) -> Option<Reply> {
-        let method = if request.post { hyper::Method::POST } else { hyper::Method::GET };
+        let method = if request.post {
+            hyper::Method::POST
+        } else {
+            hyper::Method::GET
+        };
         let mut built = hyper::Request::builder()
             .method(method)
             .uri(format!("http://{addr}{}", request.path))
@@ -90,9 +106,16 @@
         let exchange = async {
             let response = self.inner.request(built).await.ok()?;
             let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), LARGEST_REPLY).collect().await.ok()?.to_bytes();
+            let body = Limited::new(response.into_body(), LARGEST_REPLY)
+                .collect()
+                .await
+                .ok()?
+                .to_bytes();
             Some(Reply { status, body })
         };
-        tokio::time::timeout(request.timeout, exchange).await.ok().flatten()
+        tokio::time::timeout(request.timeout, exchange)
+            .await
+            .ok()
+            .flatten()
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -53,24 +53,37 @@
 
 fn reply_cbor(status: u16, value: &impl Serialize) -> HttpResponse {
     let mut response = HttpResponse::new(write(value).into());
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let cbor = warp::http::HeaderValue::from_static("application/cbor");
-    response.headers_mut().insert(warp::http::header::CONTENT_TYPE, cbor);
+    response
+        .headers_mut()
+        .insert(warp::http::header::CONTENT_TYPE, cbor);
     response
 }
 
 fn busy() -> HttpResponse {
-    answer(Response::Problem { status: 503, problem: "busy", retry_after: Some(Duration::from_secs(1)) })
+    answer(Response::Problem {
+        status: 503,
+        problem: "busy",
+        retry_after: Some(Duration::from_secs(1)),
+    })
 }
 
 fn answer(response: Response) -> HttpResponse {
     match response {
         Response::State { status, state } => reply_cbor(status, &state),
-        Response::Problem { status, problem, retry_after } => {
+        Response::Problem {
+            status,
+            problem,
+            retry_after,
+        } => {
             let mut response = reply_cbor(status, &Problem { error: problem });
             if let Some(after) = retry_after {
                 let seconds = after.as_secs().max(1).into();
-                response.headers_mut().insert(warp::http::header::RETRY_AFTER, seconds);
+                response
+                    .headers_mut()
+                    .insert(warp::http::header::RETRY_AFTER, seconds);
             }
             response
         }
@@ -106,7 +119,10 @@
 
 impl Door {
     pub fn new(limit: usize) -> Self {
-        Door { open: Arc::new(Semaphore::new(limit)), limit }
+        Door {
+            open: Arc::new(Semaphore::new(limit)),
+            limit,
+        }
     }
 
     fn crowded(&self) -> bool {
@@ -123,43 +139,83 @@
         .and(warp::post())
         .and(body(LARGEST_BODY))
         .and(with.clone())
-        .and_then(|body, events| ask(events, |reply| Incoming::Submit(body, reply), answer).into_rejection());
+        .and_then(|body, events| {
+            ask(events, |reply| Incoming::Submit(body, reply), answer).into_rejection()
+        });
     let poll = warp::path!("submissions" / String)
         .and(warp::get())
         .and(with.clone())
-        .and_then(|job, events| ask(events, |reply| Incoming::Poll(job, reply), answer).into_rejection());
+        .and_then(|job, events| {
+            ask(events, |reply| Incoming::Poll(job, reply), answer).into_rejection()
+        });
     let cancel = warp::path!("submissions" / String / "cancel")
         .and(warp::post())
         .and(with.clone())
-        .and_then(|job, events| ask(events, |reply| Incoming::Cancel(job, reply), answer).into_rejection());
-    let health = warp::path!("up").and(warp::get()).and(with.clone()).and_then(|events| {
-        let show = |healthy| if healthy { reply_cbor(200, &"up") } else { busy() };
-        ask(events, Incoming::Health, show).into_rejection()
-    });
+        .and_then(|job, events| {
+            ask(events, |reply| Incoming::Cancel(job, reply), answer).into_rejection()
+        });
+    let health = warp::path!("up")
+        .and(warp::get())
+        .and(with.clone())
+        .and_then(|events| {
+            let show = |healthy| {
+                if healthy {
+                    reply_cbor(200, &"up")
+                } else {
+                    busy()
+                }
+            };
+            ask(events, Incoming::Health, show).into_rejection()
+        });
     let report = warp::path!("v1" / "report")
         .and(warp::post())
         .and(body(LARGEST_BODY))
         .and(with)
-        .and_then(move |body: Bytes, events| take_report(body, events, door.clone()).into_rejection());
-    report.or(poll).unify().or(submit).unify().or(health).unify().or(cancel).unify().recover(refused).unify()
+        .and_then(move |body: Bytes, events| {
+            take_report(body, events, door.clone()).into_rejection()
+        });
+    report
+        .or(poll)
+        .unify()
+        .or(submit)
+        .unify()
+        .or(health)
+        .unify()
+        .or(cancel)
+        .unify()
+        .recover(refused)
+        .unify()
 }
 
-async fn take_report(body: Bytes, events: mpsc::Sender<Incoming>, door: Door) -> Result<HttpResponse, Infallible> {
+async fn take_report(
+    body: Bytes,
+    events: mpsc::Sender<Incoming>,
+    door: Door,
+) -> Result<HttpResponse, Infallible> {
     let Some(report) = read::<Report>(&body) else {
-        return Ok(reply_cbor(400, &Problem { error: "malformed report" }));
+        return Ok(reply_cbor(
+            400,
+            &Problem {
+                error: "malformed report",
+            },
+        ));
     };
     // We may have stood still since the answer was decided: a worker's lease is not renewed on an authority that is over.
     let show = |(answer, until)| {
-        answer_worker(if Now::read().steady < until || !matches!(answer, Answer::Orders(_)) {
-            answer
-        } else {
-            Answer::Unavailable
-        })
+        answer_worker(
+            if Now::read().steady < until || !matches!(answer, Answer::Orders(_)) {
+                answer
+            } else {
+                Answer::Unavailable
+            },
+        )
     };
     let mut response = ask(events, |reply| Incoming::Report(report, reply), show).await?;
     if door.crowded() {
         let close = warp::http::HeaderValue::from_static("close");
-        response.headers_mut().insert(warp::http::header::CONNECTION, close);
+        response
+            .headers_mut()
+            .insert(warp::http::header::CONNECTION, close);
     }
     Ok(response)
 }
@@ -176,9 +232,12 @@
     events: mpsc::Sender<Incoming>,
 ) -> impl Filter<Extract = (HttpResponse,), Error = Infallible> + Clone {
     let with = events.clone();
-    let metrics = warp::path!("metrics")
-        .and(warp::get())
-        .and_then(move || ask(with.clone(), Incoming::Metrics, |text| HttpResponse::new(text.into())).into_rejection());
+    let metrics = warp::path!("metrics").and(warp::get()).and_then(move || {
+        ask(with.clone(), Incoming::Metrics, |text| {
+            HttpResponse::new(text.into())
+        })
+        .into_rejection()
+    });
     warp::path!("peer")
         .and(warp::post())
         .and(body(LARGEST_PEER_BODY))
@@ -187,7 +246,12 @@
                 Ok(()) => reply_cbor(200, &"taken"),
                 Err(_) => busy(),
             },
-            None => reply_cbor(400, &Problem { error: "malformed message" }),
+            None => reply_cbor(
+                400,
+                &Problem {
+                    error: "malformed message",
+                },
+            ),
         })
         .or(metrics)
         .unify()
@@ -256,8 +320,14 @@
         let service = TowerToHyperService::new(service.clone());
         tokio::spawn(async move {
             let mut builder = hyper::server::conn::http1::Builder::new();
-            builder.timer(TokioTimer::new()).header_read_timeout(HEADER_WITHIN).max_buf_size(32 * 1024);
-            if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+            builder
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEADER_WITHIN)
+                .max_buf_size(32 * 1024);
+            if let Err(error) = builder
+                .serve_connection(TokioIo::new(stream), service)
+                .await
+            {
                 debug!(%from, %error, "connection ended");
             }
             drop(permit);
--- a/src/http/server/tests.rs
+++ b/src/http/server/tests.rs
@@ -8,16 +8,27 @@
     let (sender, mut receiver) = mpsc::channel(8);
     tokio::spawn(async move {
         while let Some(incoming) = receiver.recv().await {
-            let state = JobState { id: crate::domain::JobId(1), status: "queued", done: 0, running: 0 };
+            let state = JobState {
+                id: crate::domain::JobId(1),
+                status: "queued",
+                done: 0,
+                running: 0,
+            };
             let found = Response::State { status: 200, state };
-            let wait = Response::Problem { status: 503, problem: "later", retry_after: Some(Duration::from_secs(2)) };
+            let wait = Response::Problem {
+                status: 503,
+                problem: "later",
+                retry_after: Some(Duration::from_secs(2)),
+            };
             let _ = match incoming {
                 Incoming::Submit(_, reply) => reply.send(wait).is_ok(),
                 Incoming::Poll(_, reply) | Incoming::Cancel(_, reply) => reply.send(found).is_ok(),
                 Incoming::Health(reply) => reply.send(true).is_ok(),
                 Incoming::Report(_, reply) => {
                     let until = Instant::now() + Duration::from_secs(9);
-                    reply.send((Answer::Elsewhere(Some("node-2".into())), until)).is_ok()
+                    reply
+                        .send((Answer::Elsewhere(Some("node-2".into())), until))
+                        .is_ok()
                 }
                 Incoming::Metrics(reply) => reply.send("accept_ms_count 0\n".to_owned()).is_ok(),
                 Incoming::Peer(_) => true,
@@ -44,10 +55,22 @@
         ("POST", "/peer", b"", 404),
     ];
     for (method, path, body, status) in cases {
-        let reply = warp::test::request().method(method).path(path).body(body).reply(&routes).await;
+        let reply = warp::test::request()
+            .method(method)
+            .path(path)
+            .body(body)
+            .reply(&routes)
+            .await;
         assert_eq!(reply.status().as_u16(), status, "{method} {path}");
-        let retry = reply.headers().get("retry-after").map(|value| value.as_bytes());
-        assert_eq!(retry, (status == 503).then_some(b"2".as_slice()), "{method} {path}");
+        let retry = reply
+            .headers()
+            .get("retry-after")
+            .map(|value| value.as_bytes());
+        assert_eq!(
+            retry,
+            (status == 503).then_some(b"2".as_slice()),
+            "{method} {path}"
+        );
     }
 }
 
@@ -65,8 +88,16 @@
     let door = Door::new(10);
     let routes = public(events(), door.clone());
     let closes = async || {
-        let reply = warp::test::request().method("POST").path("/v1/report").body(report()).reply(&routes).await;
-        reply.headers().get("connection").is_some_and(|value| value == "close")
+        let reply = warp::test::request()
+            .method("POST")
+            .path("/v1/report")
+            .body(report())
+            .reply(&routes)
+            .await;
+        reply
+            .headers()
+            .get("connection")
+            .is_some_and(|value| value == "close")
     };
     assert!(!closes().await);
     let _taken = door.open.clone().try_acquire_many_owned(8).expect("free");
@@ -83,7 +114,11 @@
     let addr = probe.local_addr().expect("bound");
     drop(probe);
     const LIMIT: usize = 60;
-    tokio::spawn(serve(addr, Door::new(LIMIT), public(events(), Door::new(LIMIT))));
+    tokio::spawn(serve(
+        addr,
+        Door::new(LIMIT),
+        public(events(), Door::new(LIMIT)),
+    ));
     let connect = async || {
         loop {
             match TcpStream::connect(addr).await {
@@ -94,7 +129,10 @@
     };
     let healthy = async || {
         let mut stream = connect().await;
-        stream.write_all(b"GET /up HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").await.expect("sent");
+        stream
+            .write_all(b"GET /up HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+            .await
+            .expect("sent");
         let mut answer = Vec::new();
         stream.read_to_end(&mut answer).await.is_ok() && answer.starts_with(b"HTTP/1.1 200")
     };
@@ -127,13 +165,25 @@
         .reply(&public(events(), Door::new(10)))
         .await;
     assert_eq!(reply.status().as_u16(), 421);
-    assert_eq!(read::<ciborium::Value>(reply.body()), cbor!({"clerk" => "node-2"}).ok());
+    assert_eq!(
+        read::<ciborium::Value>(reply.body()),
+        cbor!({"clerk" => "node-2"}).ok()
+    );
 }
 
 #[tokio::test]
 async fn metrics_are_shown_to_peers_only() {
-    let reply = warp::test::request().path("/metrics").reply(&between_controllers(events())).await;
-    assert_eq!((reply.status().as_u16(), &reply.body()[..]), (200, b"accept_ms_count 0\n".as_slice()));
-    let reply = warp::test::request().path("/metrics").reply(&public(events(), Door::new(10))).await;
+    let reply = warp::test::request()
+        .path("/metrics")
+        .reply(&between_controllers(events()))
+        .await;
+    assert_eq!(
+        (reply.status().as_u16(), &reply.body()[..]),
+        (200, b"accept_ms_count 0\n".as_slice())
+    );
+    let reply = warp::test::request()
+        .path("/metrics")
+        .reply(&public(events(), Door::new(10)))
+        .await;
     assert_eq!(reply.status().as_u16(), 404);
 }
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -81,11 +81,19 @@
 }
 
 fn later(status: u16, problem: &'static str) -> Response {
-    Response::Problem { status, problem, retry_after: Some(Duration::from_secs(1)) }
+    Response::Problem {
+        status,
+        problem,
+        retry_after: Some(Duration::from_secs(1)),
+    }
 }
 
 fn refuse(status: u16, problem: &'static str) -> Response {
-    Response::Problem { status, problem, retry_after: None }
+    Response::Problem {
+        status,
+        problem,
+        retry_after: None,
+    }
 }
 
 impl Intake {
@@ -93,7 +101,13 @@
         Intake::default()
     }
 
-    pub fn submit<Tag>(&mut self, now: Now, id: RequestId, body: &[u8], cx: &mut Context<'_, Tag>) -> Option<Response> {
+    pub fn submit<Tag>(
+        &mut self,
+        now: Now,
+        id: RequestId,
+        body: &[u8],
+        cx: &mut Context<'_, Tag>,
+    ) -> Option<Response> {
         let (job_id, job) = match wire::parse(body, now.unix_ms()) {
             Ok(parsed) => parsed,
             Err(Malformed(problem)) => return Some(refuse(400, problem)),
@@ -122,12 +136,22 @@
         let delay = cx.budget.user_delay();
         if delay > LONGEST_QUEUE {
             let retry_after = Some(Duration::from_secs(delay.as_secs().clamp(1, 20)));
-            return Some(Response::Problem { status: 429, problem: "too many submissions", retry_after });
+            return Some(Response::Problem {
+                status: 429,
+                problem: "too many submissions",
+                retry_after,
+            });
         }
         let at_ms = job.accepted_ms;
         let record = JobRecord::Open(job);
-        let txn = Txn::default().when(job_key(job_id), 0).put(job_key(job_id), &record);
-        if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn.clone())).is_err() {
+        let txn = Txn::default()
+            .when(job_key(job_id), 0)
+            .put(job_key(job_id), &record);
+        if cx
+            .budget
+            .push(Urgency::User, (cx.tag)(id), Op::Commit(txn.clone()))
+            .is_err()
+        {
             return Some(later(429, "too many requests"));
         }
         let question = Question::Submit(job_id);
@@ -143,13 +167,29 @@
         None
     }
 
-    pub fn poll<Tag>(&mut self, now: Now, id: RequestId, job: &str, cx: &mut Context<'_, Tag>) -> Option<Response> {
-        let Ok(job) = job.parse() else { return Some(refuse(404, "no such job")) };
+    pub fn poll<Tag>(
+        &mut self,
+        now: Now,
+        id: RequestId,
+        job: &str,
+        cx: &mut Context<'_, Tag>,
+    ) -> Option<Response> {
+        let Ok(job) = job.parse() else {
+            return Some(refuse(404, "no such job"));
+        };
         self.ask(now, id, Question::Poll(job), job, POLL_WITHIN, cx)
     }
 
-    pub fn cancel<Tag>(&mut self, now: Now, id: RequestId, job: &str, cx: &mut Context<'_, Tag>) -> Option<Response> {
-        let Ok(job) = job.parse() else { return Some(refuse(404, "no such job")) };
+    pub fn cancel<Tag>(
+        &mut self,
+        now: Now,
+        id: RequestId,
+        job: &str,
+        cx: &mut Context<'_, Tag>,
+    ) -> Option<Response> {
+        let Ok(job) = job.parse() else {
+            return Some(refuse(404, "no such job"));
+        };
         self.ask(now, id, Question::Cancel(job), job, SUBMIT_WITHIN, cx)
     }
 
@@ -189,7 +229,12 @@
         cx.view.want_fresh();
         self.pending.insert(
             id,
-            Pending { question, state: State::Refreshing, asked: now.steady, deadline: now.steady + within },
+            Pending {
+                question,
+                state: State::Refreshing,
+                asked: now.steady,
+                deadline: now.steady + within,
+            },
         );
         None
     }
@@ -198,9 +243,11 @@
     pub fn cancelled(&self, id: RequestId, outcome: &Outcome) -> Option<CancelledJob> {
         let pending = self.pending.get(&id)?;
         match (&pending.question, &pending.state, outcome) {
-            (Question::Cancel(job), State::Committing { at_ms, .. }, Outcome::Committed { revision }) => {
-                Some(CancelledJob::new(*job, *revision, *at_ms))
-            }
+            (
+                Question::Cancel(job),
+                State::Committing { at_ms, .. },
+                Outcome::Committed { revision },
+            ) => Some(CancelledJob::new(*job, *revision, *at_ms)),
             _ => None,
         }
     }
@@ -215,16 +262,36 @@
     ) -> Option<Response> {
         let pending = self.pending.get_mut(&id)?;
         let response = match (&pending.question, outcome) {
-            (Question::Submit(job), Outcome::Committed { .. }) => {
-                Response::State { status: 201, state: JobState { id: *job, status: "queued", done: 0, running: 0 } }
-            }
-            (Question::Cancel(job), Outcome::Committed { .. }) => {
-                Response::State { status: 200, state: JobState { id: *job, status: "cancelled", done: 0, running: 0 } }
-            }
+            (Question::Submit(job), Outcome::Committed { .. }) => Response::State {
+                status: 201,
+                state: JobState {
+                    id: *job,
+                    status: "queued",
+                    done: 0,
+                    running: 0,
+                },
+            },
+            (Question::Cancel(job), Outcome::Committed { .. }) => Response::State {
+                status: 200,
+                state: JobState {
+                    id: *job,
+                    status: "cancelled",
+                    done: 0,
+                    running: 0,
+                },
+            },
             // Not executed, for all nodes together asked too much just then: most often it goes a moment later.
-            (_, Outcome::Refused) if cx.budget.available(now) && now.steady + LONGEST_QUEUE < pending.deadline => {
-                let State::Committing { txn, .. } = &pending.state else { return None };
-                if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn.clone())).is_ok() {
+            (_, Outcome::Refused)
+                if cx.budget.available(now) && now.steady + LONGEST_QUEUE < pending.deadline =>
+            {
+                let State::Committing { txn, .. } = &pending.state else {
+                    return None;
+                };
+                if cx
+                    .budget
+                    .push(Urgency::User, (cx.tag)(id), Op::Commit(txn.clone()))
+                    .is_ok()
+                {
                     return None;
                 }
                 later(429, "too many requests")
@@ -244,27 +311,37 @@
     }
 
     /// Answers what can be answered by now.
-    pub fn advance<Tag>(&mut self, now: Now, cx: &mut Context<'_, Tag>) -> Vec<(RequestId, Response)> {
+    pub fn advance<Tag>(
+        &mut self,
+        now: Now,
+        cx: &mut Context<'_, Tag>,
+    ) -> Vec<(RequestId, Response)> {
         let mut answers = Vec::new();
         let available = cx.budget.available(now) && cx.view.ready();
         let due: Vec<RequestId> = self
             .pending
             .iter()
             .filter(|(_, pending)| match pending.state {
-                State::Refreshing => !available || cx.view.covers(pending.asked) || now.steady >= pending.deadline,
+                State::Refreshing => {
+                    !available || cx.view.covers(pending.asked) || now.steady >= pending.deadline
+                }
                 State::Committing { .. } => now.steady >= pending.deadline,
             })
             .map(|(id, _)| *id)
             .collect();
         for id in due {
-            let Some(pending) = self.pending.get_mut(&id) else { continue };
-            let covered = matches!(pending.state, State::Refreshing) && cx.view.covers(pending.asked);
+            let Some(pending) = self.pending.get_mut(&id) else {
+                continue;
+            };
+            let covered =
+                matches!(pending.state, State::Refreshing) && cx.view.covers(pending.asked);
             if !covered {
                 answers.push((id, later(503, "the state service is slow")));
                 self.pending.remove(&id);
                 continue;
             }
-            let (Question::Submit(job) | Question::Poll(job) | Question::Cancel(job)) = pending.question;
+            let (Question::Submit(job) | Question::Poll(job) | Question::Cancel(job)) =
+                pending.question;
             if let Some(response) = ended(cx.view, job) {
                 answers.push((id, response));
                 self.pending.remove(&id);
@@ -279,9 +356,18 @@
             if matches!(pending.question, Question::Cancel(_)) && !open.cancelled {
                 let at_ms = now.unix_ms();
                 let record = JobRecord::Cancelled(open.job.clone(), at_ms);
-                let txn = Txn::default().when(job_key(job), open.version).put(job_key(job), &record);
-                pending.state = State::Committing { txn: txn.clone(), at_ms };
-                if cx.budget.push(Urgency::User, (cx.tag)(id), Op::Commit(txn)).is_err() {
+                let txn = Txn::default()
+                    .when(job_key(job), open.version)
+                    .put(job_key(job), &record);
+                pending.state = State::Committing {
+                    txn: txn.clone(),
+                    at_ms,
+                };
+                if cx
+                    .budget
+                    .push(Urgency::User, (cx.tag)(id), Op::Commit(txn))
+                    .is_err()
+                {
                     answers.push((id, later(429, "too many requests")));
                     self.pending.remove(&id);
                 }
@@ -293,7 +379,12 @@
                 (false, 0) => "queued",
                 (false, _) => "running",
             };
-            let state = JobState { id: job, status, done: open.done.len(), running };
+            let state = JobState {
+                id: job,
+                status,
+                done: open.done.len(),
+                running,
+            };
             answers.push((id, Response::State { status: 200, state }));
             self.pending.remove(&id);
         }
@@ -311,16 +402,30 @@
         Final::Done => ("done", u64::from(*tasks)),
         Final::Cancelled => ("cancelled", 0),
     };
-    Some(Response::State { status: 200, state: JobState { id: job, status, done, running: 0 } })
+    Some(Response::State {
+        status: 200,
+        state: JobState {
+            id: job,
+            status,
+            done,
+            running: 0,
+        },
+    })
 }
 
 /// Why a well-formed job can never run.
 fn never_runs(config: &Config, flavors: &Flavors, job: &Job) -> Option<&'static str> {
-    let Some(limits) = config.team(&job.team) else { return Some("unknown team") };
+    let Some(limits) = config.team(&job.team) else {
+        return Some("unknown team");
+    };
     if !flavors.fit(job) {
         return Some("a task fits no allowed machine type");
     }
-    let at_once = if job.kind == Kind::Service { f64::from(job.tasks) } else { 1.0 };
+    let at_once = if job.kind == Kind::Service {
+        f64::from(job.tasks)
+    } else {
+        1.0
+    };
     let Room { cpus, gpus, .. } = job.need;
     if cpus * at_once > limits.cpus_max + 1e-6 || gpus * at_once > limits.gpus_max + 1e-6 {
         return Some("needs more than the team's limit");
--- a/src/intake/tests.rs
+++ b/src/intake/tests.rs
@@ -22,15 +22,27 @@
     fn new() -> Self {
         let config = Config::parse("s.toml", SETTINGS).expect("valid");
         let mut flavors = Flavors::default();
-        flavors.answered(Some(FlavorList { types: vec![flavor()] }));
+        flavors.answered(Some(FlavorList {
+            types: vec![flavor()],
+        }));
         let now = Now::read();
         let mut budget = Budget::new(&config.state_limits, config.controllers(), now);
         budget.note(now, &Outcome::Missing { revision: 1 });
-        Desk { config, flavors, view: View::following(), budget, intake: Intake::new(), now }
+        Desk {
+            config,
+            flavors,
+            view: View::following(),
+            budget,
+            intake: Intake::new(),
+            now,
+        }
     }
 
     fn after(&mut self, passed: Duration) {
-        self.now = Now { steady: self.now.steady + passed, wall: self.now.wall + passed };
+        self.now = Now {
+            steady: self.now.steady + passed,
+            wall: self.now.wall + passed,
+        };
     }
 
     fn outage(&mut self) {
@@ -55,7 +67,12 @@
             tag: |id| id,
         };
         let response = self.intake.submit(self.now, 1, &body(&fields), &mut cx)?;
-        if let Response::Problem { status: 429 | 503, retry_after, .. } = response {
+        if let Response::Problem {
+            status: 429 | 503,
+            retry_after,
+            ..
+        } = response
+        {
             assert!(retry_after.is_some(), "says when to come back");
         }
         let (Response::State { status, .. } | Response::Problem { status, .. }) = response;
@@ -88,14 +105,26 @@
     let mut desk = Desk::new();
     let id = JobId(412);
     let key = job_key(id);
-    desk.view.apply(Change { key: key.clone(), version: 1, value: Some(encode(&JobRecord::Open(job(1, 17.0)))) });
+    desk.view.apply(Change {
+        key: key.clone(),
+        version: 1,
+        value: Some(encode(&JobRecord::Open(job(1, 17.0)))),
+    });
     let unfit = [("berthKinds", ciborium::Value::Null), ("cpus", 17.0.into())];
     assert_eq!(desk.submit(&unfit), None, "answered once the copy is fresh");
     desk.outage();
     assert_eq!(desk.submit(&unfit), Some(503));
     let end = JobRecord::Ended(Final::Done, 1);
-    desk.view.apply(Change { key, version: 2, value: Some(encode(&end)) });
-    assert_eq!(desk.submit(&unfit), Some(200), "what is final is told from any copy");
+    desk.view.apply(Change {
+        key,
+        version: 2,
+        value: Some(encode(&end)),
+    });
+    assert_eq!(
+        desk.submit(&unfit),
+        Some(200),
+        "what is final is told from any copy"
+    );
 }
 
 /// Others are told of a cancellation only once it is committed, with the version that it was committed as.
@@ -103,7 +132,11 @@
 fn a_cancellation_is_told_once_it_is_committed() {
     let mut desk = Desk::new();
     let id = JobId(412);
-    desk.view.apply(Change { key: job_key(id), version: 3, value: Some(encode(&JobRecord::Open(job(1, 1.0)))) });
+    desk.view.apply(Change {
+        key: job_key(id),
+        version: 3,
+        value: Some(encode(&JobRecord::Open(job(1, 1.0)))),
+    });
     let at_ms = desk.now.unix_ms();
     let mut cx = Context {
         config: &desk.config,
@@ -113,12 +146,19 @@
         tag: |id| id,
     };
     assert_eq!(desk.intake.cancel(desk.now, 5, "j-000412", &mut cx), None);
-    assert_eq!(desk.intake.cancelled(5, &Outcome::Committed { revision: 4 }), None, "nothing was sent yet");
+    assert_eq!(
+        desk.intake
+            .cancelled(5, &Outcome::Committed { revision: 4 }),
+        None,
+        "nothing was sent yet"
+    );
     let txn = Txn::default();
     desk.intake.pending.get_mut(&5).expect("asked").state = State::Committing { txn, at_ms };
     for outcome in [Outcome::Unknown, Outcome::Conflict, Outcome::Refused] {
         assert_eq!(desk.intake.cancelled(5, &outcome), None, "{outcome:?}");
     }
-    let told = desk.intake.cancelled(5, &Outcome::Committed { revision: 4 });
+    let told = desk
+        .intake
+        .cancelled(5, &Outcome::Committed { revision: 4 });
     assert_eq!(told, Some(CancelledJob::new(id, 4, at_ms)));
 }
--- a/src/intake/wire.rs
+++ b/src/intake/wire.rs
@@ -60,25 +60,45 @@
     if !value.is_map() {
         return Err(Malformed("not a map"));
     }
-    let submission: Submission = value.deserialized().map_err(|_| Malformed("a field is missing or invalid"))?;
+    let submission: Submission = value
+        .deserialized()
+        .map_err(|_| Malformed("a field is missing or invalid"))?;
     check(submission, now_ms)
 }
 
 fn check(s: Submission, now_ms: u64) -> Result<(JobId, Job), Malformed> {
     let due = s.due_s.unwrap_or_default();
-    let amounts = [s.cpus, s.cards, s.ram_gb, s.image_gb, s.expect_s, s.stamp_every_s, s.stamp_s, due];
-    if !amounts.iter().all(|amount| amount.0.is_finite() && amount.0 >= 0.0) {
+    let amounts = [
+        s.cpus,
+        s.cards,
+        s.ram_gb,
+        s.image_gb,
+        s.expect_s,
+        s.stamp_every_s,
+        s.stamp_s,
+        due,
+    ];
+    if !amounts
+        .iter()
+        .all(|amount| amount.0.is_finite() && amount.0 >= 0.0)
+    {
         return Err(Malformed("an amount is negative or not a number"));
     }
     if s.entries == 0 || s.entries > MOST_TASKS {
         return Err(Malformed("entries must be 1 to 100000"));
     }
     let types = s.berth_kinds.unwrap_or_default();
-    let names = [&s.docket, &s.desk, &s.bundle].into_iter().chain(&s.wing).chain(&types);
+    let names = [&s.docket, &s.desk, &s.bundle]
+        .into_iter()
+        .chain(&s.wing)
+        .chain(&types);
     if names.clone().any(|name| name.len() > LONGEST_NAME) || types.len() > MOST_TYPES {
         return Err(Malformed("a name is too long"));
     }
-    if [&s.docket, &s.desk, &s.bundle].into_iter().any(|name| name.is_empty()) {
+    if [&s.docket, &s.desk, &s.bundle]
+        .into_iter()
+        .any(|name| name.is_empty())
+    {
         return Err(Malformed("a name is empty"));
     }
     let job = Job {
@@ -87,8 +107,16 @@
         kind: s.shape,
         priority: s.precedence,
         tasks: u32::try_from(s.entries).map_err(|_| Malformed("entries must be 1 to 100000"))?,
-        need: Room { cpus: s.cpus.0, gpus: s.cards.0, memory_gb: s.ram_gb.0 },
-        types: if types.is_empty() { None } else { Some(types.iter().map(|t| TypeName::from(t.as_str())).collect()) },
+        need: Room {
+            cpus: s.cpus.0,
+            gpus: s.cards.0,
+            memory_gb: s.ram_gb.0,
+        },
+        types: if types.is_empty() {
+            None
+        } else {
+            Some(types.iter().map(|t| TypeName::from(t.as_str())).collect())
+        },
         zone: s.wing.as_deref().map(Zone::from),
         one_zone: s.same_place,
         spread: s.scatter,
--- a/src/intake/wire/tests.rs
+++ b/src/intake/wire/tests.rs
@@ -26,7 +26,10 @@
 }
 
 pub fn body(fields: &[(&str, Value)]) -> Vec<u8> {
-    let map = fields.iter().map(|(key, value)| ((*key).into(), value.clone())).collect();
+    let map = fields
+        .iter()
+        .map(|(key, value)| ((*key).into(), value.clone()))
+        .collect();
     let mut bytes = Vec::new();
     ciborium::into_writer(&Value::Map(map), &mut bytes).expect("to memory");
     bytes
@@ -38,7 +41,10 @@
     assert_eq!(id, JobId(412));
     assert!((job.need.cpus - 8.0).abs() < 1e-9);
     assert_eq!(job.deadline_s, Some(900.0));
-    let optional: Vec<_> = sample().into_iter().filter(|(k, _)| !["dueS", "wing", "berthKinds"].contains(k)).collect();
+    let optional: Vec<_> = sample()
+        .into_iter()
+        .filter(|(k, _)| !["dueS", "wing", "berthKinds"].contains(k))
+        .collect();
     let (_, job) = parse(&body(&optional), 7).expect("null fields may be omitted");
     assert_eq!((job.types, job.zone, job.deadline_s), (None, None, None));
 }
@@ -63,7 +69,10 @@
     ];
     for (key, value) in wrong {
         let mut fields = sample();
-        fields.iter_mut().filter(|(k, _)| *k == key).for_each(|(_, v)| *v = value.clone());
+        fields
+            .iter_mut()
+            .filter(|(k, _)| *k == key)
+            .for_each(|(_, v)| *v = value.clone());
         assert!(parse(&body(&fields), 0).is_err(), "{key}: {value:?}");
     }
     for key in ["id", "desk", "cpus", "scatter", "stampS", "bundle"] {
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -143,10 +143,18 @@
                     ops.push((Tag::Open(Which::Member), Op::OpenHold { life: MEMBER_LIFE }));
                 }
             }
-            Hold::Held { id, renewed, alive, renewing } => {
+            Hold::Held {
+                id,
+                renewed,
+                alive,
+                renewing,
+            } => {
                 let (id, alive) = (*id, *alive);
                 // The record can be lost without the hold: removed with an older process's hold, say.
-                let listed = view.members.get(&self.node).is_some_and(|m| m.value.boot == self.boot);
+                let listed = view
+                    .members
+                    .get(&self.node)
+                    .is_some_and(|m| m.value.boot == self.boot);
                 if view.covers(*renewed) && !listed && !*renewing {
                     self.member = Hold::Attaching { id, alive };
                     ops.push((Tag::Attach(Which::Member, id), self.join(id, view)));
@@ -165,17 +173,29 @@
         let record = Member { boot: self.boot };
         let key = member_key(&self.node);
         let version = view.members.get(&self.node).map_or(0, |old| old.version);
-        Op::Commit(Txn::default().when(key.clone(), version).put_held(key, &record, Some(hold)))
+        Op::Commit(
+            Txn::default()
+                .when(key.clone(), version)
+                .put_held(key, &record, Some(hold)),
+        )
     }
 
     fn poll_leader(&mut self, now: Now, view: &View, rng: &mut SmallRng, ops: &mut Vec<(Tag, Op)>) {
-        if let Hold::Held { id, renewed, renewing, .. } = &mut self.leader {
+        if let Hold::Held {
+            id,
+            renewed,
+            renewing,
+            ..
+        } = &mut self.leader
+        {
             if !*renewing && since(now, *renewed) >= LEADER_LIFE / 4 {
                 *renewing = true;
                 ops.push((Tag::Extend(Which::Leader, *id), Op::ExtendHold { id: *id }));
             }
             let kept = self.leading(view).is_some();
-            if let Hold::Held { id, renewed, alive, .. } = self.leader
+            if let Hold::Held {
+                id, renewed, alive, ..
+            } = self.leader
                 && !kept
                 && view.covers(renewed)
             {
@@ -197,7 +217,8 @@
             self.patience = Duration::from_millis(rng.random_range(0..200));
             now.steady
         });
-        if since(now, began) >= self.patience && self.leader_retry.is_none_or(|at| now.steady >= at) {
+        if since(now, began) >= self.patience && self.leader_retry.is_none_or(|at| now.steady >= at)
+        {
             self.leader = Hold::Opening;
             ops.push((Tag::Open(Which::Leader), Op::OpenHold { life: LEADER_LIFE }));
         }
@@ -206,14 +227,23 @@
     /// Whether the leader's place is free. That of an earlier process of this node is: only after a process
     /// has ended is the next one started.
     fn vacant(&self, view: &View) -> bool {
-        view.leader.as_ref().is_none_or(|leader| leader.value.node == self.node && leader.value.boot != self.boot)
+        view.leader
+            .as_ref()
+            .is_none_or(|leader| leader.value.node == self.node && leader.value.boot != self.boot)
     }
 
     fn run_for_leader(&mut self, hold: u64, alive: Instant, view: &View, ops: &mut Vec<(Tag, Op)>) {
         let term = view.max_token() + 1;
-        let record = Leader { node: self.node.clone(), boot: self.boot, term };
+        let record = Leader {
+            node: self.node.clone(),
+            boot: self.boot,
+            term,
+        };
         let txn = Txn::default()
-            .when(LEADER, view.leader.as_ref().map_or(0, |leader| leader.version))
+            .when(
+                LEADER,
+                view.leader.as_ref().map_or(0, |leader| leader.version),
+            )
             .when(TOKEN, view.token.as_ref().map_or(0, |token| token.version))
             .put_held(LEADER, &record, Some(hold))
             .put(TOKEN, &Token { last: term });
@@ -222,12 +252,22 @@
     }
 
     /// The one place where the holds change.
-    pub fn handle(&mut self, now: Now, sent: Instant, tag: Tag, outcome: &Outcome, view: &View) -> Vec<(Tag, Op)> {
+    pub fn handle(
+        &mut self,
+        now: Now,
+        sent: Instant,
+        tag: Tag,
+        outcome: &Outcome,
+        view: &View,
+    ) -> Vec<(Tag, Op)> {
         let mut ops = Vec::new();
         let retry = Some(now.steady + RETRY);
         match (tag, outcome) {
             (Tag::Open(Which::Member), Outcome::Hold { id }) => {
-                self.member = Hold::Attaching { id: *id, alive: sent };
+                self.member = Hold::Attaching {
+                    id: *id,
+                    alive: sent,
+                };
                 ops.push((Tag::Attach(Which::Member, *id), self.join(*id, view)));
             }
             (Tag::Open(Which::Member), _) => {
@@ -253,9 +293,12 @@
                 };
                 let next = match outcome {
                     // Unknown may mean committed: keep the hold and see what our copy says.
-                    Outcome::Committed { .. } | Outcome::Unknown => {
-                        Hold::Held { id, renewed: now.steady, alive, renewing: false }
-                    }
+                    Outcome::Committed { .. } | Outcome::Unknown => Hold::Held {
+                        id,
+                        renewed: now.steady,
+                        alive,
+                        renewing: false,
+                    },
                     _ => Hold::None,
                 };
                 if next == Hold::None {
@@ -268,7 +311,12 @@
             }
             (Tag::Extend(which, id), outcome) => {
                 let slot = self.slot(which);
-                if let Hold::Held { id: held, renewed, alive, renewing } = slot
+                if let Hold::Held {
+                    id: held,
+                    renewed,
+                    alive,
+                    renewing,
+                } = slot
                     && *held == id
                 {
                     *renewing = false;
--- a/src/leadership/tests.rs
+++ b/src/leadership/tests.rs
@@ -5,22 +5,58 @@
 #[test]
 fn leading_is_certain_only_for_the_life_of_the_hold_counted_from_before_it_was_asked_for() {
     let start = Now::read();
-    let at = |ms: u64| Now { steady: start.steady + Duration::from_millis(ms), ..start };
+    let at = |ms: u64| Now {
+        steady: start.steady + Duration::from_millis(ms),
+        ..start
+    };
     let view = View::following();
     let mut leadership = Leadership::new("node-0".into(), 1);
     let answer = |leadership: &mut Leadership, now: Now, sent: Now, tag: Tag, outcome: Outcome| {
         leadership.handle(now, sent.steady, tag, &outcome, &view);
     };
-    let certain =
-        |leadership: &Leadership, now: Now| leadership.certain_until().is_some_and(|until| now.steady < until);
-    answer(&mut leadership, at(900), at(0), Tag::Open(Which::Leader), Outcome::Hold { id: 7 });
+    let certain = |leadership: &Leadership, now: Now| {
+        leadership
+            .certain_until()
+            .is_some_and(|until| now.steady < until)
+    };
+    answer(
+        &mut leadership,
+        at(900),
+        at(0),
+        Tag::Open(Which::Leader),
+        Outcome::Hold { id: 7 },
+    );
     assert!(!certain(&leadership, at(900)), "not elected yet");
-    answer(&mut leadership, at(1000), at(900), Tag::Attach(Which::Leader, 7), Outcome::Committed { revision: 1 });
+    answer(
+        &mut leadership,
+        at(1000),
+        at(900),
+        Tag::Attach(Which::Leader, 7),
+        Outcome::Committed { revision: 1 },
+    );
     assert!(certain(&leadership, at(3400)));
-    assert!(!certain(&leadership, at(3500)), "the hold may have begun as soon as it was asked for");
-    answer(&mut leadership, at(3600), at(2000), Tag::Extend(Which::Leader, 7), Outcome::Hold { id: 7 });
+    assert!(
+        !certain(&leadership, at(3500)),
+        "the hold may have begun as soon as it was asked for"
+    );
+    answer(
+        &mut leadership,
+        at(3600),
+        at(2000),
+        Tag::Extend(Which::Leader, 7),
+        Outcome::Hold { id: 7 },
+    );
     assert!(certain(&leadership, at(5400)));
-    assert!(!certain(&leadership, at(5600)), "extended when it was sent, not when the answer came");
-    answer(&mut leadership, at(5600), at(5000), Tag::Extend(Which::Leader, 7), Outcome::Refused);
+    assert!(
+        !certain(&leadership, at(5600)),
+        "extended when it was sent, not when the answer came"
+    );
+    answer(
+        &mut leadership,
+        at(5600),
+        at(5000),
+        Tag::Extend(Which::Leader, 7),
+        Outcome::Refused,
+    );
     assert!(!certain(&leadership, at(5700)));
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -64,7 +64,10 @@
     ExitCode::SUCCESS
 }
 
-fn load(config: &Path, policy: Option<&Path>) -> Result<(Config, Policy), Box<dyn std::error::Error>> {
+fn load(
+    config: &Path,
+    policy: Option<&Path>,
+) -> Result<(Config, Policy), Box<dyn std::error::Error>> {
     let config = Config::load(config)?;
     let policy = match policy {
         Some(path) => Policy::load(path, &config)?,
@@ -75,7 +78,11 @@
 
 fn start_logging() {
     let wanted = std::env::var("LOG_LEVEL").unwrap_or_default();
-    let level = if wanted.is_empty() { Ok(Level::INFO) } else { wanted.parse() };
+    let level = if wanted.is_empty() {
+        Ok(Level::INFO)
+    } else {
+        wanted.parse()
+    };
     let known = level.is_ok();
     tracing_subscriber::fmt()
         .with_max_level(level.unwrap_or(Level::INFO))
@@ -90,7 +97,10 @@
 
 fn serve(config: Config, policy: Policy) -> ExitCode {
     start_logging();
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(problem) => {
             error!(%problem, "the runtime can't be started");
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -30,7 +30,11 @@
     }
 
     pub fn quantile(&self, quantile: f64) -> u64 {
-        if self.0.is_empty() { 0 } else { self.0.value_at_quantile(quantile) }
+        if self.0.is_empty() {
+            0
+        } else {
+            self.0.value_at_quantile(quantile)
+        }
     }
 
     pub fn count(&self) -> u64 {
@@ -67,7 +71,8 @@
     }
 
     pub fn step(&mut self, took: Duration) {
-        self.step_us.record(u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
+        self.step_us
+            .record(u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
     }
 
     pub fn refused(&mut self, status: u16) {
@@ -87,19 +92,30 @@
     /// One value a line.
     pub fn show(&self) -> String {
         let mut text = String::new();
-        let times = [("accept_ms", &self.accept_ms), ("start_ms", &self.start_ms), ("step_us", &self.step_us)];
+        let times = [
+            ("accept_ms", &self.accept_ms),
+            ("start_ms", &self.start_ms),
+            ("step_us", &self.step_us),
+        ];
         for (name, times) in times {
             // Writing to a String can't fail.
             let _ = writeln!(text, "{name}_count {}", times.count());
             for (label, quantile) in [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("max", 1.0)] {
-                let _ = writeln!(text, "{name}{{quantile=\"{label}\"}} {}", times.quantile(quantile));
+                let _ = writeln!(
+                    text,
+                    "{name}{{quantile=\"{label}\"}} {}",
+                    times.quantile(quantile)
+                );
             }
         }
         for (status, count) in &self.refused {
             let _ = writeln!(text, "refused{{status=\"{status}\"}} {count}");
         }
         for ((slice, became), count) in &self.transactions {
-            let _ = writeln!(text, "transactions{{slice=\"{slice}\",outcome=\"{became}\"}} {count}");
+            let _ = writeln!(
+                text,
+                "transactions{{slice=\"{slice}\",outcome=\"{became}\"}} {count}"
+            );
         }
         for (name, value) in &self.gauges {
             let _ = writeln!(text, "{name} {value}");
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -10,7 +10,9 @@
     metrics.transaction("block", &Outcome::Conflict);
     metrics.refused(503);
     metrics.refused(503);
-    metrics.gauges.insert("waiting{team=\"red\"}".to_owned(), 3.0);
+    metrics
+        .gauges
+        .insert("waiting{team=\"red\"}".to_owned(), 3.0);
     let text = metrics.show();
     for line in [
         "accept_ms_count 101",
@@ -20,6 +22,9 @@
         "transactions{slice=\"block\",outcome=\"conflict\"} 1",
         "waiting{team=\"red\"} 3",
     ] {
-        assert!(text.lines().any(|shown| shown == line), "{line} is not in\n{text}");
+        assert!(
+            text.lines().any(|shown| shown == line),
+            "{line} is not in\n{text}"
+        );
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -39,14 +39,40 @@
 #[derive(Debug)]
 pub enum Event {
     Tick,
-    Submit { id: RequestId, body: Vec<u8> },
-    Poll { id: RequestId, job: String },
-    Cancel { id: RequestId, job: String },
-    Health { id: RequestId },
-    Report { id: RequestId, report: Report },
-    Store { tag: StoreTag, sent: Instant, outcome: Outcome },
-    Commanded { block: BlockId, machine: MachineId, body: Orders, outcome: CommandOutcome },
-    Called { tag: provisioning::Tag, outcome: CallOutcome },
+    Submit {
+        id: RequestId,
+        body: Vec<u8>,
+    },
+    Poll {
+        id: RequestId,
+        job: String,
+    },
+    Cancel {
+        id: RequestId,
+        job: String,
+    },
+    Health {
+        id: RequestId,
+    },
+    Report {
+        id: RequestId,
+        report: Report,
+    },
+    Store {
+        tag: StoreTag,
+        sent: Instant,
+        outcome: Outcome,
+    },
+    Commanded {
+        block: BlockId,
+        machine: MachineId,
+        body: Orders,
+        outcome: CommandOutcome,
+    },
+    Called {
+        tag: provisioning::Tag,
+        outcome: CallOutcome,
+    },
     Peer(Message),
 }
 
@@ -186,7 +212,11 @@
     pub fn took(&mut self, now: Now, took: Duration) {
         self.metrics.step(took);
         // The event in which a plan was made: its time is nearly all the plan's.
-        if let Some(leading) = self.leading.as_mut().filter(|leading| leading.planned == Some(now.steady)) {
+        if let Some(leading) = self
+            .leading
+            .as_mut()
+            .filter(|leading| leading.planned == Some(now.steady))
+        {
             let pause = took.div_f64(PLAN_PART).clamp(PLAN_SPACING, PLAN_SLOWEST);
             leading.pause = (leading.pause * 3 + pause) / 4;
         }
@@ -206,7 +236,14 @@
             return;
         }
         self.reported = now.steady;
-        let Metrics { accept_ms, start_ms, step_us, refused, transactions, .. } = &self.metrics;
+        let Metrics {
+            accept_ms,
+            start_ms,
+            step_us,
+            refused,
+            transactions,
+            ..
+        } = &self.metrics;
         info!(
             accepted = accept_ms.count(),
             accept_p90_ms = accept_ms.quantile(0.9),
@@ -224,16 +261,26 @@
     /// Until when what we know of the grants may be acted on: counted from before it was asked for. That others may hold
     /// them by now is what tokens are for; what has an end is how long a cancellation may be unknown to us.
     fn entitled_until(&self, now: Now) -> Instant {
-        let fresh =
-            self.view.fresh_since().map(|fresh| self.cancellations.known_until(now, &self.config).max(Some(fresh)));
-        fresh.flatten().map_or(now.steady, |known| known + self.policy.grant_life)
+        let fresh = self.view.fresh_since().map(|fresh| {
+            self.cancellations
+                .known_until(now, &self.config)
+                .max(Some(fresh))
+        });
+        fresh
+            .flatten()
+            .map_or(now.steady, |known| known + self.policy.grant_life)
     }
 
     /// Whether users should come here. Not if only we can't reach the state service; during an outage for all,
     /// staying is better than being taken out, since coming back takes the load balancer its time.
     fn healthy(&self, now: Now) -> bool {
-        let alone = self.cut_off.is_some_and(|at| since(now, at) > CUT_OFF_AFTER)
-            && self.peers_reach_state.values().any(|at| since(now, *at) < CUT_OFF_AFTER);
+        let alone = self
+            .cut_off
+            .is_some_and(|at| since(now, at) > CUT_OFF_AFTER)
+            && self
+                .peers_reach_state
+                .values()
+                .any(|at| since(now, *at) < CUT_OFF_AFTER);
         self.view.ready() && self.flavors.known() && !alone
     }
 
@@ -250,7 +297,9 @@
             Event::Tick => {
                 self.fleet.tick(now, &self.config, &self.policy);
                 for accepted_ms in self.fleet.take_started() {
-                    self.metrics.start_ms.record(now.unix_ms().saturating_sub(accepted_ms));
+                    self.metrics
+                        .start_ms
+                        .record(now.unix_ms().saturating_sub(accepted_ms));
                 }
                 self.log_metrics(now);
             }
@@ -269,7 +318,10 @@
                 let response = intake.cancel(now, id, &job, &mut cx);
                 effects.extend(response.map(|response| Effect::Answer { id, response }));
             }
-            Event::Health { id } => effects.push(Effect::AnswerHealth { id, healthy: self.healthy(now) }),
+            Event::Health { id } => effects.push(Effect::AnswerHealth {
+                id,
+                healthy: self.healthy(now),
+            }),
             Event::Report { id, report } => {
                 let until = self.entitled_until(now);
                 let entitled = now.steady < until;
@@ -278,13 +330,23 @@
                 {
                     leading.provisioner.unexpected(now, &report);
                 }
-                let answer = self.fleet.report(now, report, &self.config, &self.view, entitled);
+                let answer = self
+                    .fleet
+                    .report(now, report, &self.config, &self.view, entitled);
                 self.status_due = true;
                 effects.push(Effect::AnswerWorker { id, answer, until });
             }
-            Event::Store { tag, sent, outcome } => self.stored(now, tag, sent, outcome, &mut effects),
-            Event::Commanded { block, machine, body, outcome } => {
-                self.fleet.commanded(now, &block, &machine, &body, outcome, &self.view);
+            Event::Store { tag, sent, outcome } => {
+                self.stored(now, tag, sent, outcome, &mut effects)
+            }
+            Event::Commanded {
+                block,
+                machine,
+                body,
+                outcome,
+            } => {
+                self.fleet
+                    .commanded(now, &block, &machine, &body, outcome, &self.view);
                 self.status_due = true;
             }
             Event::Called { tag, outcome } => self.called(now, tag, outcome),
@@ -292,7 +354,11 @@
         }
         self.advance(now, &mut effects);
         for effect in &effects {
-            if let Effect::Answer { response: Response::Problem { status, .. }, .. } = effect {
+            if let Effect::Answer {
+                response: Response::Problem { status, .. },
+                ..
+            } = effect
+            {
                 self.metrics.refused(*status);
             }
         }
@@ -310,7 +376,14 @@
         (&mut self.intake, cx)
     }
 
-    fn stored(&mut self, now: Now, tag: StoreTag, sent: Instant, outcome: Outcome, effects: &mut Vec<Effect>) {
+    fn stored(
+        &mut self,
+        now: Now,
+        tag: StoreTag,
+        sent: Instant,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
         self.budget.note(now, &outcome);
         let slice = match &tag {
             StoreTag::View(_) | StoreTag::Leadership(_) => None,
@@ -350,7 +423,11 @@
                 }
             }
             StoreTag::Provisioning(term) => {
-                if let Some(leading) = self.leading.as_mut().filter(|l| l.provisioner.term() == term) {
+                if let Some(leading) = self
+                    .leading
+                    .as_mut()
+                    .filter(|l| l.provisioner.term() == term)
+                {
                     leading.provisioner.answered(now, &outcome);
                 }
             }
@@ -359,7 +436,10 @@
                     leading.queues.answered(now, &outcome);
                 }
             }
-            StoreTag::Block { block, grant_version } => {
+            StoreTag::Block {
+                block,
+                grant_version,
+            } => {
                 self.fleet.written(now, &block, grant_version, &outcome);
                 self.status_due = true;
             }
@@ -375,7 +455,9 @@
                 _ => None,
             });
         } else if let Some(leading) = &mut self.leading {
-            leading.provisioner.called(now, &self.policy, &self.config, &self.view, tag, outcome);
+            leading
+                .provisioner
+                .called(now, &self.policy, &self.config, &self.view, tag, outcome);
         }
         self.stale_plan = true;
     }
@@ -412,9 +494,19 @@
             }
             Message::Alive(mut alive) => {
                 alive.complete &= self.note_cancellations(alive.cancelled.iter().copied());
-                self.cancellations.heard_from(now, (&self.config.name, self.boot), &alive);
-                let Alive { node, reaches_state, .. } = alive;
-                let zone = self.config.peers.iter().find(|peer| peer.name == node).map(|peer| peer.zone.clone());
+                self.cancellations
+                    .heard_from(now, (&self.config.name, self.boot), &alive);
+                let Alive {
+                    node,
+                    reaches_state,
+                    ..
+                } = alive;
+                let zone = self
+                    .config
+                    .peers
+                    .iter()
+                    .find(|peer| peer.name == node)
+                    .map(|peer| peer.zone.clone());
                 self.heard_zones.extend(zone);
                 if reaches_state {
                     self.peers_reach_state.insert(node, now.steady);
@@ -445,7 +537,11 @@
     /// Whatever follows from the present state.
     fn advance(&mut self, now: Now, effects: &mut Vec<Effect>) {
         if self.flavors.due(now) {
-            effects.push(Effect::Call { tag: provisioning::Tag::Flavors, call: Call::Flavors, until: None });
+            effects.push(Effect::Call {
+                tag: provisioning::Tag::Flavors,
+                call: Call::Flavors,
+                until: None,
+            });
         }
         if self.view.revision != self.seen_revision || self.view.has_touched() {
             self.seen_revision = self.view.revision;
@@ -453,7 +549,8 @@
             if self.view.ready() {
                 let touched = self.view.take_touched();
                 self.cancellations.sync(&self.view, &touched);
-                self.fleet.sync(now, &self.config, self.boot, &self.view, &touched);
+                self.fleet
+                    .sync(now, &self.config, self.boot, &self.view, &touched);
             }
             self.status_due = true;
         }
@@ -462,10 +559,19 @@
         }
         self.lead(now, effects);
         while self.budget.idle(now, Urgency::Work)
-            && let Some((block, op)) = self.fleet.write(now, &self.config, &mut self.view, &self.flavors)
+            && let Some((block, op)) =
+                self.fleet
+                    .write(now, &self.config, &mut self.view, &self.flavors)
         {
             let grant_version = self.fleet.grant_version(&block);
-            self.ask(Urgency::Work, StoreTag::Block { block, grant_version }, op);
+            self.ask(
+                Urgency::Work,
+                StoreTag::Block {
+                    block,
+                    grant_version,
+                },
+                op,
+            );
             let ready = self.budget.take(now);
             effects.extend(ready.into_iter().map(|(tag, op)| Effect::Store { tag, op }));
         }
@@ -473,11 +579,22 @@
         let entitled = now.steady < until;
         let commands = self.fleet.commands(now, &self.config, &self.view, entitled);
         let until = entitled.then_some(until);
-        effects.extend(commands.into_iter().map(|command| Effect::Command { command, until }));
-        let proven =
-            |block: &BlockId, machine: &MachineId, attempt: &Attempt| self.fleet.proven_gone(block, machine, attempt);
-        let call = self.cancellations.poll(now, &self.config, self.boot, &self.view, proven);
-        effects.extend(call.map(|(tag, call)| Effect::Call { tag, call, until: None }));
+        effects.extend(
+            commands
+                .into_iter()
+                .map(|command| Effect::Command { command, until }),
+        );
+        let proven = |block: &BlockId, machine: &MachineId, attempt: &Attempt| {
+            self.fleet.proven_gone(block, machine, attempt)
+        };
+        let call = self
+            .cancellations
+            .poll(now, &self.config, self.boot, &self.view, proven);
+        effects.extend(call.map(|(tag, call)| Effect::Call {
+            tag,
+            call,
+            until: None,
+        }));
         self.tell_all(now, effects);
         self.tell_leader(now, effects);
         let (intake, mut cx) = self.intake();
@@ -499,7 +616,11 @@
             }
             return;
         };
-        if self.leading.as_ref().is_none_or(|leading| leading.queues.term() != term) {
+        if self
+            .leading
+            .as_ref()
+            .is_none_or(|leading| leading.queues.term() != term)
+        {
             self.budget.lead(now, true);
             self.leading = Some(Leading {
                 queues: Queues::new(now, term),
@@ -511,19 +632,38 @@
             });
             self.status_due = true;
         }
-        let Some(until) = self.leadership.certain_until().filter(|until| now.steady < *until) else { return };
+        let Some(until) = self
+            .leadership
+            .certain_until()
+            .filter(|until| now.steady < *until)
+        else {
+            return;
+        };
         let batch = self.budget.batch(self.config.state_limits.txn_ops);
         let spare = self.budget.spare(now);
-        let lead =
-            Lead { config: &self.config, policy: &self.policy, flavors: &self.flavors, term, version, batch, spare };
+        let lead = Lead {
+            config: &self.config,
+            policy: &self.policy,
+            flavors: &self.flavors,
+            term,
+            version,
+            batch,
+            spare,
+        };
         let mut ops = Vec::new();
         if self.flavors.known() {
             let op = self.granting.poll(now, &lead, &mut self.view);
             ops.extend(op.map(|op| (Urgency::Authority, StoreTag::Granting(term), op)));
         }
-        let Some(leading) = &mut self.leading else { return };
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
         let rested = |pause| leading.planned.is_none_or(|at| since(now, at) >= pause);
-        let pause = if self.stale_plan { leading.pause } else { leading.pause.max(PLAN_AT_LEAST) };
+        let pause = if self.stale_plan {
+            leading.pause
+        } else {
+            leading.pause.max(PLAN_AT_LEAST)
+        };
         if !self.flavors.known() || !rested(pause) {
             for (urgency, tag, op) in ops {
                 self.ask(urgency, tag, op);
@@ -532,18 +672,28 @@
         }
         leading.planned = Some(now.steady);
         self.plans += 1;
-        if leading.summary.is_none_or(|at| since(now, at) >= SUMMARY_EVERY) {
+        if leading
+            .summary
+            .is_none_or(|at| since(now, at) >= SUMMARY_EVERY)
+        {
             leading.summary = Some(now.steady);
             let gauges = &mut self.metrics.gauges;
             gauges.clear();
-            leading.provisioner.summary(&self.view, &leading.demand, gauges);
+            leading
+                .provisioner
+                .summary(&self.view, &leading.demand, gauges);
             for (team, count) in &leading.queues.waiting {
                 gauges.insert(format!("waiting{{team=\"{team}\"}}"), *count as f64);
             }
             gauges.insert("jobs_open".to_owned(), self.view.open.len() as f64);
             gauges.insert("jobs_ended".to_owned(), self.view.ended.len() as f64);
             let waiting: u64 = leading.queues.waiting.values().sum();
-            info!(open = self.view.open.len(), ended = self.view.ended.len(), waiting, "jobs");
+            info!(
+                open = self.view.open.len(),
+                ended = self.view.ended.len(),
+                waiting,
+                "jobs"
+            );
         }
         self.stale_plan = false;
         let unreaching = leading.queues.unreaching(now, &self.config, &self.view);
@@ -556,68 +706,120 @@
                 let grant = self.view.grants.get(block);
                 grant.is_some_and(|grant| self.cancellations.holder_heard(now, &grant.value))
             };
-            leading.queues.proven_gone(block, attempt).unwrap_or_else(heard)
+            leading
+                .queues
+                .proven_gone(block, attempt)
+                .unwrap_or_else(heard)
         };
-        leading.provisioner.observe(now, &lead, &self.view, &health, &self.heard_zones, settled);
-        leading.demand = leading.queues.plan(now, &lead, &self.view, &leading.provisioner);
-        for (tag, call) in leading.provisioner.calls(now, &self.config, &self.view, &leading.demand) {
-            effects.push(Effect::Call { tag, call, until: Some(until) });
+        leading
+            .provisioner
+            .observe(now, &lead, &self.view, &health, &self.heard_zones, settled);
+        leading.demand = leading
+            .queues
+            .plan(now, &lead, &self.view, &leading.provisioner);
+        for (tag, call) in leading
+            .provisioner
+            .calls(now, &self.config, &self.view, &leading.demand)
+        {
+            effects.push(Effect::Call {
+                tag,
+                call,
+                until: Some(until),
+            });
         }
         let op = leading.queues.write(now, &lead, &mut self.view);
         ops.extend(op.map(|op| (Urgency::Ends, StoreTag::Queueing(term), op)));
-        let op = leading.provisioner.write(now, &lead, &mut self.view, &leading.demand);
+        let op = leading
+            .provisioner
+            .write(now, &lead, &mut self.view, &leading.demand);
         ops.extend(op.map(|op| (Urgency::Work, StoreTag::Provisioning(term), op)));
-        let messages = leading.queues.messages(now, &self.view, leading.provisioner.addresses());
+        let messages = leading
+            .queues
+            .messages(now, &self.view, leading.provisioner.addresses());
         for (urgency, tag, op) in ops {
             self.ask(urgency, tag, op);
         }
         let mut by_holder: BTreeMap<NodeName, Vec<Work>> = BTreeMap::new();
         for work in messages {
             if let Some(grant) = self.view.grants.get(&work.block) {
-                by_holder.entry(grant.value.holder.clone()).or_default().push(work);
+                by_holder
+                    .entry(grant.value.holder.clone())
+                    .or_default()
+                    .push(work);
             }
         }
         for (holder, blocks) in by_holder {
             if holder == self.config.name {
                 self.peer(now, Message::Work(blocks));
             } else {
-                effects.push(Effect::Peer { to: holder, message: Message::Work(blocks) });
+                effects.push(Effect::Peer {
+                    to: holder,
+                    message: Message::Work(blocks),
+                });
             }
         }
     }
 
     fn tell_all(&mut self, now: Now, effects: &mut Vec<Effect>) {
         let reaches_state = self.budget.available(now);
-        self.cut_off = if reaches_state { None } else { self.cut_off.or(Some(now.steady)) };
-        if self.told_all.is_some_and(|told| since(now, told) < STATUS_EVERY) {
+        self.cut_off = if reaches_state {
+            None
+        } else {
+            self.cut_off.or(Some(now.steady))
+        };
+        if self
+            .told_all
+            .is_some_and(|told| since(now, told) < STATUS_EVERY)
+        {
             return;
         }
         self.told_all = Some(now.steady);
-        let alive = self.cancellations.sign(now, &self.config.name, self.boot, &self.view, reaches_state);
+        let alive =
+            self.cancellations
+                .sign(now, &self.config.name, self.boot, &self.view, reaches_state);
         self.tell_peers(&Message::Alive(alive), effects);
     }
 
     fn tell_peers(&self, message: &Message, effects: &mut Vec<Effect>) {
         for peer in &self.config.peers {
-            effects.push(Effect::Peer { to: peer.name.clone(), message: message.clone() });
+            effects.push(Effect::Peer {
+                to: peer.name.clone(),
+                message: message.clone(),
+            });
         }
     }
 
     /// Whether all of them could be kept in mind.
     fn note_cancellations(&mut self, jobs: impl IntoIterator<Item = CancelledJob>) -> bool {
         let mut noted = true;
-        for CancelledJob { job, version, at_ms } in jobs {
+        for CancelledJob {
+            job,
+            version,
+            at_ms,
+        } in jobs
+        {
             noted &= self.view.note_cancellation(job, version, at_ms);
         }
         noted
     }
 
     fn tell_leader(&mut self, now: Now, effects: &mut Vec<Effect>) {
-        let pause = if self.status_due { STATUS_SPACING } else { STATUS_EVERY };
+        let pause = if self.status_due {
+            STATUS_SPACING
+        } else {
+            STATUS_EVERY
+        };
         if self.told.is_some_and(|told| since(now, told) < pause) {
             return;
         }
-        let Some(leader) = self.view.leader.as_ref().map(|leader| leader.value.node.clone()) else { return };
+        let Some(leader) = self
+            .view
+            .leader
+            .as_ref()
+            .map(|leader| leader.value.node.clone())
+        else {
+            return;
+        };
         self.told = Some(now.steady);
         self.status_due = false;
         let status = Status {
@@ -629,7 +831,10 @@
         if leader == self.config.name {
             self.peer(now, Message::Status(status));
         } else {
-            effects.push(Effect::Peer { to: leader, message: Message::Status(status) });
+            effects.push(Effect::Peer {
+                to: leader,
+                message: Message::Status(status),
+            });
         }
     }
 }
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -7,28 +7,62 @@
     let config = Config::parse("s.toml", SETTINGS).expect("valid");
     let policy = Policy::defaults(&config);
     let start = Now::read();
-    let at = |ms| Now { steady: start.steady + Duration::from_millis(ms), ..start };
+    let at = |ms| Now {
+        steady: start.steady + Duration::from_millis(ms),
+        ..start
+    };
     let mut node = Node::new(config, policy, 1, start);
     assert!(!node.healthy(at(1)), "nothing is known yet");
-    let list = FlavorList { types: vec![crate::provisioning::wire::tests::flavor()] };
-    let event = Event::Called { tag: provisioning::Tag::Flavors, outcome: CallOutcome::Flavors(list) };
+    let list = FlavorList {
+        types: vec![crate::provisioning::wire::tests::flavor()],
+    };
+    let event = Event::Called {
+        tag: provisioning::Tag::Flavors,
+        outcome: CallOutcome::Flavors(list),
+    };
     // An empty state service.
     for effect in node.handle(start, event) {
-        if let Effect::Store { tag: tag @ StoreTag::View(view::Tag::Page { .. }), .. } = effect {
-            let outcome = Outcome::Rows { rows: Vec::new(), more: false, revision: 0 };
-            node.handle(at(5), Event::Store { tag, sent: start.steady, outcome });
+        if let Effect::Store {
+            tag: tag @ StoreTag::View(view::Tag::Page { .. }),
+            ..
+        } = effect
+        {
+            let outcome = Outcome::Rows {
+                rows: Vec::new(),
+                more: false,
+                revision: 0,
+            };
+            node.handle(
+                at(5),
+                Event::Store {
+                    tag,
+                    sent: start.steady,
+                    outcome,
+                },
+            );
         }
     }
     assert!(node.healthy(at(20)));
     node.budget.note(at(2000), &Outcome::Refused);
     let mut healthy = |now: Now, reaches_state: bool| {
-        let number = now.unix_ms() + u64::try_from(since(now, start.steady).as_millis()).expect("short");
+        let number =
+            now.unix_ms() + u64::try_from(since(now, start.steady).as_millis()).expect("short");
         let (cancelled, heard) = (Vec::new(), BTreeMap::new());
         let node_1 = NodeName::from("node-1");
-        let alive = Alive { node: node_1, boot: 1, number, reaches_state, cancelled, complete: true, heard };
+        let alive = Alive {
+            node: node_1,
+            boot: 1,
+            number,
+            reaches_state,
+            cancelled,
+            complete: true,
+            heard,
+        };
         node.handle(now, Event::Peer(Message::Alive(alive)));
         let effects = node.handle(now, Event::Health { id: 2 });
-        effects.iter().any(|effect| matches!(effect, Effect::AnswerHealth { healthy: true, .. }))
+        effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::AnswerHealth { healthy: true, .. }))
     };
     assert!(healthy(at(2100), true), "it may pass");
     assert!(healthy(at(6000), false), "an outage for all");
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -46,7 +46,11 @@
 
 impl CancelledJob {
     pub fn new(job: JobId, version: u64, at_ms: u64) -> Self {
-        CancelledJob { job, version, at_ms }
+        CancelledJob {
+            job,
+            version,
+            at_ms,
+        }
     }
 }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -22,7 +22,13 @@
 
 impl Candidate {
     /// A machine of which `taken` is in use.
-    pub fn new(id: &MachineId, machine: &Machine, flavor: &Flavor, taken: &Room, images: Vec<Image>) -> Self {
+    pub fn new(
+        id: &MachineId,
+        machine: &Machine,
+        flavor: &Flavor,
+        taken: &Room,
+        images: Vec<Image>,
+    ) -> Self {
         let size = flavor.room();
         let mut free = size;
         free.take(taken);
@@ -39,7 +45,9 @@
     }
 
     pub fn allows(&self, job: &Job) -> bool {
-        job.allows_type(&self.type_name) && job.allows_zone(&self.zone) && job.allows_tenure(self.tenure)
+        job.allows_type(&self.type_name)
+            && job.allows_zone(&self.zone)
+            && job.allows_tenure(self.tenure)
     }
 }
 
@@ -51,7 +59,11 @@
 ) -> Option<&'c Candidate> {
     candidates
         .filter(|c| c.free.fits(&job.need) && c.allows(job) && zone_open(&c.zone))
-        .min_by(|a, b| rank(a, job).partial_cmp(&rank(b, job)).unwrap_or(Ordering::Equal))
+        .min_by(|a, b| {
+            rank(a, job)
+                .partial_cmp(&rank(b, job))
+                .unwrap_or(Ordering::Equal)
+        })
 }
 
 /// Machines in the order in which tasks of one shape and image go to them, worked out once for many tasks. Room
@@ -77,7 +89,10 @@
             .map(|(index, c)| (avoided(c), rank(c, job), index))
             .collect();
         ranked.sort_by(|a, b| a.partial_cmp(b).unwrap_or(Ordering::Equal));
-        Ranking { order: ranked.into_iter().map(|(_, _, index)| index).collect(), next: 0 }
+        Ranking {
+            order: ranked.into_iter().map(|(_, _, index)| index).collect(),
+            next: 0,
+        }
     }
 
     /// The first that still has room.
@@ -105,7 +120,11 @@
     let mut left = candidate.free;
     left.take(&job.need);
     Rank {
-        fetch_s: if cached { 0.0 } else { job.image_gb * candidate.fetch_s_per_gb },
+        fetch_s: if cached {
+            0.0
+        } else {
+            job.image_gb * candidate.fetch_s_per_gb
+        },
         // Work that may run on spot machines leaves the ordinary ones to work that may not.
         misplaced: job.spot && !candidate.tenure.is_spot(),
         left_over: candidate.size.left_over(&left),
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -8,7 +8,11 @@
         kind: Kind::Array,
         priority: Priority::Standard,
         tasks,
-        need: Room { cpus, gpus: 0.0, memory_gb: 1.0 },
+        need: Room {
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        },
         types: None,
         zone: None,
         one_zone: false,
@@ -30,8 +34,16 @@
         type_name: "small".into(),
         zone: "a".into(),
         tenure,
-        size: Room { cpus: 8.0, gpus: 0.0, memory_gb: 32.0 },
-        free: Room { cpus: free, gpus: 0.0, memory_gb: 32.0 },
+        size: Room {
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 32.0,
+        },
+        free: Room {
+            cpus: free,
+            gpus: 0.0,
+            memory_gb: 32.0,
+        },
         images: images.iter().map(|image| Image::from(*image)).collect(),
         fetch_s_per_gb: 2.0,
     }
@@ -45,7 +57,9 @@
         machine("m-3", Tenure::Ordinary, 1.0, &["img"]),
         machine("m-4", Tenure::Spot, 4.0, &["img"]),
     ];
-    let chosen = |list: &[Candidate], job: &Job| choose(list.iter(), job, |_| true).map(|c| c.machine.clone());
+    let chosen = |list: &[Candidate], job: &Job| {
+        choose(list.iter(), job, |_| true).map(|c| c.machine.clone())
+    };
     let mut work = job(1, 2.0);
     assert_eq!(chosen(&list, &work), Some("m-2".into()));
     list.push(machine("m-5", Tenure::Ordinary, 8.0, &["img"]));
@@ -56,7 +70,10 @@
     let first = ranking.best(&list, &work).map(|c| c.machine.clone());
     assert_eq!(first, Some("m-4".into()));
     list[3].free.cpus = 1.0;
-    assert_eq!(ranking.best(&list, &work).map(|c| c.machine.clone()), Some("m-5".into()));
+    assert_eq!(
+        ranking.best(&list, &work).map(|c| c.machine.clone()),
+        Some("m-5".into())
+    );
     work.zone = Some("b".into());
     assert_eq!(chosen(&list, &work), None);
     assert!(choose(list.iter(), &job(1, 2.0), |_| false).is_none());
@@ -64,7 +81,10 @@
 
 #[test]
 fn a_machine_that_is_avoided_is_taken_only_when_there_is_room_nowhere_else() {
-    let mut list = vec![machine("m-1", Tenure::Ordinary, 8.0, &["img"]), machine("m-2", Tenure::Ordinary, 8.0, &[])];
+    let mut list = vec![
+        machine("m-1", Tenure::Ordinary, 8.0, &["img"]),
+        machine("m-2", Tenure::Ordinary, 8.0, &[]),
+    ];
     let work = job(1, 2.0);
     let best = |list: &[Candidate]| {
         let mut ranking = Ranking::new(list, &work, |_| true, |c| c.machine == "m-1".into());
