--- a/src/policy/expression.rs
+++ b/src/policy/expression.rs
@@ -40,7 +40,10 @@
 }
 
 fn fault(column: usize, problem: impl Into<String>) -> Fault {
-    Fault { column, problem: problem.into() }
+    Fault {
+        column,
+        problem: problem.into(),
+    }
 }
 
 impl Expression {
@@ -49,25 +52,50 @@
             return Err(fault(1, format!("longer than {LONGEST} characters")));
         }
         let program = Program::compile(source).map_err(|errors| {
-            let column = errors.errors.first().map_or(1, |error| usize::try_from(error.pos.1).unwrap_or(1).max(1));
+            let column = errors
+                .errors
+                .first()
+                .map_or(1, |error| usize::try_from(error.pos.1).unwrap_or(1).max(1));
             fault(column, "the expression is cut short or malformed")
         })?;
         allowed(source, program.expression())?;
-        Ok(Expression { source: source.to_owned(), program: Some(program) })
+        Ok(Expression {
+            source: source.to_owned(),
+            program: Some(program),
+        })
     }
 
-    pub fn evaluate(&self, numbers: &[(&str, f64)], texts: &[(&str, &str)]) -> Result<Outcome, Fault> {
-        let Some(program) = &self.program else { return Err(fault(1, "empty")) };
-        let known = |name: &str| numbers.iter().any(|(n, _)| *n == name) || texts.iter().any(|(n, _)| *n == name);
-        if let Some(name) = program.references().variables().into_iter().find(|name| !known(name)) {
-            let mut names: Vec<&str> = numbers.iter().map(|(n, _)| *n).chain(texts.iter().map(|(n, _)| *n)).collect();
+    pub fn evaluate(
+        &self,
+        numbers: &[(&str, f64)],
+        texts: &[(&str, &str)],
+    ) -> Result<Outcome, Fault> {
+        let Some(program) = &self.program else {
+            return Err(fault(1, "empty"));
+        };
+        let known = |name: &str| {
+            numbers.iter().any(|(n, _)| *n == name) || texts.iter().any(|(n, _)| *n == name)
+        };
+        if let Some(name) = program
+            .references()
+            .variables()
+            .into_iter()
+            .find(|name| !known(name))
+        {
+            let mut names: Vec<&str> = numbers
+                .iter()
+                .map(|(n, _)| *n)
+                .chain(texts.iter().map(|(n, _)| *n))
+                .collect();
             names.sort_unstable();
             let problem = format!("unknown variable `{name}`; known are {}", names.join(", "));
             return Err(fault(column_of(&self.source, name), problem));
         }
         let mut context = Context::default();
         for (name, function) in [("min", f64::min as fn(f64, f64) -> f64), ("max", f64::max)] {
-            context.add_function(name, function).map_err(|_| fault(1, "the functions can't be set up"))?;
+            context
+                .add_function(name, function)
+                .map_err(|_| fault(1, "the functions can't be set up"))?;
         }
         for (name, value) in numbers {
             context.add_variable_from_value(*name, *value);
@@ -82,9 +110,10 @@
             Ok(Value::Bool(truth)) => Ok(Outcome::Truth(truth)),
             Ok(_) => Ok(Outcome::Other),
             Err(ExecutionError::DivisionByZero(_)) => Err(fault(1, "division by zero")),
-            Err(_) => {
-                Err(fault(1, "a number without a decimal point, or types that don't go together: write 2.0, not 2"))
-            }
+            Err(_) => Err(fault(
+                1,
+                "a number without a decimal point, or types that don't go together: write 2.0, not 2",
+            )),
         }
     }
 }
@@ -100,10 +129,15 @@
             }
             let operator = !name.starts_with(|c: char| c.is_alphabetic());
             if !operator && !FUNCTIONS.contains(&name) {
-                let problem = format!("unknown function `{name}`; known are {}", FUNCTIONS.join(", "));
+                let problem = format!(
+                    "unknown function `{name}`; known are {}",
+                    FUNCTIONS.join(", ")
+                );
                 return Err(fault(column_of(source, name), problem));
             }
-            call.args.iter().try_for_each(|argument| allowed(source, argument))
+            call.args
+                .iter()
+                .try_for_each(|argument| allowed(source, argument))
         }
         _ => Err(fault(1, NOT_ALLOWED)),
     }
@@ -117,6 +151,10 @@
         let after = source[at + name.len()..].chars().next();
         !before.is_some_and(word) && !after.is_some_and(word)
     };
-    let at = source.match_indices(name).map(|(at, _)| at).find(|at| whole(*at)).unwrap_or(0);
+    let at = source
+        .match_indices(name)
+        .map(|(at, _)| at)
+        .find(|at| whole(*at))
+        .unwrap_or(0);
     source[..at].chars().count() + 1
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -53,9 +53,17 @@
 #[derive(Debug, thiserror::Error)]
 pub enum PolicyError {
     #[error("{path}: {source}")]
-    Unreadable { path: String, source: std::io::Error },
+    Unreadable {
+        path: String,
+        source: std::io::Error,
+    },
     #[error("{path}:{line}:{column}: {problem}")]
-    Wrong { path: String, line: usize, column: usize, problem: String },
+    Wrong {
+        path: String,
+        line: usize,
+        column: usize,
+        problem: String,
+    },
 }
 
 /// What is kept free between the last renewal of a worker's lease and the time a cancelled task must be gone.
@@ -71,7 +79,12 @@
 
 impl Entry {
     fn wrong(&self, column: usize, problem: String) -> PolicyError {
-        PolicyError::Wrong { path: self.path.clone(), line: self.line, column: self.column + column, problem }
+        PolicyError::Wrong {
+            path: self.path.clone(),
+            line: self.line,
+            column: self.column + column,
+            problem,
+        }
     }
 }
 
@@ -87,8 +100,10 @@
 
     pub fn load(path: &Path, config: &Config) -> Result<Self, PolicyError> {
         let shown = path.display().to_string();
-        let text =
-            std::fs::read_to_string(path).map_err(|source| PolicyError::Unreadable { path: shown.clone(), source })?;
+        let text = std::fs::read_to_string(path).map_err(|source| PolicyError::Unreadable {
+            path: shown.clone(),
+            source,
+        })?;
         Self::parse(&shown, &text, config)
     }
 
@@ -103,7 +118,10 @@
         let mut entries = entries("built-in policy", BUILT_IN, None)?;
         let known: Vec<String> = entries.keys().cloned().collect();
         entries.extend(self::entries(path, text, Some(&known))?);
-        let values = Values { entries, variables: variables(config) };
+        let values = Values {
+            entries,
+            variables: variables(config),
+        };
         let report_s = config.report_every.as_secs_f64();
         let lease_s = config.lease.as_secs_f64();
         let longest_grant_s = Self::longest_grant(config).as_secs_f64();
@@ -111,7 +129,10 @@
         let silence = (1.5 * report_s, 10.0 * lease_s.max(report_s));
         let mut team_shares = BTreeMap::new();
         for team in &config.teams {
-            team_shares.insert(team.name.clone(), values.number_for("team_share", (0.01, 100.0), Some(team))?);
+            team_shares.insert(
+                team.name.clone(),
+                values.number_for("team_share", (0.01, 100.0), Some(team))?,
+            );
         }
         Ok(Policy {
             round: values.seconds("round_s", (0.5, 60.0))?,
@@ -145,29 +166,53 @@
         ("cloud_rps", config.cloud_rps),
         ("controllers", count(config.controllers())),
         ("zones", count(config.zones.len())),
-        ("longest_grant_s", Policy::longest_grant(config).as_secs_f64()),
+        (
+            "longest_grant_s",
+            Policy::longest_grant(config).as_secs_f64(),
+        ),
     ]
 }
 
 fn team_variables(team: &TeamLimits) -> Vec<(&'static str, f64)> {
-    vec![("cpus", team.cpus), ("cpus_max", team.cpus_max), ("gpus", team.gpus), ("gpus_max", team.gpus_max)]
+    vec![
+        ("cpus", team.cpus),
+        ("cpus_max", team.cpus_max),
+        ("gpus", team.gpus),
+        ("gpus_max", team.gpus_max),
+    ]
 }
 
 /// The line and column, from 1, of a place in a text.
 fn place(text: &str, offset: usize) -> (usize, usize) {
     let before = text.get(..offset).unwrap_or(text);
     let line_start = before.rfind('\n').map_or(0, |at| at + 1);
-    (before.matches('\n').count() + 1, before[line_start..].chars().count() + 1)
+    (
+        before.matches('\n').count() + 1,
+        before[line_start..].chars().count() + 1,
+    )
 }
 
 /// Reads a policy file: names and expressions, not yet evaluated.
-fn entries(path: &str, text: &str, known: Option<&[String]>) -> Result<BTreeMap<String, Entry>, PolicyError> {
+fn entries(
+    path: &str,
+    text: &str,
+    known: Option<&[String]>,
+) -> Result<BTreeMap<String, Entry>, PolicyError> {
     let wrong = |offset: usize, problem: String| {
         let (line, column) = place(text, offset);
-        PolicyError::Wrong { path: path.to_owned(), line, column, problem }
+        PolicyError::Wrong {
+            path: path.to_owned(),
+            line,
+            column,
+            problem,
+        }
     };
-    let table = DeTable::parse(text)
-        .map_err(|error| wrong(error.span().map_or(0, |span| span.start), error.message().to_owned()))?;
+    let table = DeTable::parse(text).map_err(|error| {
+        wrong(
+            error.span().map_or(0, |span| span.start),
+            error.message().to_owned(),
+        )
+    })?;
     let mut entries = BTreeMap::new();
     for (name, value) in table.into_inner() {
         let key = name.get_ref().to_string();
@@ -180,11 +225,20 @@
             DeValue::Boolean(truth) => (truth.to_string(), 0),
             DeValue::Integer(number) => (format!("double({})", number.as_str()), 0),
             DeValue::Float(number) => (number.as_str().to_owned(), 0),
-            _ => return Err(wrong(value.span().start, format!("`{key}` must be an expression"))),
+            _ => {
+                return Err(wrong(
+                    value.span().start,
+                    format!("`{key}` must be an expression"),
+                ));
+            }
         };
         let (line, column) = place(text, value.span().start + quote);
-        let mut entry =
-            Entry { expression: Expression::default(), path: path.to_owned(), line, column: column.saturating_sub(1) };
+        let mut entry = Entry {
+            expression: Expression::default(),
+            path: path.to_owned(),
+            line,
+            column: column.saturating_sub(1),
+        };
         entry.expression = Expression::parse(&source)
             .map_err(|fault| entry.wrong(fault.column, format!("`{key}`: {}", fault.problem)))?;
         entries.insert(key, entry);
@@ -199,7 +253,11 @@
 }
 
 impl Values {
-    fn evaluate(&self, name: &str, team: Option<&TeamLimits>) -> Result<(&Entry, Outcome), PolicyError> {
+    fn evaluate(
+        &self,
+        name: &str,
+        team: Option<&TeamLimits>,
+    ) -> Result<(&Entry, Outcome), PolicyError> {
         // Every name is in the built-in policy, which is the base of every other.
         let entry = &self.entries[name];
         let mut numbers = self.variables.clone();
@@ -219,16 +277,26 @@
         self.number_for(name, bounds, None)
     }
 
-    fn number_for(&self, name: &str, (low, high): (f64, f64), team: Option<&TeamLimits>) -> Result<f64, PolicyError> {
+    fn number_for(
+        &self,
+        name: &str,
+        (low, high): (f64, f64),
+        team: Option<&TeamLimits>,
+    ) -> Result<f64, PolicyError> {
         let (entry, outcome) = self.evaluate(name, team)?;
-        let of_team = team.map(|team| format!(" for team {}", team.name)).unwrap_or_default();
+        let of_team = team
+            .map(|team| format!(" for team {}", team.name))
+            .unwrap_or_default();
         match outcome {
             Outcome::Number(value) if value >= low && value <= high => Ok(value),
             Outcome::Number(value) => {
                 let problem = format!("`{name}` is {value}{of_team}; allowed is {low} to {high}");
                 Err(entry.wrong(1, problem))
             }
-            other => Err(entry.wrong(1, format!("`{name}` must be a number, not {}{of_team}", other.kind()))),
+            other => Err(entry.wrong(
+                1,
+                format!("`{name}` must be a number, not {}{of_team}", other.kind()),
+            )),
         }
     }
 
@@ -239,7 +307,10 @@
     fn truth(&self, name: &str) -> Result<bool, PolicyError> {
         match self.evaluate(name, None)? {
             (_, Outcome::Truth(truth)) => Ok(truth),
-            (entry, other) => Err(entry.wrong(1, format!("`{name}` must be true or false, not {}", other.kind()))),
+            (entry, other) => Err(entry.wrong(
+                1,
+                format!("`{name}` must be true or false, not {}", other.kind()),
+            )),
         }
     }
 }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -11,13 +11,21 @@
     assert!(policy.grant_life + config().lease < config().cancel_within);
     assert!(policy.grant_life > Duration::from_secs(20));
     // Nor can a policy change that.
-    let error = Policy::parse("p.toml", "grant_life_s = \"cancel_s\"", &config()).expect_err("unsafe");
-    assert_eq!(error.to_string(), "p.toml:1:17: `grant_life_s` is 50; allowed is 3 to 26");
+    let error =
+        Policy::parse("p.toml", "grant_life_s = \"cancel_s\"", &config()).expect_err("unsafe");
+    assert_eq!(
+        error.to_string(),
+        "p.toml:1:17: `grant_life_s` is 50; allowed is 3 to 26"
+    );
 }
 
 #[test]
 fn the_built_in_policy_holds_for_all_kinds_of_settings() {
-    for (report, lease, cancel) in [("0.1", "0.2", "0.3"), ("60.0", "61.0", "62.0"), ("3.0", "26.0", "4000.0")] {
+    for (report, lease, cancel) in [
+        ("0.1", "0.2", "0.3"),
+        ("60.0", "61.0", "62.0"),
+        ("3.0", "26.0", "4000.0"),
+    ] {
         let text = SETTINGS
             .replace("report_s = 3.0", &format!("report_s = {report}"))
             .replace("lease_s = 20.0", &format!("lease_s = {lease}"))
@@ -38,7 +46,14 @@
     assert_eq!(policy.team_shares[&Team::from("red")], 2.0);
     assert_eq!(policy.team_shares[&Team::from("blue")], 1.0);
     assert!(!policy.preempt_for_guarantee && policy.preempt_for_priority);
-    assert_eq!(Policy { headroom: 1.0, ..policy }.least_rental, built_in.least_rental);
+    assert_eq!(
+        Policy {
+            headroom: 1.0,
+            ..policy
+        }
+        .least_rental,
+        built_in.least_rental
+    );
 }
 
 #[test]
@@ -61,12 +76,30 @@
             "p.toml:1:18: `round_s`: unknown variable `lag`; known are cancel_s, cloud_rps, \
           controllers, lease_s, list_lag_s, longest_grant_s, report_s, state_rps, state_write_rps, zones",
         ),
-        ("round_s = \"true\"", "p.toml:1:12: `round_s` must be a number, not true or false"),
-        ("preempt_for_priority = \"1.0\"", "p.toml:1:25: `preempt_for_priority` must be true or false, not a number"),
-        ("headroom = \"0.5\"", "p.toml:1:13: `headroom` is 0.5; allowed is 1 to 4"),
-        ("headroom = \"1.0 / 0.0\"", "p.toml:1:13: `headroom` is inf; allowed is 1 to 4"),
-        ("headroom = \"1.0 +\"", "p.toml:1:18: `headroom`: the expression is cut short or malformed"),
-        ("headroom = \"[1.0].map(x, x)[0]\"", "p.toml:1:13: `headroom`: lists, maps, fields and loops are not allowed"),
+        (
+            "round_s = \"true\"",
+            "p.toml:1:12: `round_s` must be a number, not true or false",
+        ),
+        (
+            "preempt_for_priority = \"1.0\"",
+            "p.toml:1:25: `preempt_for_priority` must be true or false, not a number",
+        ),
+        (
+            "headroom = \"0.5\"",
+            "p.toml:1:13: `headroom` is 0.5; allowed is 1 to 4",
+        ),
+        (
+            "headroom = \"1.0 / 0.0\"",
+            "p.toml:1:13: `headroom` is inf; allowed is 1 to 4",
+        ),
+        (
+            "headroom = \"1.0 +\"",
+            "p.toml:1:18: `headroom`: the expression is cut short or malformed",
+        ),
+        (
+            "headroom = \"[1.0].map(x, x)[0]\"",
+            "p.toml:1:13: `headroom`: lists, maps, fields and loops are not allowed",
+        ),
         (
             "headroom = \"size('x') + 1.0\"",
             "p.toml:1:13: `headroom`: unknown function `size`; known are min, max, double",
@@ -76,8 +109,14 @@
             "p.toml:1:13: `headroom`: a number without a decimal point, or types that don't go \
           together: write 2.0, not 2",
         ),
-        ("headroom = [1.0]", "p.toml:1:12: `headroom` must be an expression"),
-        ("headroom = ", "p.toml:1:12: string values must be quoted, expected literal string"),
+        (
+            "headroom = [1.0]",
+            "p.toml:1:12: `headroom` must be an expression",
+        ),
+        (
+            "headroom = ",
+            "p.toml:1:12: string values must be quoted, expected literal string",
+        ),
     ];
     for (text, message) in cases {
         let error = Policy::parse("p.toml", text, &config()).expect_err(text);
--- a/src/provisioning/boot_times/tests.rs
+++ b/src/provisioning/boot_times/tests.rs
@@ -28,7 +28,10 @@
 #[test]
 fn the_stated_boot_time_is_expected_until_boots_are_measured() {
     assert_eq!(expected(&[], &[]), 25);
-    assert_eq!(BootTimes::default().expected(&"large".into(), STATED), STATED);
+    assert_eq!(
+        BootTimes::default().expected(&"large".into(), STATED),
+        STATED
+    );
 }
 
 #[test]
@@ -37,7 +40,11 @@
     assert_eq!(expected(&boots, &[]), 25);
     assert_eq!(expected(&[boots.as_slice(), &[200, 300]].concat(), &[]), 25);
     assert_eq!(expected(&boots, &[80, 80]), 25);
-    assert_eq!(expected(&boots, &[5; 40]), 25, "machines that are not overdue say nothing");
+    assert_eq!(
+        expected(&boots, &[5; 40]),
+        25,
+        "machines that are not overdue say nothing"
+    );
 }
 
 #[test]
@@ -45,7 +52,10 @@
     let boots = [20, 22, 24, 26, 28, 20, 22, 24, 26, 28];
     assert_eq!(expected(&boots, &[60; 30]), 60);
     let (times, name) = after(&boots, &[60; 30]);
-    assert!(!times.is_late(&name, STATED, seconds(60)), "they are still counted as on order");
+    assert!(
+        !times.is_late(&name, STATED, seconds(60)),
+        "they are still counted as on order"
+    );
     assert!(!times.is_lost(&name, STATED, seconds(150)));
 }
 
@@ -60,7 +70,12 @@
 #[test]
 fn a_late_machine_is_given_up_later_than_it_is_replaced() {
     let (times, name) = after(&[25; 10], &[]);
-    let judged = |age| (times.is_late(&name, STATED, seconds(age)), times.is_lost(&name, STATED, seconds(age)));
+    let judged = |age| {
+        (
+            times.is_late(&name, STATED, seconds(age)),
+            times.is_lost(&name, STATED, seconds(age)),
+        )
+    };
     assert_eq!(judged(50), (false, false));
     assert_eq!(judged(51), (true, false));
     assert_eq!(judged(85), (true, false));
--- a/src/provisioning/flavors.rs
+++ b/src/provisioning/flavors.rs
@@ -47,7 +47,11 @@
     }
 
     pub fn due(&mut self, now: Now) -> bool {
-        let pause = if self.known() { FLAVORS_REFRESH } else { FLAVORS_RETRY };
+        let pause = if self.known() {
+            FLAVORS_REFRESH
+        } else {
+            FLAVORS_RETRY
+        };
         let due = !self.busy && self.asked.is_none_or(|asked| since(now, asked) >= pause);
         if due {
             self.busy = true;
@@ -60,9 +64,17 @@
         self.busy = false;
         let Some(list) = list else { return };
         let sane = |f: &Flavor| {
-            [f.cpus, f.gpus, f.memory_gb, f.price, f.spot_price, f.boot_s, f.fetch_gb_per_s]
-                .iter()
-                .all(|value| value.0.is_finite() && value.0 >= 0.0)
+            [
+                f.cpus,
+                f.gpus,
+                f.memory_gb,
+                f.price,
+                f.spot_price,
+                f.boot_s,
+                f.fetch_gb_per_s,
+            ]
+            .iter()
+            .all(|value| value.0.is_finite() && value.0 >= 0.0)
         };
         for flavor in list.types.into_iter().filter(sane) {
             self.types.insert(flavor.name.clone(), flavor);
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -18,7 +18,9 @@
 
 use crate::cancellation;
 use crate::config::Config;
-use crate::domain::{Amount, Attempt, BlockId, MachineId, Now, Room, TaskId, Tenure, TypeName, Zone, since};
+use crate::domain::{
+    Amount, Attempt, BlockId, MachineId, Now, Room, TaskId, Tenure, TypeName, Zone, since,
+};
 use crate::fleet::wire::Report;
 use crate::leadership::Lead;
 use crate::policy::Policy;
@@ -28,7 +30,9 @@
 use edits::Edits;
 pub use flavors::Flavors;
 use round::Round;
-use wire::{Flavor, FlavorList, ListedMachine, ListedState, MachineList, MachineNames, RentRequest};
+use wire::{
+    Flavor, FlavorList, ListedMachine, ListedState, MachineList, MachineNames, RentRequest,
+};
 
 /// A request to the cloud.
 #[derive(Debug, Clone, PartialEq)]
@@ -163,7 +167,9 @@
     if zones.values().all(mostly) {
         return BTreeSet::new();
     }
-    let cut = zones.into_iter().filter(|(_, counts)| mostly(counts) && counts.1 >= CUT_LEAST);
+    let cut = zones
+        .into_iter()
+        .filter(|(_, counts)| mostly(counts) && counts.1 >= CUT_LEAST);
     cut.map(|(zone, _)| zone.clone()).collect()
 }
 
@@ -222,7 +228,9 @@
     /// Whether a machine of this type, zone and tenure can be had, as far as is known.
     pub fn available(&self, now: Now, type_name: &TypeName, zone: &Zone, tenure: Tenure) -> bool {
         let key = (type_name.clone(), zone.clone(), tenure);
-        self.stockouts.get(&key).is_none_or(|until| now.steady >= *until)
+        self.stockouts
+            .get(&key)
+            .is_none_or(|until| now.steady >= *until)
     }
 
     pub fn is_lost(&self, machine: &MachineId) -> bool {
@@ -246,7 +254,9 @@
             age_s: Amount(0.0),
         };
         if !self.buried.contains_key(&listed.id) {
-            self.unexpected.entry(listed.id.clone()).or_insert((listed, now.steady));
+            self.unexpected
+                .entry(listed.id.clone())
+                .or_insert((listed, now.steady));
         }
     }
 
@@ -260,24 +270,43 @@
         heard: &BTreeSet<Zone>,
         settled: impl Fn(&BlockId, &Attempt) -> bool,
     ) {
-        let Lead { config, policy, flavors, .. } = *lead;
+        let Lead {
+            config,
+            policy,
+            flavors,
+            ..
+        } = *lead;
         // Where no controller was heard since this process began, all may have ended together, and nobody answers the
         // workers there: their leases are over by the time that they are called silent.
         let cut_off: BTreeSet<Zone> = cut_off(view, health).intersection(heard).cloned().collect();
         // A holder in a zone that is cut off renews its workers' leases for the life of its grant, and they keep their
         // tasks for a lease longer. It takes at least `silent_after` until they are called silent.
-        let patience = (policy.grant_life + config.lease + CUT_MARGIN).saturating_sub(policy.silent_after);
-        self.silent.retain(|machine, _| health.get(machine).is_some_and(|health| health.silent));
-        self.lost.retain(|machine| view.machines.contains_key(machine));
-        self.addresses.retain(|machine, _| view.machines.contains_key(machine));
-        self.up.retain(|machine| view.machines.contains_key(machine));
-        self.deleted.retain(|machine| view.machines.contains_key(machine));
-        self.buried.retain(|_, at| since(now, *at) < Duration::from_secs(120));
+        let patience =
+            (policy.grant_life + config.lease + CUT_MARGIN).saturating_sub(policy.silent_after);
+        self.silent
+            .retain(|machine, _| health.get(machine).is_some_and(|health| health.silent));
+        self.lost
+            .retain(|machine| view.machines.contains_key(machine));
+        self.addresses
+            .retain(|machine, _| view.machines.contains_key(machine));
+        self.up
+            .retain(|machine| view.machines.contains_key(machine));
+        self.deleted
+            .retain(|machine| view.machines.contains_key(machine));
+        self.buried
+            .retain(|_, at| since(now, *at) < Duration::from_secs(120));
         self.observe_boots(now, flavors, view, health);
         for (id, machine) in &view.machines {
-            let Some(health) = health.get(id) else { continue };
-            let occupied = view.places.get(&machine.block).is_some_and(|p| p.value.on.contains_key(id));
-            let stated = flavors.get(&machine.type_name).map_or(BOOT_UNKNOWN, Flavor::boot_time);
+            let Some(health) = health.get(id) else {
+                continue;
+            };
+            let occupied = view
+                .places
+                .get(&machine.block)
+                .is_some_and(|p| p.value.on.contains_key(id));
+            let stated = flavors
+                .get(&machine.type_name)
+                .map_or(BOOT_UNKNOWN, Flavor::boot_time);
             let age = Duration::from_millis(now.unix_ms().saturating_sub(machine.rented_s * 1000));
             let never_up = self.boot_times.is_lost(&machine.type_name, stated, age);
             let known_up = self.up.contains(id) || occupied;
@@ -296,20 +325,32 @@
     }
 
     /// Measures boot times, and finds the machines that are late.
-    fn observe_boots(&mut self, now: Now, flavors: &Flavors, view: &View, health: &BTreeMap<MachineId, Health>) {
+    fn observe_boots(
+        &mut self,
+        now: Now,
+        flavors: &Flavors,
+        view: &View,
+        health: &BTreeMap<MachineId, Health>,
+    ) {
         self.note_up(now, view, health);
         let mut booting: BTreeMap<&TypeName, Vec<(&MachineId, Duration)>> = BTreeMap::new();
         for (id, rented) in &self.booting {
             if let Some(machine) = view.machines.get(id).filter(|_| !self.lost.contains(id)) {
-                booting.entry(&machine.type_name).or_default().push((id, since(now, *rented)));
+                booting
+                    .entry(&machine.type_name)
+                    .or_default()
+                    .push((id, since(now, *rented)));
             }
         }
         for flavor in flavors.all() {
             let booting = booting.remove(&flavor.name).unwrap_or_default();
             let ages: Vec<Duration> = booting.iter().map(|(_, age)| *age).collect();
-            self.boot_times.update(&flavor.name, flavor.boot_time(), &ages);
+            self.boot_times
+                .update(&flavor.name, flavor.boot_time(), &ages);
             for (id, age) in booting {
-                let late = self.boot_times.is_late(&flavor.name, flavor.boot_time(), age);
+                let late = self
+                    .boot_times
+                    .is_late(&flavor.name, flavor.boot_time(), age);
                 if late && self.late.insert(id.clone()) {
                     info!(machine = %id, ?age, "machine is late: another may be ordered in its place");
                 }
@@ -320,15 +361,22 @@
     /// Takes in which machines are up.
     fn note_up(&mut self, now: Now, view: &View, health: &BTreeMap<MachineId, Health>) {
         let recorded_soon = |rented: Instant| since(now, rented) < FORGET_BOOT_AFTER;
-        self.booting.retain(|id, rented| view.machines.contains_key(id) || recorded_soon(*rented));
+        self.booting
+            .retain(|id, rented| view.machines.contains_key(id) || recorded_soon(*rented));
         self.late.retain(|id| view.machines.contains_key(id));
-        let seen = health.iter().filter(|(_, health)| health.seen).map(|(id, _)| id);
+        let seen = health
+            .iter()
+            .filter(|(_, health)| health.seen)
+            .map(|(id, _)| id);
         for id in seen {
-            let Some(machine) = view.machines.get(id) else { continue };
+            let Some(machine) = view.machines.get(id) else {
+                continue;
+            };
             self.up.insert(id.clone());
             self.late.remove(id);
             if let Some(rented) = self.booting.remove(id) {
-                self.boot_times.record(&machine.type_name, since(now, rented));
+                self.boot_times
+                    .record(&machine.type_name, since(now, rented));
             }
         }
     }
@@ -338,14 +386,27 @@
     ///
     /// After an outage nearly all cancelled tasks are this late, while their holders have long proven most of them gone
     /// and could not record it.
-    fn overdue(&mut self, now: Now, config: &Config, view: &View, settled: impl Fn(&BlockId, &Attempt) -> bool) {
+    fn overdue(
+        &mut self,
+        now: Now,
+        config: &Config,
+        view: &View,
+        settled: impl Fn(&BlockId, &Attempt) -> bool,
+    ) {
         for (id, open) in view.open.iter().filter(|(_, open)| open.cancelled) {
             if !cancellation::overdue(now, config, open.cancelled_ms) {
                 continue;
             }
             for ((index, number), place) in view.placed(*id) {
-                let attempt = Attempt { task: TaskId { job: *id, index: *index }, number: *number };
-                let left = view.machines.contains_key(&place.machine) && !settled(&place.block, &attempt);
+                let attempt = Attempt {
+                    task: TaskId {
+                        job: *id,
+                        index: *index,
+                    },
+                    number: *number,
+                };
+                let left =
+                    view.machines.contains_key(&place.machine) && !settled(&place.block, &attempt);
                 if left && self.lost.insert(place.machine.clone()) {
                     warn!(machine = %place.machine, job = %id, "machine given up: its cancelled task must be gone");
                 }
@@ -354,7 +415,8 @@
     }
 
     fn pass(&mut self, now: Now, rps: f64) -> bool {
-        self.calls = (self.calls + since(now, self.calls_filled).as_secs_f64() * rps * 0.8).min(rps);
+        self.calls =
+            (self.calls + since(now, self.calls_filled).as_secs_f64() * rps * 0.8).min(rps);
         self.calls_filled = now.steady;
         if self.calls < 1.0 {
             return false;
@@ -364,14 +426,23 @@
     }
 
     /// Calls that follow from the records.
-    pub fn calls(&mut self, now: Now, config: &Config, view: &View, demand: &Demand) -> Vec<(Tag, Call)> {
+    pub fn calls(
+        &mut self,
+        now: Now,
+        config: &Config,
+        view: &View,
+        demand: &Demand,
+    ) -> Vec<(Tag, Call)> {
         let mut calls = Vec::new();
         if !view.covers(self.term_since) {
             return calls;
         }
         for (type_name, order) in &view.orders {
             let busy = self.renting.contains_key(type_name) || self.rented.contains_key(type_name);
-            let waiting = self.rent_retry.get(type_name).is_some_and(|at| now.steady < *at);
+            let waiting = self
+                .rent_retry
+                .get(type_name)
+                .is_some_and(|at| now.steady < *at);
             if busy || waiting || !self.pass(now, config.cloud_rps) {
                 continue;
             }
@@ -384,7 +455,11 @@
                 spot: order.value.tenure.is_spot(),
                 count: order.value.count,
             };
-            let tag = Tag::Rent { type_name: type_name.clone(), order: order.value, version: order.version };
+            let tag = Tag::Rent {
+                type_name: type_name.clone(),
+                order: order.value,
+                version: order.version,
+            };
             calls.push((tag, Call::Rent(request)));
         }
         if self.deleting.is_none() && self.delete_retry.is_none_or(|at| now.steady >= at) {
@@ -392,27 +467,53 @@
                 .machines
                 .iter()
                 .filter(|(id, _)| !self.deleted.contains(*id))
-                .filter(|(id, machine)| self.lost.contains(*id) || (machine.draining && !demand.occupied.contains(*id)))
+                .filter(|(id, machine)| {
+                    self.lost.contains(*id) || (machine.draining && !demand.occupied.contains(*id))
+                })
                 .map(|(id, _)| id.clone())
                 .take(100)
                 .collect();
             if !due.is_empty() && self.pass(now, config.cloud_rps) {
                 self.deleting = Some(due.clone());
-                calls.push((Tag::Delete(due.clone()), Call::Delete(MachineNames { machines: due })));
+                calls.push((
+                    Tag::Delete(due.clone()),
+                    Call::Delete(MachineNames { machines: due }),
+                ));
             }
         }
-        let list_due = self.listed.is_none_or(|at| since(now, at) >= LIST_EVERY) || self.list_after.is_some();
+        let list_due =
+            self.listed.is_none_or(|at| since(now, at) >= LIST_EVERY) || self.list_after.is_some();
         if !self.list_busy && list_due && self.pass(now, config.cloud_rps) {
             self.list_busy = true;
             self.listed = Some(now.steady);
-            calls.push((Tag::List, Call::List { after: self.list_after.clone() }));
+            calls.push((
+                Tag::List,
+                Call::List {
+                    after: self.list_after.clone(),
+                },
+            ));
         }
         calls
     }
 
-    pub fn called(&mut self, now: Now, policy: &Policy, config: &Config, view: &View, tag: Tag, outcome: CallOutcome) {
+    pub fn called(
+        &mut self,
+        now: Now,
+        policy: &Policy,
+        config: &Config,
+        view: &View,
+        tag: Tag,
+        outcome: CallOutcome,
+    ) {
         match (tag, outcome) {
-            (Tag::Rent { type_name, order, version }, outcome) => {
+            (
+                Tag::Rent {
+                    type_name,
+                    order,
+                    version,
+                },
+                outcome,
+            ) => {
                 self.renting.remove(&type_name);
                 match outcome {
                     CallOutcome::Rented(names) => {
@@ -421,8 +522,14 @@
                         if got < order.count as usize {
                             self.out_of_stock(now, policy, &type_name, &order);
                         }
-                        self.booting.extend(names.machines.iter().map(|machine| (machine.clone(), now.steady)));
-                        self.rented.insert(type_name, (order, version, names.machines));
+                        self.booting.extend(
+                            names
+                                .machines
+                                .iter()
+                                .map(|machine| (machine.clone(), now.steady)),
+                        );
+                        self.rented
+                            .insert(type_name, (order, version, names.machines));
                     }
                     CallOutcome::NoCapacity => {
                         debug!(%type_name, zone = %order.zone, tenure = ?order.tenure, "no capacity");
@@ -447,7 +554,11 @@
             }
             (Tag::List, CallOutcome::Listed(list)) => {
                 self.list_busy = false;
-                self.list_after = if list.more { list.machines.last().map(|m| m.id.clone()) } else { None };
+                self.list_after = if list.more {
+                    list.machines.last().map(|m| m.id.clone())
+                } else {
+                    None
+                };
                 self.take_list(now, config, view, list);
             }
             (Tag::List, _) => self.list_busy = false,
@@ -458,14 +569,17 @@
 
     fn out_of_stock(&mut self, now: Now, policy: &Policy, type_name: &TypeName, order: &Order) {
         let key = (type_name.clone(), order.zone.clone(), order.tenure);
-        self.stockouts.insert(key, now.steady + policy.stockout_memory);
+        self.stockouts
+            .insert(key, now.steady + policy.stockout_memory);
     }
 
     fn take_list(&mut self, now: Now, config: &Config, view: &View, list: MachineList) {
         for listed in list.machines {
             if view.machines.contains_key(&listed.id) {
                 if let (ListedState::Running, Some(addr)) = (listed.state, &listed.addr) {
-                    self.addresses.entry(listed.id.clone()).or_insert_with(|| addr.clone());
+                    self.addresses
+                        .entry(listed.id.clone())
+                        .or_insert_with(|| addr.clone());
                 }
                 if listed.state == ListedState::Failed && self.lost.insert(listed.id.clone()) {
                     info!(machine = %listed.id, "machine listed as failed");
@@ -475,16 +589,29 @@
                 && listed.age_s.0 > config.list_lag.as_secs_f64()
             {
                 // What an earlier leader deleted is listed a while longer; only what stays is unexpected.
-                self.unexpected.entry(listed.id.clone()).or_insert((listed, now.steady));
+                self.unexpected
+                    .entry(listed.id.clone())
+                    .or_insert((listed, now.steady));
             }
         }
     }
 
     /// The next write: machines that came or went, or what a round decides.
-    pub fn write(&mut self, now: Now, lead: &Lead<'_>, view: &mut View, demand: &Demand) -> Option<Op> {
+    pub fn write(
+        &mut self,
+        now: Now,
+        lead: &Lead<'_>,
+        view: &mut View,
+        demand: &Demand,
+    ) -> Option<Op> {
         let Lead { flavors, .. } = *lead;
-        self.idle.retain(|id, _| view.machines.contains_key(id) && !demand.occupied.contains(id));
-        for id in view.machines.keys().filter(|id| !demand.occupied.contains(*id)) {
+        self.idle
+            .retain(|id, _| view.machines.contains_key(id) && !demand.occupied.contains(id));
+        for id in view
+            .machines
+            .keys()
+            .filter(|id| !demand.occupied.contains(*id))
+        {
             self.idle.entry(id.clone()).or_insert(now.steady);
         }
         if !self.writer.ready(now, view) || !flavors.known() {
@@ -495,7 +622,17 @@
             .record_rented(now, lead, view, demand, &txn)
             .or_else(|| self.record_deleted(now, lead, view, demand, &txn))
             .or_else(|| self.record_unexpected(now, lead, view, demand, &txn))
-            .or_else(|| self.round(Round { now, lead, view, demand }, txn))?;
+            .or_else(|| {
+                self.round(
+                    Round {
+                        now,
+                        lead,
+                        view,
+                        demand,
+                    },
+                    txn,
+                )
+            })?;
         self.writer.sent();
         Some(Op::Commit(txn))
     }
@@ -504,12 +641,24 @@
         self.writer.answered(now, outcome);
     }
 
-    fn record_rented(&mut self, now: Now, lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
+    fn record_rented(
+        &mut self,
+        now: Now,
+        lead: &Lead<'_>,
+        view: &View,
+        demand: &Demand,
+        txn: &Txn,
+    ) -> Option<Txn> {
         // Recorded already, if our copy no longer has the order.
-        self.rented.retain(|name, (_, version, _)| view.orders.get(name).is_some_and(|o| o.version == *version));
+        self.rented.retain(|name, (_, version, _)| {
+            view.orders.get(name).is_some_and(|o| o.version == *version)
+        });
         let (name, (order, version, machines)) = self.rented.iter().next()?;
         let mut edits = Edits::new(lead, view, demand);
-        for machine in machines.iter().filter(|machine| !view.machines.contains_key(*machine)) {
+        for machine in machines
+            .iter()
+            .filter(|machine| !view.machines.contains_key(*machine))
+        {
             let entry = Rostered {
                 type_name: name.clone(),
                 tenure: order.tenure,
@@ -519,15 +668,34 @@
             // What does not fit this transaction reports, or is listed, and is taken up then.
             edits.add(&order.zone, machine, entry, 1);
         }
-        Some(edits.apply(txn.clone().when(order_key(name), *version).delete(order_key(name))))
+        Some(
+            edits.apply(
+                txn.clone()
+                    .when(order_key(name), *version)
+                    .delete(order_key(name)),
+            ),
+        )
     }
 
-    fn record_deleted(&mut self, now: Now, lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
+    fn record_deleted(
+        &mut self,
+        now: Now,
+        lead: &Lead<'_>,
+        view: &View,
+        demand: &Demand,
+        txn: &Txn,
+    ) -> Option<Txn> {
         let with_tasks = |id: &MachineId| {
             let block = view.machines.get(id).map(|machine| &machine.block);
-            block.and_then(|block| view.places.get(block)).is_some_and(|places| places.value.on.contains_key(id))
+            block
+                .and_then(|block| view.places.get(block))
+                .is_some_and(|places| places.value.on.contains_key(id))
+        };
+        let waits = |id: &MachineId| {
+            self.buried
+                .get(id)
+                .is_some_and(|at| since(now, *at) < FORGET_AFTER)
         };
-        let waits = |id: &MachineId| self.buried.get(id).is_some_and(|at| since(now, *at) < FORGET_AFTER);
         // Tasks wait for the proof that a lost machine is gone. Nothing waits for an empty one: those are gathered,
         // since each block costs a change.
         let (lost, empty): (Vec<_>, Vec<_>) = self.deleted.iter().partition(|id| with_tasks(id));
@@ -544,8 +712,16 @@
         edits.any().then(|| edits.apply(txn.clone()))
     }
 
-    fn record_unexpected(&mut self, now: Now, lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
-        self.unexpected.retain(|id, _| !view.machines.contains_key(id));
+    fn record_unexpected(
+        &mut self,
+        now: Now,
+        lead: &Lead<'_>,
+        view: &View,
+        demand: &Demand,
+        txn: &Txn,
+    ) -> Option<Txn> {
+        self.unexpected
+            .retain(|id, _| !view.machines.contains_key(id));
         // An order under way may explain it.
         let known = |listed: &ListedMachine, at: Instant| {
             !view.orders.contains_key(&listed.type_name) || since(now, at) > Duration::from_secs(5)
@@ -566,7 +742,8 @@
                 type_name: listed.type_name.clone(),
                 tenure: Tenure::spot(listed.spot),
                 draining: false,
-                rented_s: (now.unix_ms() / 1000).saturating_sub(listed.age_s.0.clamp(0.0, 1e9) as u64),
+                rented_s: (now.unix_ms() / 1000)
+                    .saturating_sub(listed.age_s.0.clamp(0.0, 1e9) as u64),
             };
             if !edits.add(&listed.zone, &listed.id, entry, 0) {
                 break;
@@ -580,16 +757,34 @@
     /// A line for each pool in the log, and its values among the metrics.
     pub fn summary(&self, view: &View, demand: &Demand, gauges: &mut BTreeMap<String, f64>) {
         for (pool, machines) in self.machines(view) {
-            let of_pool =
-                |id: &MachineId| view.machines.get(id).is_some_and(|m| (&m.type_name, m.tenure) == (&pool.0, pool.1));
+            let of_pool = |id: &MachineId| {
+                view.machines
+                    .get(id)
+                    .is_some_and(|m| (&m.type_name, m.tenure) == (&pool.0, pool.1))
+            };
             let up = self.up.iter().filter(|id| of_pool(id)).count();
-            let idle = self.idle.keys().filter(|id| of_pool(id) && self.up.contains(*id)).count();
-            let draining = view.machines.iter().filter(|(id, m)| m.draining && of_pool(id)).count();
+            let idle = self
+                .idle
+                .keys()
+                .filter(|id| of_pool(id) && self.up.contains(*id))
+                .count();
+            let draining = view
+                .machines
+                .iter()
+                .filter(|(id, m)| m.draining && of_pool(id))
+                .count();
             let demand = demand.machines.get(&pool).copied().unwrap_or(0.0);
             info!(type_name = %pool.0, tenure = ?pool.1, machines, up, idle, draining, demand, "pool");
-            for (state, count) in [("all", f64::from(machines)), ("up", up as f64), ("idle", idle as f64)] {
+            for (state, count) in [
+                ("all", f64::from(machines)),
+                ("up", up as f64),
+                ("idle", idle as f64),
+            ] {
                 gauges.insert(
-                    format!("machines{{type=\"{}\",tenure=\"{:?}\",state=\"{state}\"}}", pool.0, pool.1),
+                    format!(
+                        "machines{{type=\"{}\",tenure=\"{:?}\",state=\"{state}\"}}",
+                        pool.0, pool.1
+                    ),
                     count,
                 );
             }
@@ -601,7 +796,9 @@
         let mut count = BTreeMap::new();
         for (id, machine) in &view.machines {
             if !machine.draining && !self.lost.contains(id) && !self.late.contains(id) {
-                *count.entry((machine.type_name.clone(), machine.tenure)).or_default() += 1;
+                *count
+                    .entry((machine.type_name.clone(), machine.tenure))
+                    .or_default() += 1;
             }
         }
         count
--- a/src/provisioning/round.rs
+++ b/src/provisioning/round.rs
@@ -40,15 +40,27 @@
     /// The one to order for: one call for each type goes out in a round. What has run out must not keep the other kind
     /// from being ordered, however much of it is short.
     pub(super) fn worst(shortages: impl IntoIterator<Item = Option<Shortage>>) -> Option<Shortage> {
-        shortages.into_iter().flatten().max_by_key(|shortage| (shortage.obtainable, shortage.count))
+        shortages
+            .into_iter()
+            .flatten()
+            .max_by_key(|shortage| (shortage.obtainable, shortage.count))
     }
 }
 
 impl Provisioner {
     /// One round of the rule.
     pub(super) fn round(&mut self, round: Round<'_>, mut txn: Txn) -> Option<Txn> {
-        let Round { now, lead, view, demand } = round;
-        if !view.covers(self.term_since) || self.round.is_some_and(|at| since(now, at) < lead.policy.round) {
+        let Round {
+            now,
+            lead,
+            view,
+            demand,
+        } = round;
+        if !view.covers(self.term_since)
+            || self
+                .round
+                .is_some_and(|at| since(now, at) < lead.policy.round)
+        {
             return None;
         }
         self.round = Some(now.steady);
@@ -57,15 +69,23 @@
         // One change for each type's order, the rest for the blocks of machines that are returned.
         edits.most = lead.batch.saturating_sub(lead.flavors.all().count()).max(1);
         let mut ordered = false;
-        for flavor in lead.flavors.all().filter(|flavor| !view.orders.contains_key(&flavor.name)) {
+        for flavor in lead
+            .flavors
+            .all()
+            .filter(|flavor| !view.orders.contains_key(&flavor.name))
+        {
             let shortages = [Tenure::Ordinary, Tenure::Spot].map(|tenure| {
                 let pool = (flavor.name.clone(), tenure);
                 let available = machines.get(&pool).copied().unwrap_or(0);
                 self.return_surplus(round, &pool, available, &mut edits);
                 self.shortage(round, flavor, &pool, available)
             });
-            if let Some(order) = Shortage::worst(shortages).and_then(|shortage| self.order(round, flavor, shortage)) {
-                txn = txn.when(order_key(&flavor.name), 0).put(order_key(&flavor.name), &order);
+            if let Some(order) =
+                Shortage::worst(shortages).and_then(|shortage| self.order(round, flavor, shortage))
+            {
+                txn = txn
+                    .when(order_key(&flavor.name), 0)
+                    .put(order_key(&flavor.name), &order);
                 ordered = true;
             }
         }
@@ -75,7 +95,9 @@
     /// Drains machines of a pool that has too many.
     fn return_surplus(&self, round: Round<'_>, pool: &Pool, available: u32, edits: &mut Edits<'_>) {
         let (change, needed) = self.change(round, pool, available);
-        let Ok(surplus) = usize::try_from(-change) else { return };
+        let Ok(surplus) = usize::try_from(-change) else {
+            return;
+        };
         for id in self.returnable(round, pool, surplus) {
             let drained = edits.change(&id, |roster| {
                 if let Some(entry) = roster.on.get_mut(&id) {
@@ -92,11 +114,23 @@
     fn change(&self, round: Round<'_>, pool: &Pool, available: u32) -> (i64, f64) {
         let Round { lead, demand, .. } = round;
         let needed = demand.machines.get(pool).copied().unwrap_or(0.0);
-        let eta = lead.flavors.get(&pool.0).map_or(1.0, |flavor| self.eta(flavor, demand.runs.get(pool)));
-        (rule::change(needed, available, eta, lead.policy.headroom), needed)
+        let eta = lead
+            .flavors
+            .get(&pool.0)
+            .map_or(1.0, |flavor| self.eta(flavor, demand.runs.get(pool)));
+        (
+            rule::change(needed, available, eta, lead.policy.headroom),
+            needed,
+        )
     }
 
-    pub(super) fn shortage(&self, round: Round<'_>, flavor: &Flavor, pool: &Pool, available: u32) -> Option<Shortage> {
+    pub(super) fn shortage(
+        &self,
+        round: Round<'_>,
+        flavor: &Flavor,
+        pool: &Pool,
+        available: u32,
+    ) -> Option<Shortage> {
         let (change, needed) = self.change(round, pool, available);
         // The rule counts machines of all zones. Tasks that wait for one zone are short there whatever stands idle
         // elsewhere.
@@ -112,13 +146,27 @@
             None => flavor.zones.iter().any(in_stock),
         };
         debug!(type_name = %pool.0, tenure = ?pool.1, needed, available, count, obtainable, "short of machines");
-        Some(Shortage { tenure: pool.1, zone, count, tasks_wait: needed > f64::from(available), obtainable })
+        Some(Shortage {
+            tenure: pool.1,
+            zone,
+            count,
+            tasks_wait: needed > f64::from(available),
+            obtainable,
+        })
     }
 
     /// The order for a shortage, unless it was asked for in vain just now.
     fn order(&mut self, round: Round<'_>, flavor: &Flavor, shortage: Shortage) -> Option<Order> {
-        let Round { now, lead, view, .. } = round;
-        let Shortage { tenure, zone, count, tasks_wait, .. } = shortage;
+        let Round {
+            now, lead, view, ..
+        } = round;
+        let Shortage {
+            tenure,
+            zone,
+            count,
+            tasks_wait,
+            ..
+        } = shortage;
         let zone = zone.or_else(|| self.zone_for(now, flavor, tenure, tasks_wait, view))?;
         if !self.available(now, &flavor.name, &zone, tenure) {
             let again = self.asked_again.get(&flavor.name);
@@ -140,11 +188,20 @@
 
     /// A zone in which tasks wait that may not go elsewhere, and the machines that are not yet on order for them.
     fn short_zone(&self, round: Round<'_>, pool: &Pool) -> Option<(Zone, i64)> {
-        let Round { now, view, demand, .. } = round;
+        let Round {
+            now, view, demand, ..
+        } = round;
         let coming = |zone: &Zone| {
-            let here = |m: &Machine| (&m.type_name, m.tenure, &m.zone) == (&pool.0, pool.1, zone) && !m.draining;
-            let booting = |id: &MachineId| !self.up.contains(id) && !self.lost.contains(id) && !self.late.contains(id);
-            view.machines.iter().filter(|(id, machine)| here(machine) && booting(id)).count() as i64
+            let here = |m: &Machine| {
+                (&m.type_name, m.tenure, &m.zone) == (&pool.0, pool.1, zone) && !m.draining
+            };
+            let booting = |id: &MachineId| {
+                !self.up.contains(id) && !self.lost.contains(id) && !self.late.contains(id)
+            };
+            view.machines
+                .iter()
+                .filter(|(id, machine)| here(machine) && booting(id))
+                .count() as i64
         };
         demand
             .pinned
@@ -158,7 +215,11 @@
     /// Boot time over mean run time. Both are measured; the run time starts as if one task had run for one
     /// boot, which makes eta 1 until there is more to go by.
     pub fn eta(&self, flavor: &Flavor, runs: Option<&Runs>) -> f64 {
-        let boot = self.boot_times.expected(&flavor.name, flavor.boot_time()).as_secs_f64().max(0.1);
+        let boot = self
+            .boot_times
+            .expected(&flavor.name, flavor.boot_time())
+            .as_secs_f64()
+            .max(0.1);
         let Runs { time, ended } = runs.copied().unwrap_or_default();
         let mean_run = (time.as_secs_f64() + boot) / (f64::from(ended) + 1.0);
         boot / mean_run
@@ -166,11 +227,23 @@
 
     /// Machines of a pool that may be returned, up to so many.
     fn returnable(&self, round: Round<'_>, pool: &Pool, count: usize) -> Vec<MachineId> {
-        let Round { now, lead, view, demand } = round;
+        let Round {
+            now,
+            lead,
+            view,
+            demand,
+        } = round;
         let least_ms = u64::try_from(lead.policy.least_rental.as_millis()).unwrap_or(u64::MAX);
-        let boot = lead.flavors.get(&pool.0).map_or(0.0, |flavor| flavor.boot_s.0);
+        let boot = lead
+            .flavors
+            .get(&pool.0)
+            .map_or(0.0, |flavor| flavor.boot_s.0);
         let patience = Duration::from_secs_f64(boot * lead.policy.idle_boots);
-        let rested = |id: &MachineId| self.idle.get(id).is_some_and(|at| since(now, *at) >= patience);
+        let rested = |id: &MachineId| {
+            self.idle
+                .get(id)
+                .is_some_and(|at| since(now, *at) >= patience)
+        };
         let mut idle: Vec<_> = view
             .machines
             .iter()
@@ -190,22 +263,45 @@
         for (_, machine) in &idle {
             *of_block.entry(&machine.block).or_default() += 1;
         }
-        idle.sort_by_key(|(_, machine)| (Reverse(of_block[&machine.block]), &machine.block, Reverse(machine.rented_s)));
+        idle.sort_by_key(|(_, machine)| {
+            (
+                Reverse(of_block[&machine.block]),
+                &machine.block,
+                Reverse(machine.rented_s),
+            )
+        });
         idle.truncate(count);
         idle.into_iter().map(|(id, _)| id.clone()).collect()
     }
 
     /// The zone with the fewest machines among those that may have some to give. If all have run out, the one
     /// that did so first is asked again, as long as tasks wait.
-    fn zone_for(&self, now: Now, flavor: &Flavor, tenure: Tenure, wanted: bool, view: &View) -> Option<Zone> {
-        let out_until = |zone: &Zone| self.stockouts.get(&(flavor.name.clone(), zone.clone(), tenure)).copied();
+    fn zone_for(
+        &self,
+        now: Now,
+        flavor: &Flavor,
+        tenure: Tenure,
+        wanted: bool,
+        view: &View,
+    ) -> Option<Zone> {
+        let out_until = |zone: &Zone| {
+            self.stockouts
+                .get(&(flavor.name.clone(), zone.clone(), tenure))
+                .copied()
+        };
         let count = |zone: &Zone| view.machines.values().filter(|m| m.zone == *zone).count();
         flavor
             .zones
             .iter()
             .filter(|zone| self.available(now, &flavor.name, zone, tenure))
             .min_by_key(|zone| count(zone))
-            .or_else(|| flavor.zones.iter().filter(|_| wanted).min_by_key(|zone| out_until(zone)))
+            .or_else(|| {
+                flavor
+                    .zones
+                    .iter()
+                    .filter(|_| wanted)
+                    .min_by_key(|zone| out_until(zone))
+            })
             .cloned()
     }
 }
--- a/src/provisioning/rule.rs
+++ b/src/provisioning/rule.rs
@@ -9,7 +9,11 @@
     let short = n + margin - f64::from(m);
     // The room of many small tasks adds up to a whole machine only nearly.
     let ceil = |value: f64| (value - 1e-9).ceil() as i64;
-    if short > 1e-9 { ceil(short) } else { -ceil(-short) }
+    if short > 1e-9 {
+        ceil(short)
+    } else {
+        -ceil(-short)
+    }
 }
 
 /// e*sqrt(n) with e = 2*sqrt(eta/(1+eta)), the least that formula (12) allows.
--- a/src/provisioning/tests.rs
+++ b/src/provisioning/tests.rs
@@ -20,28 +20,69 @@
     let mut version = 0;
     let mut put = |view: &mut View, key: String, value| {
         version += 1;
-        view.apply(Change { key, version, value: Some(value) });
+        view.apply(Change {
+            key,
+            version,
+            value: Some(value),
+        });
     };
     let block = blocks::name(&"a".into(), 0);
-    let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Spot, draining: false, rented_s: 0 };
+    let entry = || Rostered {
+        type_name: "large".into(),
+        tenure: Tenure::Spot,
+        draining: false,
+        rented_s: 0,
+    };
     let on = ["m-1", "m-2"].map(|id| (id.into(), entry())).into();
-    put(&mut view, roster_key(&block), encode(&Roster { zone: "a".into(), on }));
+    put(
+        &mut view,
+        roster_key(&block),
+        encode(&Roster {
+            zone: "a".into(),
+            on,
+        }),
+    );
     let mut places = Places::default();
     for (machine, id) in [("m-1", 1), ("m-2", 2)] {
-        let task = TaskId { job: JobId(id), index: 0 };
+        let task = TaskId {
+            job: JobId(id),
+            index: 0,
+        };
         places.add(&machine.into(), Attempt { task, number: id });
     }
     put(&mut view, places_key(&block), encode(&places));
-    put(&mut view, job_key(JobId(1)), encode(&JobRecord::Cancelled(job(1, 1.0), start.unix_ms())));
-    put(&mut view, job_key(JobId(2)), encode(&JobRecord::Open(job(1, 1.0))));
+    put(
+        &mut view,
+        job_key(JobId(1)),
+        encode(&JobRecord::Cancelled(job(1, 1.0), start.unix_ms())),
+    );
+    put(
+        &mut view,
+        job_key(JobId(2)),
+        encode(&JobRecord::Open(job(1, 1.0))),
+    );
     let mut provisioner = Provisioner::new(start, 1);
     let mut given_up = |after: Duration| {
-        let now = Now { wall: start.wall + after, ..start };
+        let now = Now {
+            wall: start.wall + after,
+            ..start
+        };
         provisioner.overdue(now, &config, &view, |_, _| false);
-        provisioner.lost.iter().map(|id| id.0.to_string()).collect::<Vec<_>>()
+        provisioner
+            .lost
+            .iter()
+            .map(|id| id.0.to_string())
+            .collect::<Vec<_>>()
     };
-    assert_eq!(given_up(config.lease), [] as [&str; 0], "its holder may still prove it gone");
-    assert_eq!(given_up(config.cancel_within - cancellation::OVERDUE_MARGIN), ["m-1"]);
+    assert_eq!(
+        given_up(config.lease),
+        [] as [&str; 0],
+        "its holder may still prove it gone"
+    );
+    assert_eq!(
+        given_up(config.cancel_within - cancellation::OVERDUE_MARGIN),
+        ["m-1"]
+    );
 }
 
 /// Found on the bench: a cut zone's machines were deleted with all the replicas that ran on there.
@@ -50,29 +91,69 @@
     let config = Config::parse("s.toml", SETTINGS).expect("valid");
     let policy = Policy::defaults(&config);
     let mut flavors = Flavors::default();
-    flavors.answered(Some(FlavorList { types: vec![flavor()] }));
+    flavors.answered(Some(FlavorList {
+        types: vec![flavor()],
+    }));
     let start = Now::read();
     let mut view = View::following();
     for (version, zone) in [(1, "a"), (2, "b")] {
         let entry = |n: u32| {
             let id = format!("m-{zone}{n}").as_str().into();
             let rented_s = start.unix_ms() / 1000;
-            (id, Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s })
+            (
+                id,
+                Rostered {
+                    type_name: "large".into(),
+                    tenure: Tenure::Ordinary,
+                    draining: false,
+                    rented_s,
+                },
+            )
+        };
+        let roster = Roster {
+            zone: zone.into(),
+            on: (0..6).map(entry).collect(),
         };
-        let roster = Roster { zone: zone.into(), on: (0..6).map(entry).collect() };
         let key = roster_key(&blocks::name(&zone.into(), 0));
-        view.apply(Change { key, version, value: Some(encode(&roster)) });
+        view.apply(Change {
+            key,
+            version,
+            value: Some(encode(&roster)),
+        });
     }
-    let lead =
-        Lead { config: &config, policy: &policy, flavors: &flavors, term: 1, version: 1, batch: 16, spare: true };
-    let silent = |id: &MachineId, zones: &[&str]| zones.iter().any(|zone| id.0[2..].starts_with(zone));
+    let lead = Lead {
+        config: &config,
+        policy: &policy,
+        flavors: &flavors,
+        term: 1,
+        version: 1,
+        batch: 16,
+        spare: true,
+    };
+    let silent =
+        |id: &MachineId, zones: &[&str]| zones.iter().any(|zone| id.0[2..].starts_with(zone));
     let given_up_if = |zones: &[&str], after: Duration, heard: &BTreeSet<Zone>| {
         let mut provisioner = Provisioner::new(start, 1);
-        for (passed, zones) in [(Duration::ZERO, &[] as &[&str]), (Duration::from_secs(1), zones), (after, zones)] {
-            let now = Now { steady: start.steady + passed, ..start };
+        for (passed, zones) in [
+            (Duration::ZERO, &[] as &[&str]),
+            (Duration::from_secs(1), zones),
+            (after, zones),
+        ] {
+            let now = Now {
+                steady: start.steady + passed,
+                ..start
+            };
             let health = view.machines.keys().map(|id| {
                 let silent = silent(id, zones);
-                (id.clone(), Health { seen: true, silent, usable: !silent, ..Health::default() })
+                (
+                    id.clone(),
+                    Health {
+                        seen: true,
+                        silent,
+                        usable: !silent,
+                        ..Health::default()
+                    },
+                )
             });
             provisioner.observe(now, &lead, &view, &health.collect(), heard, |_, _| false);
         }
@@ -82,22 +163,53 @@
     let given_up = |zones: &[&str], after: Duration| given_up_if(zones, after, &heard);
     let survive = policy.grant_life + config.lease - policy.silent_after;
     assert_eq!(given_up(&["a"], survive), 0, "may be a cut");
-    assert_eq!(given_up(&["a"], survive + Duration::from_secs(4)), 6, "their tasks are gone by then");
+    assert_eq!(
+        given_up(&["a"], survive + Duration::from_secs(4)),
+        6,
+        "their tasks are gone by then"
+    );
     // Found in an incident: the cut ended, most were heard again, and the others were given up at once.
     let mut provisioner = Provisioner::new(start, 1);
     for (seconds, zones) in [(0, &[] as &[&str]), (1, &["a"]), (2, &["a0", "a1"])] {
-        let now = Now { steady: start.steady + Duration::from_secs(seconds), ..start };
+        let now = Now {
+            steady: start.steady + Duration::from_secs(seconds),
+            ..start
+        };
         let health = view.machines.keys().map(|id| {
             let silent = silent(id, zones);
-            (id.clone(), Health { seen: true, silent, usable: !silent, ..Health::default() })
+            (
+                id.clone(),
+                Health {
+                    seen: true,
+                    silent,
+                    usable: !silent,
+                    ..Health::default()
+                },
+            )
         });
         provisioner.observe(now, &lead, &view, &health.collect(), &heard, |_, _| false);
     }
-    assert_eq!(provisioner.lost.len(), 0, "they may just not have reported yet");
+    assert_eq!(
+        provisioner.lost.len(),
+        0,
+        "they may just not have reported yet"
+    );
     let only_b = [Zone::from("b")].into();
-    assert_eq!(given_up_if(&["a"], Duration::from_secs(2), &only_b), 6, "nobody answers them");
-    assert_eq!(given_up(&["a0", "a1"], Duration::from_secs(2)), 2, "some of a zone: they are dead");
-    assert_eq!(given_up(&["a", "b"], Duration::from_secs(2)), 12, "all zones: nothing speaks for a cut");
+    assert_eq!(
+        given_up_if(&["a"], Duration::from_secs(2), &only_b),
+        6,
+        "nobody answers them"
+    );
+    assert_eq!(
+        given_up(&["a0", "a1"], Duration::from_secs(2)),
+        2,
+        "some of a zone: they are dead"
+    );
+    assert_eq!(
+        given_up(&["a", "b"], Duration::from_secs(2)),
+        12,
+        "all zones: nothing speaks for a cut"
+    );
 }
 
 /// Found in an incident: guests' arrays were short of a thousand spot machines that the cloud did not have, and each round
@@ -107,23 +219,54 @@
     let config = Config::parse("s.toml", SETTINGS).expect("valid");
     let policy = Policy::defaults(&config);
     let mut flavors = Flavors::default();
-    flavors.answered(Some(FlavorList { types: vec![flavor()] }));
+    flavors.answered(Some(FlavorList {
+        types: vec![flavor()],
+    }));
     let now = Now::read();
     let view = View::following();
-    let lead =
-        Lead { config: &config, policy: &policy, flavors: &flavors, term: 1, version: 1, batch: 16, spare: true };
+    let lead = Lead {
+        config: &config,
+        policy: &policy,
+        flavors: &flavors,
+        term: 1,
+        version: 1,
+        batch: 16,
+        spare: true,
+    };
     let name = flavor().name;
-    let machines = [((name.clone(), Tenure::Spot), 1000.0), ((name.clone(), Tenure::Ordinary), 10.0)].into();
-    let demand = Demand { machines, ..Demand::default() };
+    let machines = [
+        ((name.clone(), Tenure::Spot), 1000.0),
+        ((name.clone(), Tenure::Ordinary), 10.0),
+    ]
+    .into();
+    let demand = Demand {
+        machines,
+        ..Demand::default()
+    };
     let ordered = |spot_is_out: bool| {
         let mut provisioner = Provisioner::new(now, 1);
         if spot_is_out {
-            let order = Order { request: "r".into(), zone: "a".into(), tenure: Tenure::Spot, count: 50 };
+            let order = Order {
+                request: "r".into(),
+                zone: "a".into(),
+                tenure: Tenure::Spot,
+                count: 50,
+            };
             provisioner.out_of_stock(now, &policy, &name, &order);
         }
         let worst = [Tenure::Ordinary, Tenure::Spot].map(|tenure| {
             let pool = (name.clone(), tenure);
-            provisioner.shortage(Round { now, lead: &lead, view: &view, demand: &demand }, &flavor(), &pool, 0)
+            provisioner.shortage(
+                Round {
+                    now,
+                    lead: &lead,
+                    view: &view,
+                    demand: &demand,
+                },
+                &flavor(),
+                &pool,
+                0,
+            )
         });
         round::Shortage::worst(worst).map(|shortage| shortage.tenure)
     };
--- a/src/provisioning/wire.rs
+++ b/src/provisioning/wire.rs
@@ -43,11 +43,16 @@
 impl Flavor {
     /// The boot time that the cloud states.
     pub fn boot_time(&self) -> Duration {
-        Duration::try_from_secs_f64(self.boot_s.0).map_or(LONGEST_BOOT, |boot| boot.min(LONGEST_BOOT))
+        Duration::try_from_secs_f64(self.boot_s.0)
+            .map_or(LONGEST_BOOT, |boot| boot.min(LONGEST_BOOT))
     }
 
     pub fn room(&self) -> Room {
-        Room { cpus: self.cpus.0, gpus: self.gpus.0, memory_gb: self.memory_gb.0 }
+        Room {
+            cpus: self.cpus.0,
+            gpus: self.gpus.0,
+            memory_gb: self.memory_gb.0,
+        }
     }
 
     pub fn fetch_s_per_gb(&self) -> f64 {
@@ -122,19 +127,28 @@
         Call::Rent(rent) => Request::post("/machines".to_owned(), write(rent), TIMEOUT),
         Call::Delete(names) => Request::post("/machines/delete".to_owned(), write(names), TIMEOUT),
         Call::List { after } => {
-            let after = after.as_ref().map(|id| format!("after={id}&")).unwrap_or_default();
+            let after = after
+                .as_ref()
+                .map(|id| format!("after={id}&"))
+                .unwrap_or_default();
             Request::get(format!("/machines?{after}most={PAGE}"), TIMEOUT)
         }
     }
 }
 
 pub fn outcome(call: &Call, reply: Option<&Reply>) -> CallOutcome {
-    let Some(reply) = reply else { return CallOutcome::Unknown };
+    let Some(reply) = reply else {
+        return CallOutcome::Unknown;
+    };
     match (reply.status, call) {
-        (200, Call::Flavors) => read(&reply.body).map_or(CallOutcome::Refused, CallOutcome::Flavors),
+        (200, Call::Flavors) => {
+            read(&reply.body).map_or(CallOutcome::Refused, CallOutcome::Flavors)
+        }
         (200, Call::Rent(_)) => read(&reply.body).map_or(CallOutcome::Unknown, CallOutcome::Rented),
         (200, Call::Delete(_)) => CallOutcome::Deleted,
-        (200, Call::List { .. }) => read(&reply.body).map_or(CallOutcome::Refused, CallOutcome::Listed),
+        (200, Call::List { .. }) => {
+            read(&reply.body).map_or(CallOutcome::Refused, CallOutcome::Listed)
+        }
         // An outage is a 503 too, but says so.
         (503, Call::Rent(_)) => match read::<Problem>(&reply.body) {
             Some(problem) if problem.error == "no capacity" => CallOutcome::NoCapacity,
--- a/src/provisioning/wire/tests.rs
+++ b/src/provisioning/wire/tests.rs
@@ -27,8 +27,17 @@
         spot: false,
         count: 2,
     });
-    let reply = |error: &str| Reply { status: 503, body: write(&cbor!({"error" => error}).expect("valid")).into() };
-    assert_eq!(outcome(&rent, Some(&reply("no capacity"))), CallOutcome::NoCapacity);
-    assert_eq!(outcome(&rent, Some(&reply("trouble"))), CallOutcome::Refused);
+    let reply = |error: &str| Reply {
+        status: 503,
+        body: write(&cbor!({"error" => error}).expect("valid")).into(),
+    };
+    assert_eq!(
+        outcome(&rent, Some(&reply("no capacity"))),
+        CallOutcome::NoCapacity
+    );
+    assert_eq!(
+        outcome(&rent, Some(&reply("trouble"))),
+        CallOutcome::Refused
+    );
     assert_eq!(outcome(&rent, None), CallOutcome::Unknown);
 }
--- a/src/queueing/desk.rs
+++ b/src/queueing/desk.rs
@@ -36,8 +36,17 @@
 impl Release {
     /// Whether it should be withdrawn, so that its task can be placed elsewhere. While preempted tasks still save, the
     /// holder finds no room and says so: that is expected, and withdrawing would leave their room to other work.
-    pub(super) fn is_stuck(&mut self, now: Now, stops: &BTreeMap<Attempt, Instant>, refused: bool) -> bool {
-        if self.preempted.iter().any(|attempt| stops.contains_key(attempt)) {
+    pub(super) fn is_stuck(
+        &mut self,
+        now: Now,
+        stops: &BTreeMap<Attempt, Instant>,
+        refused: bool,
+    ) -> bool {
+        if self
+            .preempted
+            .iter()
+            .any(|attempt| stops.contains_key(attempt))
+        {
             self.placeable_since = now.steady;
             return since(now, self.since) > PREEMPTION_TIMEOUT;
         }
@@ -68,12 +77,20 @@
 impl Desk {
     /// Notes machines that the holder could ask if it were told where they are.
     pub(super) fn find(&mut self, addresses: &HashMap<MachineId, String>, roster: Option<&Roster>) {
-        let Some(roster) = roster.filter(|roster| roster.on.len() > self.addressed.len()) else { return };
+        let Some(roster) = roster.filter(|roster| roster.on.len() > self.addressed.len()) else {
+            return;
+        };
         if self.status.is_none() {
             // It may know them already: a new leader hears of that first.
             return;
         }
-        for id in roster.on.keys().filter(|id| !self.addressed.contains(*id)).cloned().collect::<Vec<_>>() {
+        for id in roster
+            .on
+            .keys()
+            .filter(|id| !self.addressed.contains(*id))
+            .cloned()
+            .collect::<Vec<_>>()
+        {
             let seen = self.machines.get(&id).is_some_and(|status| status.seen);
             if seen || addresses.contains_key(&id) {
                 self.dirty |= !seen;
@@ -86,17 +103,30 @@
     pub(super) fn unmet(&self, addresses: &HashMap<MachineId, String>) -> Vec<(MachineId, String)> {
         let unseen = |id: &&MachineId| self.machines.get(*id).is_none_or(|status| !status.seen);
         let unmet = self.addressed.iter().filter(unseen);
-        unmet.filter_map(|id| addresses.get(id).map(|addr| (id.clone(), addr.clone()))).collect()
+        unmet
+            .filter_map(|id| addresses.get(id).map(|addr| (id.clone(), addr.clone())))
+            .collect()
     }
 }
 
 impl Queues {
     /// Messages that are due to holders.
-    pub fn messages(&mut self, now: Now, view: &View, addresses: &HashMap<MachineId, String>) -> Vec<Work> {
+    pub fn messages(
+        &mut self,
+        now: Now,
+        view: &View,
+        addresses: &HashMap<MachineId, String>,
+    ) -> Vec<Work> {
         let mut messages = Vec::new();
         for (block, desk) in &mut self.desks {
-            desk.find(addresses, view.rosters.get(block).map(|roster| &roster.value));
-            let acked = desk.status.as_ref().is_some_and(|(status, _)| status.last_work >= desk.last_message);
+            desk.find(
+                addresses,
+                view.rosters.get(block).map(|roster| &roster.value),
+            );
+            let acked = desk
+                .status
+                .as_ref()
+                .is_some_and(|(status, _)| status.last_work >= desk.last_message);
             let overdue = !acked && desk.sent.is_some_and(|sent| since(now, sent) >= RESEND);
             if !desk.dirty && !overdue && !desk.owes_word {
                 continue;
@@ -107,14 +137,21 @@
             desk.owes_word = false;
             desk.sent = Some(now.steady);
             desk.last_message = number;
-            for release in desk.releases.values_mut().filter(|release| release.message == u64::MAX) {
+            for release in desk
+                .releases
+                .values_mut()
+                .filter(|release| release.message == u64::MAX)
+            {
                 release.message = number;
             }
             let want = desk
                 .releases
                 .values()
                 .filter(|release| !release.withdrawn)
-                .map(|release| Wanted { attempt: release.attempt, machine: release.machine.clone() })
+                .map(|release| Wanted {
+                    attempt: release.attempt,
+                    machine: release.machine.clone(),
+                })
                 .collect();
             let stop = desk.stops.keys().copied().collect();
             messages.push(Work {
--- a/src/queueing/failures.rs
+++ b/src/queueing/failures.rs
@@ -37,10 +37,20 @@
 
 impl Failures {
     /// Takes in what a holder tells of a machine; `before` is what it told last.
-    pub(super) fn observe(&mut self, now: Now, status: &MachineStatus, before: Option<&MachineStatus>) {
+    pub(super) fn observe(
+        &mut self,
+        now: Now,
+        status: &MachineStatus,
+        before: Option<&MachineStatus>,
+    ) {
         for failures in &status.failures {
-            let known = before.into_iter().flat_map(|before| &before.failures).find(|old| old.job == failures.job);
-            let more = failures.count.saturating_sub(known.map_or(0, |known| known.count));
+            let known = before
+                .into_iter()
+                .flat_map(|before| &before.failures)
+                .find(|old| old.job == failures.job);
+            let more = failures
+                .count
+                .saturating_sub(known.map_or(0, |known| known.count));
             if more > 0 {
                 self.failed(now, failures.job, &status.machine, more);
             }
@@ -77,24 +87,36 @@
 
     /// Whether a job keeps failing: one task of it is enough to see whether that is over.
     pub(super) fn keeps_failing(&self, job: JobId) -> bool {
-        self.jobs.get(&job).is_some_and(|failures| failures.count > TOLERATED)
+        self.jobs
+            .get(&job)
+            .is_some_and(|failures| failures.count > TOLERATED)
     }
 
     /// Whether the job should wait before it is tried again.
     pub(super) fn backs_off(&self, now: Now, job: JobId) -> bool {
-        self.jobs.get(&job).and_then(|failures| failures.retry_at).is_some_and(|at| now.steady < at)
+        self.jobs
+            .get(&job)
+            .and_then(|failures| failures.retry_at)
+            .is_some_and(|at| now.steady < at)
     }
 
     /// Whether a task of the job has failed on this machine, and none has been done since anywhere.
     pub(super) fn failed_on(&self, job: JobId, machine: &MachineId) -> bool {
-        self.jobs.get(&job).is_some_and(|failures| failures.machines.contains(machine))
+        self.jobs
+            .get(&job)
+            .is_some_and(|failures| failures.machines.contains(machine))
     }
 
     /// Whether so many tasks of so many jobs have failed on the machine that it must be faulty.
     pub(super) fn is_faulty(&self, status: &MachineStatus, view: &View) -> bool {
         let blames_machine = |job: JobId| !self.fails_elsewhere(job, view);
         status.errors >= FAULTY_AFTER
-            && status.failures.iter().filter(|failures| blames_machine(failures.job)).count() >= FAULTY_JOBS
+            && status
+                .failures
+                .iter()
+                .filter(|failures| blames_machine(failures.job))
+                .count()
+                >= FAULTY_JOBS
     }
 
     /// Whether a job's failures say nothing against a machine: it has failed on others too without any success, or was
@@ -102,7 +124,10 @@
     fn fails_elsewhere(&self, job: JobId, view: &View) -> bool {
         match view.ended.get(&job) {
             Some((end, _)) => *end == Final::Cancelled,
-            None => self.jobs.get(&job).is_some_and(|failures| failures.machines.len() > 1),
+            None => self
+                .jobs
+                .get(&job)
+                .is_some_and(|failures| failures.machines.len() > 1),
         }
     }
 }
--- a/src/queueing/failures/tests.rs
+++ b/src/queueing/failures/tests.rs
@@ -14,7 +14,13 @@
         silent: false,
         notice: false,
         errors: failures.iter().map(|(_, count)| count).sum(),
-        failures: failures.iter().map(|(job, count)| Told { job: JobId(*job), count: *count }).collect(),
+        failures: failures
+            .iter()
+            .map(|(job, count)| Told {
+                job: JobId(*job),
+                count: *count,
+            })
+            .collect(),
         images: Vec::new(),
     }
 }
@@ -23,13 +29,20 @@
     let mut view = View::following();
     for (version, id) in (1..).zip(jobs) {
         let value = Some(encode(&JobRecord::Open(job(10, 1.0))));
-        view.apply(Change { key: job_key(JobId(*id)), version, value });
+        view.apply(Change {
+            key: job_key(JobId(*id)),
+            version,
+            value,
+        });
     }
     view
 }
 
 fn later(now: Now, seconds: u64) -> Now {
-    Now { steady: now.steady + Duration::from_secs(seconds), ..now }
+    Now {
+        steady: now.steady + Duration::from_secs(seconds),
+        ..now
+    }
 }
 
 #[test]
@@ -37,16 +50,25 @@
     let now = Now::read();
     let mut failures = Failures::default();
     failures.observe(now, &status("m-1", &[(1, 2)]), None);
-    assert!(!failures.keeps_failing(JobId(1)) && !failures.backs_off(now, JobId(1)), "may be bad luck");
+    assert!(
+        !failures.keeps_failing(JobId(1)) && !failures.backs_off(now, JobId(1)),
+        "may be bad luck"
+    );
     // Told again, as it is until the leader is known to have heard: nothing new.
-    failures.observe(now, &status("m-1", &[(1, 2)]), Some(&status("m-1", &[(1, 2)])));
+    failures.observe(
+        now,
+        &status("m-1", &[(1, 2)]),
+        Some(&status("m-1", &[(1, 2)])),
+    );
     assert!(!failures.keeps_failing(JobId(1)));
     let mut waits = Vec::new();
     let mut at = now;
     for count in 3..10 {
         let before = status("m-1", &[(1, count - 1)]);
         failures.observe(at, &status("m-1", &[(1, count)]), Some(&before));
-        let wait = (0..60).find(|seconds| !failures.backs_off(later(at, *seconds), JobId(1))).expect("ends");
+        let wait = (0..60)
+            .find(|seconds| !failures.backs_off(later(at, *seconds), JobId(1)))
+            .expect("ends");
         waits.push(wait);
         at = later(at, wait);
     }
@@ -72,23 +94,44 @@
     let now = Now::read();
     let view = view_with_open(&[1, 2, 3, 4]);
     let mut failures = Failures::default();
-    let of_two = [status("m-1", &[(1, 3), (2, 3)]), status("m-2", &[(1, 1), (2, 1)])];
-    of_two.iter().for_each(|status| failures.observe(now, status, None));
-    assert!(!failures.is_faulty(&of_two[0], &view), "both fail elsewhere too");
+    let of_two = [
+        status("m-1", &[(1, 3), (2, 3)]),
+        status("m-2", &[(1, 1), (2, 1)]),
+    ];
+    of_two
+        .iter()
+        .for_each(|status| failures.observe(now, status, None));
+    assert!(
+        !failures.is_faulty(&of_two[0], &view),
+        "both fail elsewhere too"
+    );
     let faulty = status("m-3", &[(3, 2), (4, 1)]);
     failures.observe(now, &faulty, None);
-    assert!(failures.is_faulty(&faulty, &view), "these fail nowhere else");
-    assert!(!failures.is_faulty(&status("m-4", &[(3, 9)]), &view), "one job alone may have a mistake");
+    assert!(
+        failures.is_faulty(&faulty, &view),
+        "these fail nowhere else"
+    );
+    assert!(
+        !failures.is_faulty(&status("m-4", &[(3, 9)]), &view),
+        "one job alone may have a mistake"
+    );
 }
 
 #[test]
 fn jobs_that_were_cancelled_without_a_success_do_not_blame_machines_and_done_ones_do() {
     let mut view = view_with_open(&[1, 2, 3, 4]);
-    for (version, id, end) in
-        [(11, 1, Final::Cancelled), (12, 2, Final::Cancelled), (13, 3, Final::Done), (14, 4, Final::Done)]
-    {
+    for (version, id, end) in [
+        (11, 1, Final::Cancelled),
+        (12, 2, Final::Cancelled),
+        (13, 3, Final::Done),
+        (14, 4, Final::Done),
+    ] {
         let value = Some(encode(&JobRecord::Ended(end, 10)));
-        view.apply(Change { key: job_key(JobId(id)), version, value });
+        view.apply(Change {
+            key: job_key(JobId(id)),
+            version,
+            value,
+        });
     }
     let failures = Failures::default();
     assert!(!failures.is_faulty(&status("m-1", &[(1, 2), (2, 2)]), &view));
--- a/src/queueing/folding.rs
+++ b/src/queueing/folding.rs
@@ -20,7 +20,11 @@
 /// Adds to the transaction what should be folded, up to `most` changes.
 pub(super) fn fold(config: &Config, view: &View, mut txn: Txn, most: usize) -> Txn {
     let limit = config.state_limits.value_bytes as f64;
-    for places in view.places.values().filter(|places| places.value.worst() as f64 > limit * FULL) {
+    for places in view
+        .places
+        .values()
+        .filter(|places| places.value.worst() as f64 > limit * FULL)
+    {
         let mut left = places.value.clone();
         view.forget_recorded_ends(&mut left);
         if (left.done_size() as f64) < limit * WORTH_FOLDING {
@@ -42,8 +46,11 @@
     sets.sort_by_key(|(_, done)| Reverse(done.size()));
     let mut chunks = Vec::new();
     for (job, done) in sets {
-        let of_job: BTreeSet<u32> =
-            done.0.iter().flat_map(|range| (range.start() / CHUNK)..=(range.end() / CHUNK)).collect();
+        let of_job: BTreeSet<u32> = done
+            .0
+            .iter()
+            .flat_map(|range| (range.start() / CHUNK)..=(range.end() / CHUNK))
+            .collect();
         chunks.extend(of_job.into_iter().map(|chunk| (*job, chunk)));
     }
     chunks
@@ -51,11 +58,16 @@
 
 /// Records all finished tasks of a chunk, whichever blocks they finished in.
 fn fold_chunk(view: &View, txn: Txn, job: JobId, chunk: u32) -> Txn {
-    let Some(open) = view.open.get(&job) else { return txn };
+    let Some(open) = view.open.get(&job) else {
+        return txn;
+    };
     let (first, last) = (chunk * CHUNK, chunk * CHUNK + CHUNK - 1);
     let mut progress = Progress::default();
     for range in open.done.0.overlapping(&(first..=last)) {
-        progress.done.0.insert((*range.start()).max(first)..=(*range.end()).min(last));
+        progress
+            .done
+            .0
+            .insert((*range.start()).max(first)..=(*range.end()).min(last));
     }
     let old = view.progress.get(&(job, chunk));
     let key = progress_key(job, chunk);
@@ -63,7 +75,8 @@
     if recorded || txn.conditions.iter().any(|(known, _)| *known == key) {
         return txn;
     }
-    txn.when(key.clone(), old.map_or(0, |old| old.version)).put(key, &progress)
+    txn.when(key.clone(), old.map_or(0, |old| old.version))
+        .put(key, &progress)
 }
 
 #[cfg(test)]
--- a/src/queueing/folding/tests.rs
+++ b/src/queueing/folding/tests.rs
@@ -20,7 +20,11 @@
     /// A block with as many running tasks as fill this part of its value, and these finished ones.
     fn new(running: f64, done: impl IntoIterator<Item = u32>) -> Self {
         let config = Config::parse("s.toml", SETTINGS).expect("valid");
-        let mut block = Block { view: View::following(), version: 0, config };
+        let mut block = Block {
+            view: View::following(),
+            version: 0,
+            config,
+        };
         block.put(job_key(JOB), encode(&JobRecord::Open(job(100_000, 0.1))));
         let mut places = Places::default();
         let limit = block.config.state_limits.value_bytes as f64;
@@ -29,7 +33,13 @@
             if places.worst() as f64 >= limit * running {
                 break;
             }
-            places.add(&machine, Attempt { task: TaskId { job: JOB, index }, number: u64::from(index) });
+            places.add(
+                &machine,
+                Attempt {
+                    task: TaskId { job: JOB, index },
+                    number: u64::from(index),
+                },
+            );
         }
         for index in done {
             places.done.entry(JOB).or_default().insert(index);
@@ -40,7 +50,11 @@
 
     fn put(&mut self, key: String, value: ciborium::Value) {
         self.version += 1;
-        self.view.apply(Change { key, version: self.version, value: Some(value) });
+        self.view.apply(Change {
+            key,
+            version: self.version,
+            value: Some(value),
+        });
     }
 
     fn folded(&self) -> Vec<String> {
@@ -62,14 +76,20 @@
 
 #[test]
 fn a_block_with_room_is_left_alone() {
-    assert_eq!(Block::new(0.2, every_other(300)).folded(), [] as [String; 0]);
+    assert_eq!(
+        Block::new(0.2, every_other(300)).folded(),
+        [] as [String; 0]
+    );
 }
 
 /// Found in an incident: blocks were full of running tasks, each task that ended was folded by itself, and for six minutes
 /// the leader had no writes left for its own blocks.
 #[test]
 fn a_block_full_of_running_tasks_is_not_folded_for_a_few_finished_ones() {
-    assert_eq!(Block::new(0.95, every_other(10)).folded(), [] as [String; 0]);
+    assert_eq!(
+        Block::new(0.95, every_other(10)).folded(),
+        [] as [String; 0]
+    );
 }
 
 /// Found in the same incident: what is folded still stands in the block's value until its holder writes it anew.
@@ -78,7 +98,9 @@
     let mut block = Block::new(0.6, every_other(300));
     for chunk in 0..2 {
         let mut progress = Progress::default();
-        every_other(300).filter(|index| index / CHUNK == chunk).for_each(|index| progress.done.insert(index));
+        every_other(300)
+            .filter(|index| index / CHUNK == chunk)
+            .for_each(|index| progress.done.insert(index));
         block.put(progress_key(JOB, chunk), encode(&progress));
     }
     assert_eq!(block.folded(), [] as [String; 0]);
--- a/src/queueing/holders.rs
+++ b/src/queueing/holders.rs
@@ -38,7 +38,8 @@
 impl Queues {
     /// Machines that reported to a controller that is not their holder.
     pub fn strayed(&mut self, now: Now, machines: Vec<MachineId>) {
-        self.strays.extend(machines.into_iter().map(|machine| (machine, now.steady)));
+        self.strays
+            .extend(machines.into_iter().map(|machine| (machine, now.steady)));
     }
 
     /// Holders that hear hardly any of their machines, although others hear them.
@@ -50,15 +51,22 @@
             return BTreeSet::new();
         }
         for machine in self.strays.keys() {
-            let Some(block) = view.machines.get(machine).map(|machine| &machine.block) else { continue };
-            let status = self.desks.get(block).and_then(|desk| desk.machines.get(machine));
+            let Some(block) = view.machines.get(machine).map(|machine| &machine.block) else {
+                continue;
+            };
+            let status = self
+                .desks
+                .get(block)
+                .and_then(|desk| desk.machines.get(machine));
             let holder = view.grants.get(block).map(|grant| &grant.value.holder);
             let unheard = holder.filter(|_| status.is_some_and(|status| !status.usable));
             if let Some(counts) = unheard.and_then(|holder| holders.get_mut(holder)) {
                 counts.heard_elsewhere += 1;
             }
         }
-        let cut_off = holders.into_iter().filter(|(_, unheard)| unheard.shows_holder_cut_off());
+        let cut_off = holders
+            .into_iter()
+            .filter(|(_, unheard)| unheard.shows_holder_cut_off());
         cut_off.map(|(holder, _)| holder).collect()
     }
 
@@ -66,7 +74,10 @@
     fn unheard(&self, now: Now, view: &View) -> BTreeMap<NodeName, Unheard> {
         let mut holders: BTreeMap<NodeName, Unheard> = BTreeMap::new();
         for (block, desk) in &self.desks {
-            let recent = desk.status.as_ref().filter(|(_, at)| since(now, *at) < STATUS_LIFE);
+            let recent = desk
+                .status
+                .as_ref()
+                .filter(|(_, at)| since(now, *at) < STATUS_LIFE);
             if let (Some((status, _)), Some(grant)) = (recent, view.grants.get(block)) {
                 let counts = holders.entry(grant.value.holder.clone()).or_default();
                 counts.expected += status.expected;
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -20,8 +20,8 @@
 
 use crate::config::Config;
 use crate::domain::{
-    Attempt, BlockId, Final, Image, Job, JobId, MachineId, NodeName, Now, Priority, Room, TaskId, Team, TypeName, Zone,
-    since,
+    Attempt, BlockId, Final, Image, Job, JobId, MachineId, NodeName, Now, Priority, Room, TaskId,
+    Team, TypeName, Zone, since,
 };
 use crate::leadership::Lead;
 use crate::peer::{BlockStatus, MachineStatus};
@@ -164,7 +164,9 @@
 
     /// A holder's word on one of its blocks.
     pub fn status(&mut self, now: Now, mut status: BlockStatus) {
-        let Some(desk) = self.desks.get_mut(&status.block) else { return };
+        let Some(desk) = self.desks.get_mut(&status.block) else {
+            return;
+        };
         // A message that comes late holds nothing that the later ones did not say too, or correct.
         if desk.grant_version != status.grant_version || status.number <= desk.heard {
             return;
@@ -172,7 +174,8 @@
         desk.heard = status.number;
         desk.owes_word |= !status.machines.is_empty();
         for machine in status.machines.drain(..) {
-            self.failures.observe(now, &machine, desk.machines.get(&machine.machine));
+            self.failures
+                .observe(now, &machine, desk.machines.get(&machine.machine));
             desk.machines.insert(machine.machine.clone(), machine);
         }
         desk.status = Some((status, now.steady));
@@ -187,12 +190,21 @@
     fn machines(&self, now: Now) -> impl Iterator<Item = &MachineStatus> {
         self.desks
             .values()
-            .filter(move |desk| desk.status.as_ref().is_some_and(|(_, at)| since(now, *at) < STATUS_LIFE))
+            .filter(move |desk| {
+                desk.status
+                    .as_ref()
+                    .is_some_and(|(_, at)| since(now, *at) < STATUS_LIFE)
+            })
             .flat_map(|desk| desk.machines.values())
     }
 
     /// `unreaching`: holders whose word on their machines' silence says more about themselves.
-    pub fn health(&self, now: Now, view: &View, unreaching: &BTreeSet<NodeName>) -> BTreeMap<MachineId, Health> {
+    pub fn health(
+        &self,
+        now: Now,
+        view: &View,
+        unreaching: &BTreeSet<NodeName>,
+    ) -> BTreeMap<MachineId, Health> {
         let holder = |machine: &MachineId| {
             let block = view.machines.get(machine).map(|machine| &machine.block)?;
             view.grants.get(block).map(|grant| &grant.value.holder)
@@ -205,7 +217,8 @@
                     faulty: self.failures.is_faulty(machine, view),
                     usable: machine.usable,
                     heard_elsewhere: !unreaching.is_empty()
-                        && holder(&machine.machine).is_some_and(|holder| unreaching.contains(holder)),
+                        && holder(&machine.machine)
+                            .is_some_and(|holder| unreaching.contains(holder)),
                 };
                 (machine.machine.clone(), health)
             })
@@ -215,14 +228,18 @@
     /// Blocks under grants of this term, and what became of the releases to them.
     fn settle(&mut self, now: Now, view: &View) {
         let term = self.term;
-        self.desks.retain(|block, _| view.grants.contains_key(block));
+        self.desks
+            .retain(|block, _| view.grants.contains_key(block));
         for (block, grant) in &view.grants {
             if grant.value.term != term {
                 // Its holder may still place what an earlier leader wanted.
                 self.desks.remove(block);
                 continue;
             }
-            let known = self.desks.get(block).is_some_and(|desk| desk.grant_version == grant.version);
+            let known = self
+                .desks
+                .get(block)
+                .is_some_and(|desk| desk.grant_version == grant.version);
             if !known {
                 // Under a new grant nothing that was released under the old one can be placed any more.
                 let desk = Desk {
@@ -249,12 +266,15 @@
             let mut count = 0;
             for attempt in live.attempts() {
                 count += 1;
-                let seen = self.placed.entry(attempt.number).or_insert_with(|| PlacedSince {
-                    task: attempt.task,
-                    machine: live.id.clone(),
-                    at: now.steady,
-                    look,
-                });
+                let seen = self
+                    .placed
+                    .entry(attempt.number)
+                    .or_insert_with(|| PlacedSince {
+                        task: attempt.task,
+                        machine: live.id.clone(),
+                        at: now.steady,
+                        look,
+                    });
                 seen.look = look;
             }
             let pool = (live.machine.type_name.clone(), live.machine.tenure);
@@ -270,8 +290,10 @@
         self.note_ends(view, gone);
         let live = &self.placed;
         for (block, desk) in &mut self.desks {
-            desk.machines.retain(|machine, _| view.machines.contains_key(machine));
-            desk.addressed.retain(|machine| view.machines.contains_key(machine));
+            desk.machines
+                .retain(|machine, _| view.machines.contains_key(machine));
+            desk.addressed
+                .retain(|machine| view.machines.contains_key(machine));
             let places = view.places.get(block).map_or(0, |places| places.version);
             let status = desk.status.as_ref().map(|(status, _)| status);
             desk.releases.retain(|number, release| {
@@ -280,14 +302,21 @@
                 }
                 // Its holder has heard of it, does not hold it any more, and our copy shows all it recorded.
                 let settled = status.is_some_and(|status| {
-                    status.last_work >= release.message && places >= status.revision && !status.pending.contains(number)
+                    status.last_work >= release.message
+                        && places >= status.revision
+                        && !status.pending.contains(number)
                 });
                 !settled
             });
-            desk.stops.retain(|attempt, _| live.contains_key(&attempt.number));
+            desk.stops
+                .retain(|attempt, _| live.contains_key(&attempt.number));
             for release in desk.releases.values_mut() {
-                let alive = view.open.get(&release.attempt.task.job).is_some_and(|open| !open.cancelled);
-                let refused = status.is_some_and(|status| status.refused.contains(&release.attempt.number));
+                let alive = view
+                    .open
+                    .get(&release.attempt.task.job)
+                    .is_some_and(|open| !open.cancelled);
+                let refused =
+                    status.is_some_and(|status| status.refused.contains(&release.attempt.number));
                 let stuck = release.is_stuck(now, &desk.stops, refused);
                 if !release.withdrawn && (!alive || stuck) {
                     release.withdrawn = true;
@@ -309,50 +338,90 @@
             if (done || open.is_none())
                 && let Some(machine) = view.machines.get(&machine)
             {
-                self.runs.entry((machine.type_name.clone(), machine.tenure)).or_default().ended += 1;
+                self.runs
+                    .entry((machine.type_name.clone(), machine.tenure))
+                    .or_default()
+                    .ended += 1;
             }
         }
         self.failures.retain_open(view);
     }
 
-    fn candidates(&self, now: Now, view: &View, flavors: &Flavors, provisioner: &Provisioner) -> Vec<Candidate> {
+    fn candidates(
+        &self,
+        now: Now,
+        view: &View,
+        flavors: &Flavors,
+        provisioner: &Provisioner,
+    ) -> Vec<Candidate> {
         let mut taken: HashMap<&MachineId, Room> = HashMap::new();
         let statuses = self.desks.values().filter_map(|desk| desk.status.as_ref());
-        let ended: HashSet<u64> = statuses.flat_map(|(status, _)| status.ended.iter().copied()).collect();
+        let ended: HashSet<u64> = statuses
+            .flat_map(|(status, _)| status.ended.iter().copied())
+            .collect();
         for live in view.live_places() {
             let taken = taken.entry(live.id).or_default();
             // Their holder removes them in the write that places what takes their room.
-            let there = live.attempts().filter(|attempt| !ended.contains(&attempt.number));
+            let there = live
+                .attempts()
+                .filter(|attempt| !ended.contains(&attempt.number));
             for open in there.filter_map(|attempt| view.open.get(&attempt.task.job)) {
                 taken.add(&open.job.need);
             }
         }
         for release in self.desks.values().flat_map(|desk| desk.releases.values()) {
             if let Some(open) = view.open.get(&release.attempt.task.job) {
-                taken.entry(&release.machine).or_default().add(&open.job.need);
+                taken
+                    .entry(&release.machine)
+                    .or_default()
+                    .add(&open.job.need);
             }
         }
         let mut candidates = Vec::new();
-        for status in self.machines(now).filter(|status| status.usable && !self.failures.is_faulty(status, view)) {
-            let Some(machine) = view.machines.get(&status.machine) else { continue };
-            let Some(flavor) = flavors.get(&machine.type_name) else { continue };
+        for status in self
+            .machines(now)
+            .filter(|status| status.usable && !self.failures.is_faulty(status, view))
+        {
+            let Some(machine) = view.machines.get(&status.machine) else {
+                continue;
+            };
+            let Some(flavor) = flavors.get(&machine.type_name) else {
+                continue;
+            };
             if machine.draining || provisioner.is_lost(&status.machine) {
                 continue;
             }
             let taken = taken.get(&status.machine).copied().unwrap_or_default();
             let images = status.images.clone();
-            candidates.push(Candidate::new(&status.machine, machine, flavor, &taken, images));
+            candidates.push(Candidate::new(
+                &status.machine,
+                machine,
+                flavor,
+                &taken,
+                images,
+            ));
         }
         candidates
     }
 
     /// Releases what may run and has room. Returns the demand that provisioning has to meet.
-    pub fn plan<'v>(&mut self, now: Now, lead: &Lead<'_>, view: &'v View, provisioner: &Provisioner) -> Demand {
-        let Lead { config, flavors, .. } = *lead;
+    pub fn plan<'v>(
+        &mut self,
+        now: Now,
+        lead: &Lead<'_>,
+        view: &'v View,
+        provisioner: &Provisioner,
+    ) -> Demand {
+        let Lead {
+            config, flavors, ..
+        } = *lead;
         self.settle(now, view);
         let mut usage = Usage::default();
         let mut guaranteed: BTreeMap<Pool, f64> = BTreeMap::new();
-        let mut demand = Demand { runs: self.runs.clone(), ..Demand::default() };
+        let mut demand = Demand {
+            runs: self.runs.clone(),
+            ..Demand::default()
+        };
         let mut elsewhere: Vec<(&OpenJob, (Pool, f64))> = Vec::new();
         let mut usage_elsewhere: Vec<&OpenJob> = Vec::new();
         let mut count = |demand: &mut Demand, machine: &Machine, open: &'v OpenJob| {
@@ -374,15 +443,19 @@
         };
         for live in view.live_places() {
             demand.occupied.insert(live.id.clone());
-            for open in live.attempts().filter_map(|attempt| view.open.get(&attempt.task.job)) {
+            for open in live
+                .attempts()
+                .filter_map(|attempt| view.open.get(&attempt.task.job))
+            {
                 count(&mut demand, live.machine, open);
             }
         }
         for release in self.desks.values().flat_map(|desk| desk.releases.values()) {
             demand.occupied.insert(release.machine.clone());
-            if let (Some(open), Some(machine)) =
-                (view.open.get(&release.attempt.task.job), view.machines.get(&release.machine))
-            {
+            if let (Some(open), Some(machine)) = (
+                view.open.get(&release.attempt.task.job),
+                view.machines.get(&release.machine),
+            ) {
                 count(&mut demand, machine, open);
             } else if let Some(open) = view.open.get(&release.attempt.task.job) {
                 usage_elsewhere.push(open);
@@ -392,24 +465,42 @@
             // Its machine is gone, but its holder may still choose another.
             usage.add(&open.job);
         }
-        let stock = Stock { now, lead, provisioner, machines: provisioner.machines(view) };
+        let stock = Stock {
+            now,
+            lead,
+            provisioner,
+            machines: provisioner.machines(view),
+        };
         for (open, here) in elsewhere {
-            let (pool, share) = stock.cheapest(&open.job, &demand, None, f64::INFINITY).unwrap_or(here);
+            let (pool, share) = stock
+                .cheapest(&open.job, &demand, None, f64::INFINITY)
+                .unwrap_or(here);
             *demand.machines.entry(pool).or_default() += share;
         }
         let mut queue = self.queue(now, view);
         self.waiting.clear();
         for waiting in &queue {
-            *self.waiting.entry(waiting.open.job.team.clone()).or_default() += waiting.left;
+            *self
+                .waiting
+                .entry(waiting.open.job.team.clone())
+                .or_default() += waiting.left;
         }
         demand.smallest = smallest(&queue);
-        let all_zones: BTreeSet<Zone> = view.grants.values().map(|grant| grant.value.zone.clone()).collect();
+        let all_zones: BTreeSet<Zone> = view
+            .grants
+            .values()
+            .map(|grant| grant.value.zone.clone())
+            .collect();
         let mut candidates = self.candidates(now, view, flavors, provisioner);
-        let opportunities = Opportunities::new(lead, provisioner, &self.runs, &guaranteed, &candidates);
+        let opportunities =
+            Opportunities::new(lead, provisioner, &self.runs, &guaranteed, &candidates);
         // A block's tasks are one value: what does not fit it can't be placed there.
         let mut spaces: BTreeMap<BlockId, usize> = BTreeMap::new();
         for (block, desk) in &self.desks {
-            let size = view.places.get(block).map_or(0, |places| places.value.worst());
+            let size = view
+                .places
+                .get(block)
+                .map_or(0, |places| places.value.worst());
             let space = config.state_limits.value_bytes.saturating_sub(size) / ATTEMPT_BYTES;
             spaces.insert(block.clone(), space.saturating_sub(desk.releases.len()));
         }
@@ -421,15 +512,23 @@
             }
         }
         // Releases only where all that is placed is known: every block under a grant of this term.
-        let complete = !view.grants.is_empty() && view.grants.values().all(|grant| grant.value.term == self.term);
+        let complete = !view.grants.is_empty()
+            && view
+                .grants
+                .values()
+                .all(|grant| grant.value.term == self.term);
         let mut released = 0;
         let mut turns = Turns::new(&queue);
         let mut hopeless = Hopeless::default();
         let mut rankings: HashMap<(Shape, Image, Option<JobId>), Ranking> = HashMap::new();
         let mut victims: Option<Victims<'v>> = None;
         while complete && released < RELEASES {
-            let Some(next) = turns.next(&queue, &usage, lead) else { break };
-            let Some(waiting) = queue.get_mut(next) else { break };
+            let Some(next) = turns.next(&queue, &usage, lead) else {
+                break;
+            };
+            let Some(waiting) = queue.get_mut(next) else {
+                break;
+            };
             let fits = usage.within_limit(config, &waiting.open.job);
             let zones = &waiting.zones;
             let job = &waiting.open.job;
@@ -447,9 +546,12 @@
                 let ranking = rankings.entry(key).or_insert_with(|| {
                     let avoided = |c: &Candidate| self.failures.failed_on(id, &c.machine);
                     let limit = waiting.price_limit(lead);
-                    let open = |c: &Candidate| reach == Reach::All || opportunities.allow(job, limit, c);
+                    let open =
+                        |c: &Candidate| reach == Reach::All || opportunities.allow(job, limit, c);
                     let allowed = |c: &Candidate| open_zone(&c.zone) && open(c);
-                    Ranking::new(&candidates, job, allowed, |c| failing.is_some() && avoided(c))
+                    Ranking::new(&candidates, job, allowed, |c| {
+                        failing.is_some() && avoided(c)
+                    })
                 });
                 chosen = ranking.best(&candidates, job).cloned();
                 if chosen.is_none() {
@@ -457,7 +559,11 @@
                 }
             }
             let urgency = (shape, job.team.clone(), job.priority);
-            if fits && reach == Reach::All && chosen.is_none() && !hopeless.no_way.contains(&urgency) {
+            if fits
+                && reach == Reach::All
+                && chosen.is_none()
+                && !hopeless.no_way.contains(&urgency)
+            {
                 let victims = victims.get_or_insert_with(|| self.victims(now, view));
                 match self.make_room(now, lead, &candidates, &mut kept, victims, job, &open_zone) {
                     Some(room) => (chosen, preempted) = (Some(room.machine), room.preempted),
@@ -470,20 +576,37 @@
                 waiting.blocked = true;
                 continue;
             };
-            let Some(block) = view.machines.get(&chosen.machine).map(|machine| machine.block.clone()) else {
+            let Some(block) = view
+                .machines
+                .get(&chosen.machine)
+                .map(|machine| machine.block.clone())
+            else {
                 waiting.blocked = true;
                 continue;
             };
             let space = spaces.get_mut(&block).filter(|space| **space > 0);
             let (Some(desk), Some(space)) = (self.desks.get_mut(&block), space) else {
                 // Its block is full.
-                if let Some(candidate) = candidates.iter_mut().find(|candidate| candidate.machine == chosen.machine) {
-                    candidate.free = Room { cpus: -1.0, gpus: -1.0, memory_gb: -1.0 };
+                if let Some(candidate) = candidates
+                    .iter_mut()
+                    .find(|candidate| candidate.machine == chosen.machine)
+                {
+                    candidate.free = Room {
+                        cpus: -1.0,
+                        gpus: -1.0,
+                        memory_gb: -1.0,
+                    };
                 }
                 continue;
             };
             *space -= 1;
-            let attempt = Attempt { task: TaskId { job: waiting.id, index }, number: self.next_attempt };
+            let attempt = Attempt {
+                task: TaskId {
+                    job: waiting.id,
+                    index,
+                },
+                number: self.next_attempt,
+            };
             self.next_attempt += 1;
             released += 1;
             debug!(%attempt, machine = %chosen.machine, "released");
@@ -498,7 +621,10 @@
             };
             desk.releases.insert(attempt.number, release);
             desk.dirty = true;
-            if let Some(candidate) = candidates.iter_mut().find(|candidate| candidate.machine == chosen.machine) {
+            if let Some(candidate) = candidates
+                .iter_mut()
+                .find(|candidate| candidate.machine == chosen.machine)
+            {
                 candidate.free.take(&job.need);
             }
             *waiting.zones.entry(chosen.zone.clone()).or_default() += 1;
@@ -510,7 +636,10 @@
             usage.add(&open.job);
             kept.add(&open.job);
             let each = f64::from(chosen.size.count_of(&open.job.need).max(1));
-            *demand.machines.entry((chosen.type_name, chosen.tenure)).or_default() += 1.0 / each;
+            *demand
+                .machines
+                .entry((chosen.type_name, chosen.tenure))
+                .or_default() += 1.0 / each;
             demand.occupied.insert(chosen.machine);
         }
         Self::count_waiting(config, &stock, &queue, &mut usage, &mut demand);
@@ -532,12 +661,18 @@
             let job = &waiting.open.job;
             let pinned = stock.pinned(waiting);
             let limit = waiting.price_limit(stock.lead);
-            let reach = if limit.is_finite() { Reach::CheapAndUnreserved } else { Reach::All };
+            let reach = if limit.is_finite() {
+                Reach::CheapAndUnreserved
+            } else {
+                Reach::All
+            };
             let shape = Shape::of(job, &BTreeSet::new(), |_| true, reach);
-            let index = *known.entry((shape, &job.team, pinned.clone())).or_insert_with(|| {
-                groups.push((job, pinned, limit, 0));
-                groups.len() - 1
-            });
+            let index = *known
+                .entry((shape, &job.team, pinned.clone()))
+                .or_insert_with(|| {
+                    groups.push((job, pinned, limit, 0));
+                    groups.len() - 1
+                });
             groups[index].3 += waiting.left;
         }
         for (job, pinned, limit, left) in groups {
@@ -547,10 +682,16 @@
             while left > 0 {
                 let count = step.min(left);
                 left -= count;
-                let Some((pool, share)) = stock.cheapest(job, demand, pinned.as_ref(), limit) else { break };
+                let Some((pool, share)) = stock.cheapest(job, demand, pinned.as_ref(), limit)
+                else {
+                    break;
+                };
                 usage.add_tasks(job, count as f64);
                 if let Some(zone) = &pinned {
-                    *demand.pinned.entry((pool.clone(), zone.clone())).or_default() += share * count as f64;
+                    *demand
+                        .pinned
+                        .entry((pool.clone(), zone.clone()))
+                        .or_default() += share * count as f64;
                 }
                 *demand.machines.entry(pool).or_default() += share * count as f64;
             }
@@ -562,10 +703,15 @@
         for (block, desk) in &self.desks {
             // A block is of one zone, so this holds even when the machine meant is gone: its holder may choose
             // another one.
-            let Some(zone) = view.grants.get(block).map(|grant| &grant.value.zone) else { continue };
+            let Some(zone) = view.grants.get(block).map(|grant| &grant.value.zone) else {
+                continue;
+            };
             for release in desk.releases.values() {
                 let task = release.attempt.task;
-                released.entry(task.job).or_default().push((task.index, zone.clone()));
+                released
+                    .entry(task.job)
+                    .or_default()
+                    .push((task.index, zone.clone()));
             }
         }
         let mut live: HashMap<JobId, u64> = HashMap::new();
@@ -601,13 +747,28 @@
                 left = left.min(1u64.saturating_sub(under_way));
             }
             if left > 0 {
-                let waited = Duration::from_millis(now.unix_ms().saturating_sub(open.job.accepted_ms));
+                let waited =
+                    Duration::from_millis(now.unix_ms().saturating_sub(open.job.accepted_ms));
                 let overdue = taken.is_empty() && waited > BEGIN_WITHIN;
-                queue.push(Waiting { id: *id, open, left, taken, zones, overdue, waited, blocked: false });
+                queue.push(Waiting {
+                    id: *id,
+                    open,
+                    left,
+                    taken,
+                    zones,
+                    overdue,
+                    waited,
+                    blocked: false,
+                });
             }
         }
         queue.sort_by_key(|waiting| {
-            (waiting.open.job.priority, !waiting.overdue, waiting.open.job.accepted_ms, waiting.id)
+            (
+                waiting.open.job.priority,
+                !waiting.overdue,
+                waiting.open.job.accepted_ms,
+                waiting.id,
+            )
         });
         queue
     }
@@ -632,14 +793,18 @@
             };
             let Some(end) = end else { continue };
             debug!(job = %id, ?end, tasks, "job over");
-            txn = txn.when(job_key(*id), open.version).put(job_key(*id), &JobRecord::Ended(end, tasks));
+            txn = txn
+                .when(job_key(*id), open.version)
+                .put(job_key(*id), &JobRecord::Ended(end, tasks));
         }
         for ((job, chunk), progress) in &view.progress {
             if txn.changes.len() >= most {
                 break;
             }
             if view.ended.contains_key(job) {
-                txn = txn.when(progress_key(*job, *chunk), progress.version).delete(progress_key(*job, *chunk));
+                txn = txn
+                    .when(progress_key(*job, *chunk), progress.version)
+                    .delete(progress_key(*job, *chunk));
             }
         }
         if txn.changes.is_empty() {
@@ -653,7 +818,10 @@
     }
 
     fn released(&self, job: JobId) -> bool {
-        self.desks.values().flat_map(|desk| desk.releases.values()).any(|release| release.attempt.task.job == job)
+        self.desks
+            .values()
+            .flat_map(|desk| desk.releases.values())
+            .any(|release| release.attempt.task.job == job)
     }
 
     pub fn answered(&mut self, now: Now, outcome: &Outcome) {
@@ -667,7 +835,9 @@
 
 /// Whether one more task of the job may go to a zone, given where its others are.
 fn zone_open(job: &Job, zones: &BTreeMap<Zone, u32>, zone: &Zone) -> bool {
-    let others_elsewhere = zones.iter().any(|(other, count)| other != zone && *count > 0);
+    let others_elsewhere = zones
+        .iter()
+        .any(|(other, count)| other != zone && *count > 0);
     let here = zones.get(zone).copied().unwrap_or(0);
     !(job.one_zone && others_elsewhere) && here < job.zone_limit()
 }
--- a/src/queueing/opportunistic.rs
+++ b/src/queueing/opportunistic.rs
@@ -19,8 +19,13 @@
 pub(super) fn is_opportunistic(config: &Config, job: &Job) -> bool {
     let urgent = matches!(job.priority, Priority::Production | Priority::High);
     let has_guarantee = |cpus: f64, gpus: f64| cpus > 0.0 || gpus > 0.0;
-    let of_job = config.team(&job.team).is_some_and(|team| has_guarantee(team.cpus, team.gpus));
-    let of_others = config.teams.iter().any(|team| has_guarantee(team.cpus, team.gpus));
+    let of_job = config
+        .team(&job.team)
+        .is_some_and(|team| has_guarantee(team.cpus, team.gpus));
+    let of_others = config
+        .teams
+        .iter()
+        .any(|team| has_guarantee(team.cpus, team.gpus));
     !urgent && !of_job && of_others
 }
 
@@ -38,7 +43,11 @@
 fn price_of(job: &Job, flavor: &Flavor, tenure: Tenure) -> Option<f64> {
     let each = flavor.room().count_of(&job.need);
     let allowed = each > 0 && job.allows_type(&flavor.name) && job.allows_tenure(tenure);
-    let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
+    let price = if tenure.is_spot() {
+        flavor.spot_price.0
+    } else {
+        flavor.price.0
+    };
     allowed.then(|| price / f64::from(each))
 }
 
@@ -47,12 +56,19 @@
 /// a while, the rest may cost what it will. `waited`: since it was accepted; `begun`: its tasks that are done, placed or
 /// released.
 pub(super) fn price_limit(lead: &Lead<'_>, job: &Job, waited: Duration, begun: u64) -> f64 {
-    let Lead { config, policy, flavors, .. } = *lead;
+    let Lead {
+        config,
+        policy,
+        flavors,
+        ..
+    } = *lead;
     let starved = waited >= policy.opportunistic_patience && begun * 2 < u64::from(job.tasks);
     if !is_opportunistic(config, job) || starved {
         return f64::INFINITY;
     }
-    let pools = flavors.all().flat_map(|flavor| [Tenure::Ordinary, Tenure::Spot].map(|tenure| (flavor, tenure)));
+    let pools = flavors
+        .all()
+        .flat_map(|flavor| [Tenure::Ordinary, Tenure::Spot].map(|tenure| (flavor, tenure)));
     let prices = pools.filter_map(|(flavor, tenure)| price_of(job, flavor, tenure));
     // A little more, since equal prices may be computed in different ways.
     prices.fold(f64::INFINITY, f64::min) * policy.opportunistic_price * (1.0 + 1e-9)
@@ -77,12 +93,17 @@
     ) -> Self {
         let mut reserved = HashSet::new();
         for (pool, demand) in guaranteed {
-            let Some(flavor) = lead.flavors.get(&pool.0) else { continue };
+            let Some(flavor) = lead.flavors.get(&pool.0) else {
+                continue;
+            };
             let eta = provisioner.eta(flavor, runs.get(pool));
             let margin = rule::headroom(*demand, eta) * lead.policy.headroom;
             reserved.extend(emptiest(candidates, pool, (margin - 1e-9).ceil() as usize));
         }
-        Opportunities { flavors: lead.flavors, reserved }
+        Opportunities {
+            flavors: lead.flavors,
+            reserved,
+        }
     }
 
     /// Whether a task of an opportunistic job may go to this machine.
@@ -96,8 +117,14 @@
 
 /// The machines of a pool with the most room left, up to so many. Their order is stable, so that room gathers on the
 /// same ones from plan to plan.
-fn emptiest(candidates: &[Candidate], pool: &Pool, count: usize) -> impl Iterator<Item = MachineId> {
-    let of_pool = candidates.iter().filter(|candidate| (&candidate.type_name, candidate.tenure) == (&pool.0, pool.1));
+fn emptiest(
+    candidates: &[Candidate],
+    pool: &Pool,
+    count: usize,
+) -> impl Iterator<Item = MachineId> {
+    let of_pool = candidates
+        .iter()
+        .filter(|candidate| (&candidate.type_name, candidate.tenure) == (&pool.0, pool.1));
     let mut by_room: Vec<(Reverse<u64>, &MachineId)> = of_pool
         .map(|candidate| {
             // In thousandths, to compare as equal what is.
@@ -106,7 +133,12 @@
         })
         .collect();
     by_room.sort();
-    by_room.into_iter().take(count).map(|(_, machine)| machine.clone()).collect::<Vec<_>>().into_iter()
+    by_room
+        .into_iter()
+        .take(count)
+        .map(|(_, machine)| machine.clone())
+        .collect::<Vec<_>>()
+        .into_iter()
 }
 
 #[cfg(test)]
--- a/src/queueing/opportunistic/tests.rs
+++ b/src/queueing/opportunistic/tests.rs
@@ -11,12 +11,18 @@
 
 /// The sample's teams and one without a guarantee.
 fn config() -> Config {
-    let text = format!("{SETTINGS}\n[[params.teams]]\nname = \"guests\"\ncpus = 0.0\ncpus_max = 0.0\n");
+    let text =
+        format!("{SETTINGS}\n[[params.teams]]\nname = \"guests\"\ncpus = 0.0\ncpus_max = 0.0\n");
     Config::parse("s.toml", &text).expect("valid")
 }
 
 fn guests(priority: Priority) -> Job {
-    Job { team: "guests".into(), priority, spot: true, ..job(1, 4.0) }
+    Job {
+        team: "guests".into(),
+        priority,
+        spot: true,
+        ..job(1, 4.0)
+    }
 }
 
 fn candidate(name: &str, tenure: Tenure, free: f64) -> Candidate {
@@ -35,7 +41,9 @@
 
 fn flavors() -> Flavors {
     let mut flavors = Flavors::default();
-    flavors.answered(Some(FlavorList { types: vec![flavor()] }));
+    flavors.answered(Some(FlavorList {
+        types: vec![flavor()],
+    }));
     flavors
 }
 
@@ -46,10 +54,22 @@
     assert!(is_opportunistic(&config, &guests(Priority::Standard)));
     assert!(!is_opportunistic(&config, &guests(Priority::High)));
     assert!(!is_opportunistic(&config, &guests(Priority::Production)));
-    assert!(!is_opportunistic(&config, &Job { priority: Priority::Low, ..job(1, 4.0) }), "red has a guarantee");
+    assert!(
+        !is_opportunistic(
+            &config,
+            &Job {
+                priority: Priority::Low,
+                ..job(1, 4.0)
+            }
+        ),
+        "red has a guarantee"
+    );
     let mut none = config;
     none.teams.retain(|team| &*team.name.0 == "guests");
-    assert!(!is_opportunistic(&none, &guests(Priority::Low)), "nobody has a guarantee");
+    assert!(
+        !is_opportunistic(&none, &guests(Priority::Low)),
+        "nobody has a guarantee"
+    );
 }
 
 /// Found on the bench: the guests' arrays had every ordinary machine of the cloud rented, at four times the price.
@@ -61,22 +81,49 @@
     let now = Now::read();
     let patience = policy.opportunistic_patience;
     let allowed = |policy: &Policy, job: &Job, tenure, waited, begun| {
-        let lead = Lead { config: &config, policy, flavors: &flavors, term: 1, version: 1, batch: 16, spare: true };
+        let lead = Lead {
+            config: &config,
+            policy,
+            flavors: &flavors,
+            term: 1,
+            version: 1,
+            batch: 16,
+            spare: true,
+        };
         let provisioner = Provisioner::new(now, 1);
-        let opportunities = Opportunities::new(&lead, &provisioner, &BTreeMap::new(), &BTreeMap::new(), &[]);
+        let opportunities =
+            Opportunities::new(&lead, &provisioner, &BTreeMap::new(), &BTreeMap::new(), &[]);
         let limit = price_limit(&lead, job, waited, begun);
         opportunities.allow(job, limit, &candidate("m-1", tenure, 16.0))
     };
     let fresh = Duration::ZERO;
-    let job = Job { tasks: 10, ..guests(Priority::Low) };
+    let job = Job {
+        tasks: 10,
+        ..guests(Priority::Low)
+    };
     assert!(allowed(&policy, &job, Tenure::Spot, fresh, 0));
     assert!(!allowed(&policy, &job, Tenure::Ordinary, fresh, 0));
-    let ordinary_only = Job { spot: false, ..job.clone() };
-    assert!(allowed(&policy, &ordinary_only, Tenure::Ordinary, fresh, 0), "the cheapest that it may go to");
+    let ordinary_only = Job {
+        spot: false,
+        ..job.clone()
+    };
+    assert!(
+        allowed(&policy, &ordinary_only, Tenure::Ordinary, fresh, 0),
+        "the cheapest that it may go to"
+    );
     // Found in an incident: the others' work took all cheap machines for good, and three quarters of the guests' never ran.
-    assert!(!allowed(&policy, &job, Tenure::Ordinary, patience - Duration::from_millis(1), 0));
+    assert!(!allowed(
+        &policy,
+        &job,
+        Tenure::Ordinary,
+        patience - Duration::from_millis(1),
+        0
+    ));
     assert!(allowed(&policy, &job, Tenure::Ordinary, patience, 4));
-    assert!(!allowed(&policy, &job, Tenure::Ordinary, patience, 5), "half of it got somewhere");
+    assert!(
+        !allowed(&policy, &job, Tenure::Ordinary, patience, 5),
+        "half of it got somewhere"
+    );
     policy.opportunistic_price += 0.2;
     assert!(allowed(&policy, &job, Tenure::Ordinary, fresh, 0));
 }
@@ -85,19 +132,36 @@
 fn the_margin_of_guaranteed_work_is_kept_free_on_the_emptiest_machines() {
     let (config, flavors) = (config(), flavors());
     let policy = Policy::defaults(&config);
-    let lead =
-        Lead { config: &config, policy: &policy, flavors: &flavors, term: 1, version: 1, batch: 16, spare: true };
-    let candidates: Vec<Candidate> =
-        (0..20).map(|n| candidate(&format!("m-{n:02}"), Tenure::Spot, f64::from(n % 16))).collect();
+    let lead = Lead {
+        config: &config,
+        policy: &policy,
+        flavors: &flavors,
+        term: 1,
+        version: 1,
+        batch: 16,
+        spare: true,
+    };
+    let candidates: Vec<Candidate> = (0..20)
+        .map(|n| candidate(&format!("m-{n:02}"), Tenure::Spot, f64::from(n % 16)))
+        .collect();
     let reserved = |demand: f64| {
         let pool = (flavor().name, Tenure::Spot);
         let now = Now::read();
         let provisioner = Provisioner::new(now, 1);
         let guaranteed = BTreeMap::from([(pool, demand)]);
-        let opportunities = Opportunities::new(&lead, &provisioner, &BTreeMap::new(), &guaranteed, &candidates);
+        let opportunities = Opportunities::new(
+            &lead,
+            &provisioner,
+            &BTreeMap::new(),
+            &guaranteed,
+            &candidates,
+        );
         let job = guests(Priority::Low);
-        let left: Vec<&str> =
-            candidates.iter().filter(|c| !opportunities.allow(&job, f64::INFINITY, c)).map(|c| &*c.machine.0).collect();
+        let left: Vec<&str> = candidates
+            .iter()
+            .filter(|c| !opportunities.allow(&job, f64::INFINITY, c))
+            .map(|c| &*c.machine.0)
+            .collect();
         left.join(" ")
     };
     assert_eq!(reserved(0.0), "");
--- a/src/queueing/preemption.rs
+++ b/src/queueing/preemption.rs
@@ -51,7 +51,13 @@
         zone_open: &impl Fn(&Zone) -> bool,
     ) -> Option<MadeRoom> {
         let most = (candidates.len() / STOPS_PART).max(STOPS_LEAST);
-        if self.desks.values().map(|desk| desk.stops.len()).sum::<usize>() >= most {
+        if self
+            .desks
+            .values()
+            .map(|desk| desk.stops.len())
+            .sum::<usize>()
+            >= most
+        {
             return None;
         }
         let Lead { config, policy, .. } = *lead;
@@ -67,8 +73,13 @@
             for_priority || for_guarantee
         };
         let mut best: Option<Way<'c, '_>> = None;
-        for candidate in candidates.iter().filter(|c| c.allows(job) && zone_open(&c.zone)) {
-            let Some(there) = victims.get(&candidate.machine) else { continue };
+        for candidate in candidates
+            .iter()
+            .filter(|c| c.allows(job) && zone_open(&c.zone))
+        {
+            let Some(there) = victims.get(&candidate.machine) else {
+                continue;
+            };
             let mut free = candidate.free;
             let mut cost = if candidate.images.contains(&job.image) {
                 0.0
@@ -93,7 +104,13 @@
             there.retain(|victim| chosen.iter().all(|chosen| chosen.attempt != victim.attempt));
         }
         let preempted = chosen.iter().map(|victim| victim.attempt).collect();
-        for Victim { attempt, block, job: other, .. } in chosen {
+        for Victim {
+            attempt,
+            block,
+            job: other,
+            ..
+        } in chosen
+        {
             info!(%attempt, machine = %candidate.machine, class = %job.class, lost, "preempted");
             kept.remove(other);
             if let Some(desk) = self.desks.get_mut(block) {
@@ -101,22 +118,45 @@
                 desk.dirty = true;
             }
         }
-        Some(MadeRoom { machine: candidate.clone(), preempted })
+        Some(MadeRoom {
+            machine: candidate.clone(),
+            preempted,
+        })
     }
 
     /// Tasks that could be stopped, by machine, the least work first. Replicas are not among them: one that is
     /// stopped is down, which no start is worth.
     pub(super) fn victims<'v>(&self, now: Now, view: &'v View) -> Victims<'v> {
         let mut victims: Victims<'v> = HashMap::new();
-        for (live, attempt) in view.live_places().flat_map(|live| live.attempts().map(move |attempt| (live, attempt))) {
-            let Some(open) = view.open.get(&attempt.task.job).filter(|open| !open.cancelled) else { continue };
-            let stopping = self.desks.get(live.block).is_none_or(|desk| desk.stops.contains_key(&attempt));
+        for (live, attempt) in view
+            .live_places()
+            .flat_map(|live| live.attempts().map(move |attempt| (live, attempt)))
+        {
+            let Some(open) = view
+                .open
+                .get(&attempt.task.job)
+                .filter(|open| !open.cancelled)
+            else {
+                continue;
+            };
+            let stopping = self
+                .desks
+                .get(live.block)
+                .is_none_or(|desk| desk.stops.contains_key(&attempt));
             if stopping || open.job.kind == Kind::Service {
                 continue;
             }
-            let ran = self.placed.get(&attempt.number).map_or(Duration::ZERO, |seen| since(now, seen.at));
+            let ran = self
+                .placed
+                .get(&attempt.number)
+                .map_or(Duration::ZERO, |seen| since(now, seen.at));
             let lost = ran.as_secs_f64() * open.job.need.cpus.max(0.1);
-            victims.entry(live.id).or_default().push(Victim { lost, attempt, block: live.block, job: &open.job });
+            victims.entry(live.id).or_default().push(Victim {
+                lost,
+                attempt,
+                block: live.block,
+                job: &open.job,
+            });
         }
         for there in victims.values_mut() {
             there.sort_by(|a, b| a.lost.total_cmp(&b.lost));
--- a/src/queueing/stock.rs
+++ b/src/queueing/stock.rs
@@ -24,19 +24,35 @@
     /// any of those that will do has.
     pub(super) fn pinned(&self, waiting: &Waiting<'_>) -> Option<Zone> {
         let job = &waiting.open.job;
-        let zones: BTreeSet<&Zone> = self.lead.flavors.all().flat_map(|flavor| &flavor.zones).collect();
+        let zones: BTreeSet<&Zone> = self
+            .lead
+            .flavors
+            .all()
+            .flat_map(|flavor| &flavor.zones)
+            .collect();
         let open = |zone: &&Zone| job.allows_zone(zone) && zone_open(job, &waiting.zones, zone);
         let allowed: Vec<&Zone> = zones.iter().copied().filter(open).collect();
         if allowed.len() == zones.len() {
             return None;
         }
         let obtainable = |zone: &&Zone| {
-            self.lead.flavors.all().filter(|flavor| job.allows_type(&flavor.name)).any(|flavor| {
-                let tenures = [Tenure::Ordinary, Tenure::Spot].into_iter().filter(|t| job.allows_tenure(*t));
-                tenures.into_iter().any(|t| self.provisioner.available(self.now, &flavor.name, zone, t))
-            })
+            self.lead
+                .flavors
+                .all()
+                .filter(|flavor| job.allows_type(&flavor.name))
+                .any(|flavor| {
+                    let tenures = [Tenure::Ordinary, Tenure::Spot]
+                        .into_iter()
+                        .filter(|t| job.allows_tenure(*t));
+                    tenures
+                        .into_iter()
+                        .any(|t| self.provisioner.available(self.now, &flavor.name, zone, t))
+                })
         };
-        allowed.into_iter().max_by_key(|zone| obtainable(zone)).cloned()
+        allowed
+            .into_iter()
+            .max_by_key(|zone| obtainable(zone))
+            .cloned()
     }
 
     /// Where a task costs least among what can be had, and its share of a machine there. Of equals, the smaller
@@ -54,23 +70,37 @@
         price_limit: f64,
     ) -> Option<(Pool, f64)> {
         let mut best: Option<(Cost, (Pool, f64))> = None;
-        for flavor in self.lead.flavors.all().filter(|flavor| job.allows_type(&flavor.name)) {
+        for flavor in self
+            .lead
+            .flavors
+            .all()
+            .filter(|flavor| job.allows_type(&flavor.name))
+        {
             let each = flavor.room().count_of(&job.need);
             if each == 0 {
                 continue;
             }
             let share = 1.0 / f64::from(each);
-            for tenure in [Tenure::Ordinary, Tenure::Spot].into_iter().filter(|tenure| job.allows_tenure(*tenure)) {
+            for tenure in [Tenure::Ordinary, Tenure::Spot]
+                .into_iter()
+                .filter(|tenure| job.allows_tenure(*tenure))
+            {
                 let pool = (flavor.name.clone(), tenure);
                 let room = f64::from(self.machines.get(&pool).copied().unwrap_or(0))
                     - demand.machines.get(&pool).copied().unwrap_or(0.0);
                 let available = |zone: &Zone| {
                     pinned.map_or(job.allows_zone(zone), |only| only == zone)
-                        && self.provisioner.available(self.now, &flavor.name, zone, tenure)
+                        && self
+                            .provisioner
+                            .available(self.now, &flavor.name, zone, tenure)
                 };
                 let has_room = pinned.is_none() && room + 1e-9 >= share;
                 let can_be_had = has_room || flavor.zones.iter().any(available);
-                let price = if tenure.is_spot() { flavor.spot_price.0 } else { flavor.price.0 };
+                let price = if tenure.is_spot() {
+                    flavor.spot_price.0
+                } else {
+                    flavor.price.0
+                };
                 if price * share > price_limit {
                     continue;
                 }
--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -9,7 +9,9 @@
 use crate::provisioning::wire::FlavorList;
 use crate::provisioning::wire::tests::flavor;
 use crate::store::Change;
-use crate::store::records::{Grant, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key};
+use crate::store::records::{
+    Grant, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key,
+};
 
 struct Desktop {
     config: Config,
@@ -30,7 +32,9 @@
         let config = Config::parse("s.toml", SETTINGS).expect("valid");
         let now = Now::read();
         let mut flavors = Flavors::default();
-        flavors.answered(Some(FlavorList { types: vec![flavor()] }));
+        flavors.answered(Some(FlavorList {
+            types: vec![flavor()],
+        }));
         let mut desktop = Desktop {
             policy: Policy::defaults(&config),
             flavors,
@@ -42,7 +46,13 @@
             config,
         };
         let holder = desktop.config.name.clone();
-        let grant = Grant { zone: "a".into(), holder, boot: 1, token: 4, term: TERM };
+        let grant = Grant {
+            zone: "a".into(),
+            holder,
+            boot: 1,
+            token: 4,
+            term: TERM,
+        };
         desktop.put(grant_key(&"a.0".into()), encode(&grant));
         desktop.roster(0..machines);
         desktop.plan();
@@ -52,14 +62,29 @@
 
     fn put(&mut self, key: String, value: ciborium::Value) -> u64 {
         self.version += 1;
-        self.view.apply(Change { key, version: self.version, value: Some(value) });
+        self.view.apply(Change {
+            key,
+            version: self.version,
+            value: Some(value),
+        });
         self.version
     }
 
     fn roster(&mut self, machines: std::ops::Range<u32>) {
-        let entry = || Rostered { type_name: "large".into(), tenure: Tenure::Ordinary, draining: false, rented_s: 0 };
+        let entry = || Rostered {
+            type_name: "large".into(),
+            tenure: Tenure::Ordinary,
+            draining: false,
+            rented_s: 0,
+        };
         let on = machines.map(|n| (name(n), entry())).collect();
-        self.put(roster_key(&"a.0".into()), encode(&Roster { zone: "a".into(), on }));
+        self.put(
+            roster_key(&"a.0".into()),
+            encode(&Roster {
+                zone: "a".into(),
+                on,
+            }),
+        );
     }
 
     /// Accepted just now, unless it says when.
@@ -80,7 +105,11 @@
             pending: pending.to_vec(),
             refused: Vec::new(),
             ended: Vec::new(),
-            revision: self.view.places.get(&"a.0".into()).map_or(0, |places| places.version),
+            revision: self
+                .view
+                .places
+                .get(&"a.0".into())
+                .map_or(0, |places| places.version),
             wants_new_token: false,
             expected: machines,
             overdue: 0,
@@ -102,15 +131,36 @@
     }
 
     fn plan(&mut self) -> (Demand, Vec<Work>) {
-        let Desktop { config, policy, flavors, view, now, queues, provisioner, .. } = self;
-        let lead = Lead { config, policy, flavors, term: TERM, version: 1, batch: 16, spare: true };
+        let Desktop {
+            config,
+            policy,
+            flavors,
+            view,
+            now,
+            queues,
+            provisioner,
+            ..
+        } = self;
+        let lead = Lead {
+            config,
+            policy,
+            flavors,
+            term: TERM,
+            version: 1,
+            batch: 16,
+            spare: true,
+        };
         let demand = queues.plan(*now, &lead, view, provisioner);
         (demand, queues.messages(*now, view, provisioner.addresses()))
     }
 
     /// Everything that is wanted is placed where the leader meant it.
     fn place(&mut self, work: &Work) {
-        let mut places = self.view.places.get(&work.block).map_or(Places::default(), |p| p.value.clone());
+        let mut places = self
+            .view
+            .places
+            .get(&work.block)
+            .map_or(Places::default(), |p| p.value.clone());
         for wanted in &work.want {
             places.add(&wanted.machine, wanted.attempt);
         }
@@ -129,19 +179,35 @@
     let mut desktop = Desktop::new(2);
     desktop.job(1, job(1, 4.0));
     let (_, work) = desktop.plan();
-    let [wanted] = work[0].want.as_slice() else { panic!("{work:?}") };
+    let [wanted] = work[0].want.as_slice() else {
+        panic!("{work:?}")
+    };
     let number = wanted.attempt.number;
     // The machine it was meant for goes.
-    desktop.roster(if wanted.machine == name(0) { 1..2 } else { 0..1 });
+    desktop.roster(if wanted.machine == name(0) {
+        1..2
+    } else {
+        0..1
+    });
     for (last_work, pending) in [(0, vec![]), (work[0].number, vec![number])] {
         desktop.status(2, last_work, &pending);
-        assert!(desktop.plan().1.iter().all(|work| work.want.iter().all(|w| w.attempt.number == number)));
+        assert!(
+            desktop
+                .plan()
+                .1
+                .iter()
+                .all(|work| work.want.iter().all(|w| w.attempt.number == number))
+        );
     }
     // Heard, and neither pending nor placed: now it is free.
     desktop.status(2, work[0].number, &[]);
     desktop.plan();
     let (_, work) = desktop.plan();
-    assert!(work.iter().flat_map(|work| &work.want).all(|wanted| wanted.attempt.number != number));
+    assert!(
+        work.iter()
+            .flat_map(|work| &work.want)
+            .all(|wanted| wanted.attempt.number != number)
+    );
 }
 
 /// Found on the bench: machines stood empty until the record of an end had been written, a second or more.
@@ -154,9 +220,20 @@
     desktop.place(&work[0]);
     desktop.job(2, job(1, 16.0));
     desktop.status(1, work[0].number, &[]);
-    let wanted = |desktop: &mut Desktop| desktop.plan().1.iter().map(|work| work.want.len()).sum::<usize>();
+    let wanted = |desktop: &mut Desktop| {
+        desktop
+            .plan()
+            .1
+            .iter()
+            .map(|work| work.want.len())
+            .sum::<usize>()
+    };
     assert_eq!(wanted(&mut desktop), 0);
-    let desk = desktop.queues.desks.get_mut(&BlockId::from("a.0")).expect("granted");
+    let desk = desktop
+        .queues
+        .desks
+        .get_mut(&BlockId::from("a.0"))
+        .expect("granted");
     desk.status.as_mut().expect("heard").0.ended.push(number);
     assert_eq!(wanted(&mut desktop), 1);
 }
@@ -168,16 +245,29 @@
     let mut desktop = Desktop::new(6);
     let holder = desktop.config.name.clone();
     let mut judged = |overdue: u32, strays: u32| {
-        let desk = desktop.queues.desks.get_mut(&BlockId::from("a.0")).expect("granted");
+        let desk = desktop
+            .queues
+            .desks
+            .get_mut(&BlockId::from("a.0"))
+            .expect("granted");
         desk.status.as_mut().expect("heard").0.overdue = overdue;
         for status in desk.machines.values_mut() {
             status.usable = false;
         }
         desktop.queues.strays.clear();
-        desktop.queues.strayed(desktop.now, (0..strays).map(name).collect());
-        let unreaching = desktop.queues.unreaching(desktop.now, &desktop.config, &desktop.view);
-        let health = desktop.queues.health(desktop.now, &desktop.view, &unreaching);
-        let spared = health.values().filter(|health| health.heard_elsewhere).count();
+        desktop
+            .queues
+            .strayed(desktop.now, (0..strays).map(name).collect());
+        let unreaching = desktop
+            .queues
+            .unreaching(desktop.now, &desktop.config, &desktop.view);
+        let health = desktop
+            .queues
+            .health(desktop.now, &desktop.view, &unreaching);
+        let spared = health
+            .values()
+            .filter(|health| health.heard_elsewhere)
+            .count();
         (unreaching.contains(&holder), spared)
     };
     assert_eq!(judged(6, 4), (true, 6));
@@ -196,7 +286,12 @@
     let begins = |waited: Duration| {
         let mut desktop = Desktop::new(1);
         let accepted_ms = desktop.now.unix_ms();
-        let job = |tasks, accepted_ms| Job { team: "blue".into(), tasks, accepted_ms, ..job(1, 1.0) };
+        let job = |tasks, accepted_ms| Job {
+            team: "blue".into(),
+            tasks,
+            accepted_ms,
+            ..job(1, 1.0)
+        };
         desktop.job(1, job(100, accepted_ms - 1000));
         let (_, work) = desktop.plan();
         desktop.place(&work[0]);
@@ -204,22 +299,43 @@
         desktop.job(2, job(100, accepted_ms));
         // Four tasks end: room for as many.
         let placed = desktop.view.places[&BlockId::from("a.0")].value.clone();
-        let ended: Vec<u64> = placed.attempts().map(|(_, attempt)| attempt.number).take(4).collect();
-        let desk = desktop.queues.desks.get_mut(&BlockId::from("a.0")).expect("granted");
+        let ended: Vec<u64> = placed
+            .attempts()
+            .map(|(_, attempt)| attempt.number)
+            .take(4)
+            .collect();
+        let desk = desktop
+            .queues
+            .desks
+            .get_mut(&BlockId::from("a.0"))
+            .expect("granted");
         desk.status.as_mut().expect("heard").0.ended = ended;
         desktop.now.wall += waited;
         let work = desktop.plan().1;
-        work.iter().flat_map(|work| &work.want).filter(|wanted| wanted.attempt.task.job == JobId(2)).count()
+        work.iter()
+            .flat_map(|work| &work.want)
+            .filter(|wanted| wanted.attempt.task.job == JobId(2))
+            .count()
     };
     assert_eq!(begins(Duration::from_secs(10)), 0, "older jobs first");
-    assert_eq!(begins(BEGIN_WITHIN + Duration::from_secs(1)), 1, "one task, not all");
+    assert_eq!(
+        begins(BEGIN_WITHIN + Duration::from_secs(1)),
+        1,
+        "one task, not all"
+    );
 }
 
 #[test]
 fn a_team_gets_no_more_than_its_limit_however_large_its_job() {
     let mut desktop = Desktop::new(30);
     // 48 CPUs at most: see the sample settings.
-    desktop.job(1, Job { team: "blue".into(), ..job(100_000, 0.5) });
+    desktop.job(
+        1,
+        Job {
+            team: "blue".into(),
+            ..job(100_000, 0.5)
+        },
+    );
     let mut placed = 0;
     for _ in 0..5 {
         let (demand, work) = desktop.plan();
@@ -262,17 +378,52 @@
         let (_, work) = desktop.plan();
         work.iter().map(|work| work.stop.len()).sum::<usize>()
     };
-    let blue = |priority, cpus| Job { team: "blue".into(), priority, ..job(1, cpus) };
-    let red = |priority, cpus| Job { team: "red".into(), priority, ..job(1, cpus) };
-    let service = |job: Job| Job { kind: Kind::Service, ..job };
+    let blue = |priority, cpus| Job {
+        team: "blue".into(),
+        priority,
+        ..job(1, cpus)
+    };
+    let red = |priority, cpus| Job {
+        team: "red".into(),
+        priority,
+        ..job(1, cpus)
+    };
+    let service = |job: Job| Job {
+        kind: Kind::Service,
+        ..job
+    };
     // Two machines of 16 CPUs, full. Red's guarantee is 16 CPUs, blue's 32.
     use Priority::{High, Production, Standard};
-    assert_eq!(stops(red(Standard, 4.0), blue(Standard, 4.0), 8), 0, "blue is within its guarantee");
-    assert_eq!(stops(blue(Standard, 4.0), red(Standard, 4.0), 8), 1, "red is beyond, blue is owed");
-    assert_eq!(stops(blue(Standard, 4.0), red(High, 4.0), 8), 0, "higher priorities are left alone");
-    assert_eq!(stops(red(High, 4.0), blue(Standard, 4.0), 8), 1, "priority, within the guarantee");
-    assert_eq!(stops(red(Production, 8.0), red(Standard, 4.0), 8), 2, "as many as it takes");
-    assert_eq!(stops(blue(High, 4.0), service(red(Standard, 4.0)), 8), 0, "replicas stay up");
+    assert_eq!(
+        stops(red(Standard, 4.0), blue(Standard, 4.0), 8),
+        0,
+        "blue is within its guarantee"
+    );
+    assert_eq!(
+        stops(blue(Standard, 4.0), red(Standard, 4.0), 8),
+        1,
+        "red is beyond, blue is owed"
+    );
+    assert_eq!(
+        stops(blue(Standard, 4.0), red(High, 4.0), 8),
+        0,
+        "higher priorities are left alone"
+    );
+    assert_eq!(
+        stops(red(High, 4.0), blue(Standard, 4.0), 8),
+        1,
+        "priority, within the guarantee"
+    );
+    assert_eq!(
+        stops(red(Production, 8.0), red(Standard, 4.0), 8),
+        2,
+        "as many as it takes"
+    );
+    assert_eq!(
+        stops(blue(High, 4.0), service(red(Standard, 4.0)), 8),
+        0,
+        "replicas stay up"
+    );
 }
 
 /// Found on the bench: preempted tasks took seconds to save; meanwhile their holder found no room for the task they were
@@ -281,34 +432,68 @@
 #[test]
 fn a_release_keeps_the_room_of_preempted_tasks_while_they_save() {
     let mut desktop = Desktop::new(1);
-    let low = Job { priority: Priority::Low, ..job(100, 4.0) };
-    desktop.job(1, Job { team: "red".into(), ..low });
+    let low = Job {
+        priority: Priority::Low,
+        ..job(100, 4.0)
+    };
+    desktop.job(
+        1,
+        Job {
+            team: "red".into(),
+            ..low
+        },
+    );
     let work = desktop.plan().1;
     desktop.place(&work[0]);
     desktop.status(1, work[0].number, &[]);
-    desktop.job(2, Job { team: "blue".into(), ..job(1, 16.0) });
+    desktop.job(
+        2,
+        Job {
+            team: "blue".into(),
+            ..job(1, 16.0)
+        },
+    );
     let (_, work) = desktop.plan();
     let stop = work[0].stop.clone();
     assert_eq!(stop.len(), 4);
     let release = work[0].want[0].attempt;
     let refuse = |desktop: &mut Desktop| {
         desktop.status(1, work[0].number, &[release.number]);
-        let desk = desktop.queues.desks.get_mut(&BlockId::from("a.0")).expect("granted");
-        desk.status.as_mut().expect("heard").0.refused.push(release.number);
+        let desk = desktop
+            .queues
+            .desks
+            .get_mut(&BlockId::from("a.0"))
+            .expect("granted");
+        desk.status
+            .as_mut()
+            .expect("heard")
+            .0
+            .refused
+            .push(release.number);
     };
     let still_wanted = |desktop: &mut Desktop| {
         refuse(desktop);
         let work = desktop.plan().1;
-        let others = work.iter().flat_map(|work| &work.want).filter(|wanted| wanted.attempt != release).count();
+        let others = work
+            .iter()
+            .flat_map(|work| &work.want)
+            .filter(|wanted| wanted.attempt != release)
+            .count();
         assert_eq!(others, 0, "the room is not for others");
-        desktop.queues.desks[&BlockId::from("a.0")].releases.get(&release.number).is_some_and(|r| !r.withdrawn)
+        desktop.queues.desks[&BlockId::from("a.0")]
+            .releases
+            .get(&release.number)
+            .is_some_and(|r| !r.withdrawn)
     };
     desktop.version += 1;
     desktop.now.steady += Duration::from_secs(4);
     assert!(still_wanted(&mut desktop), "they still save");
     // They are gone now, but the holder has no room all the same.
     desktop.put(places_key(&"a.0".into()), encode(&Places::default()));
-    assert!(still_wanted(&mut desktop), "the holder may not have seen it yet");
+    assert!(
+        still_wanted(&mut desktop),
+        "the holder may not have seen it yet"
+    );
     desktop.version += 1;
     desktop.now.steady += Duration::from_secs(1);
     assert!(!still_wanted(&mut desktop), "it has had a second");
@@ -318,11 +503,24 @@
 #[test]
 fn a_release_does_not_wait_for_preempted_tasks_for_ever() {
     let mut desktop = Desktop::new(1);
-    desktop.job(1, Job { team: "red".into(), priority: Priority::Low, ..job(100, 4.0) });
+    desktop.job(
+        1,
+        Job {
+            team: "red".into(),
+            priority: Priority::Low,
+            ..job(100, 4.0)
+        },
+    );
     let work = desktop.plan().1;
     desktop.place(&work[0]);
     desktop.status(1, work[0].number, &[]);
-    desktop.job(2, Job { team: "blue".into(), ..job(1, 16.0) });
+    desktop.job(
+        2,
+        Job {
+            team: "blue".into(),
+            ..job(1, 16.0)
+        },
+    );
     let (_, work) = desktop.plan();
     let number = work[0].want[0].attempt.number;
     let withdrawn = |desktop: &mut Desktop, after: u64| {
--- a/src/queueing/turns.rs
+++ b/src/queueing/turns.rs
@@ -29,19 +29,36 @@
         let mut lines: BTreeMap<(&Team, Priority, bool, &str), VecDeque<usize>> = BTreeMap::new();
         for (index, waiting) in queue.iter().enumerate() {
             let job = &waiting.open.job;
-            lines.entry((&job.team, job.priority, is_replica(job), &job.class)).or_default().push_back(index);
+            lines
+                .entry((&job.team, job.priority, is_replica(job), &job.class))
+                .or_default()
+                .push_back(index);
+        }
+        Turns {
+            lines: lines.into_values().collect(),
         }
-        Turns { lines: lines.into_values().collect() }
     }
 
-    pub(super) fn next(&mut self, queue: &[Waiting<'_>], usage: &Usage, lead: &Lead<'_>) -> Option<usize> {
+    pub(super) fn next(
+        &mut self,
+        queue: &[Waiting<'_>],
+        usage: &Usage,
+        lead: &Lead<'_>,
+    ) -> Option<usize> {
         let mut best: Option<(usize, Rank)> = None;
         for line in &mut self.lines {
-            while line.front().is_some_and(|index| queue[*index].blocked || queue[*index].left == 0) {
+            while line
+                .front()
+                .is_some_and(|index| queue[*index].blocked || queue[*index].left == 0)
+            {
                 line.pop_front();
             }
-            let Some(index) = line.front().copied() else { continue };
-            let Some(rank) = rank(&queue[index].open.job, usage, lead) else { continue };
+            let Some(index) = line.front().copied() else {
+                continue;
+            };
+            let Some(rank) = rank(&queue[index].open.job, usage, lead) else {
+                continue;
+            };
             if best.as_ref().is_none_or(|(_, least)| rank < *least) {
                 best = Some((index, rank));
             }
@@ -53,7 +70,12 @@
 /// None: its team is unknown.
 fn rank(job: &Job, usage: &Usage, lead: &Lead<'_>) -> Option<Rank> {
     let limits = lead.config.team(&job.team)?;
-    let weight = lead.policy.team_shares.get(&job.team).copied().unwrap_or(1.0);
+    let weight = lead
+        .policy
+        .team_shares
+        .get(&job.team)
+        .copied()
+        .unwrap_or(1.0);
     let of_class = usage.of_class(job);
     Some(Rank {
         not_replica: !is_replica(job),
--- a/src/queueing/usage.rs
+++ b/src/queueing/usage.rs
@@ -25,13 +25,22 @@
     pub(super) fn add_tasks(&mut self, job: &Job, count: f64) {
         let need = job.need.times(count);
         self.teams.entry(job.team.clone()).or_default().add(&need);
-        self.classes.entry((job.team.clone(), job.class.clone())).or_default().add(&need);
+        self.classes
+            .entry((job.team.clone(), job.class.clone()))
+            .or_default()
+            .add(&need);
     }
 
     /// Counts one task of the job less.
     pub(super) fn remove(&mut self, job: &Job) {
-        self.teams.entry(job.team.clone()).or_default().take(&job.need);
-        self.classes.entry((job.team.clone(), job.class.clone())).or_default().take(&job.need);
+        self.teams
+            .entry(job.team.clone())
+            .or_default()
+            .take(&job.need);
+        self.classes
+            .entry((job.team.clone(), job.class.clone()))
+            .or_default()
+            .take(&job.need);
     }
 
     pub(super) fn of_team(&self, team: &Team) -> Room {
@@ -39,12 +48,17 @@
     }
 
     pub(super) fn of_class(&self, job: &Job) -> Room {
-        self.classes.get(&(job.team.clone(), job.class.clone())).copied().unwrap_or_default()
+        self.classes
+            .get(&(job.team.clone(), job.class.clone()))
+            .copied()
+            .unwrap_or_default()
     }
 
     /// How many more tasks of the job its team's limit allows.
     pub(super) fn room_within_limit(&self, config: &Config, job: &Job) -> u64 {
-        let Some(limits) = config.team(&job.team) else { return 0 };
+        let Some(limits) = config.team(&job.team) else {
+            return 0;
+        };
         let used = self.of_team(&job.team);
         let left = Room {
             cpus: (limits.cpus_max - used.cpus).max(0.0),
@@ -56,23 +70,32 @@
 
     /// Whether one more task of the job stays within its team's limit.
     pub(super) fn within_limit(&self, config: &Config, job: &Job) -> bool {
-        let Some(limits) = config.team(&job.team) else { return false };
+        let Some(limits) = config.team(&job.team) else {
+            return false;
+        };
         let used = self.of_team(&job.team);
-        used.cpus + job.need.cpus <= limits.cpus_max + SLACK && used.gpus + job.need.gpus <= limits.gpus_max + SLACK
+        used.cpus + job.need.cpus <= limits.cpus_max + SLACK
+            && used.gpus + job.need.gpus <= limits.gpus_max + SLACK
     }
 
     /// Whether one more task of the job stays within its team's guarantee.
     pub(super) fn within_guarantee(&self, config: &Config, job: &Job) -> bool {
-        let Some(limits) = config.team(&job.team) else { return false };
+        let Some(limits) = config.team(&job.team) else {
+            return false;
+        };
         let used = self.of_team(&job.team);
-        used.cpus + job.need.cpus <= limits.cpus + SLACK && used.gpus + job.need.gpus <= limits.gpus + SLACK
+        used.cpus + job.need.cpus <= limits.cpus + SLACK
+            && used.gpus + job.need.gpus <= limits.gpus + SLACK
     }
 
     /// Whether a task's team uses more than its guarantee, and would still use it all without the task.
     pub(super) fn beyond_guarantee(&self, config: &Config, job: &Job) -> bool {
-        let Some(limits) = config.team(&job.team) else { return true };
+        let Some(limits) = config.team(&job.team) else {
+            return true;
+        };
         let used = self.of_team(&job.team);
-        used.cpus - job.need.cpus >= limits.cpus - SLACK && used.gpus - job.need.gpus >= limits.gpus - SLACK
+        used.cpus - job.need.cpus >= limits.cpus - SLACK
+            && used.gpus - job.need.gpus >= limits.gpus - SLACK
     }
 
     /// What the team uses for each unit that it is guaranteed.
--- a/src/service.rs
+++ b/src/service.rs
@@ -39,7 +39,10 @@
 impl Doors {
     fn of(sockets: usize) -> Self {
         let own = OWN_SOCKETS.min(sockets / 4);
-        Doors { public: Door::new(sockets - own - 2 * (sockets / COMMAND_PART)), peers: Door::new(own / 2) }
+        Doors {
+            public: Door::new(sockets - own - 2 * (sockets / COMMAND_PART)),
+            peers: Door::new(own / 2),
+        }
     }
 }
 
@@ -51,12 +54,19 @@
 
 impl Recent {
     fn new(most: usize) -> Self {
-        Recent { most, sent: VecDeque::new() }
+        Recent {
+            most,
+            sent: VecDeque::new(),
+        }
     }
 
     /// Notes one more. Whether it would leave too many idle connections behind.
     fn crowded(&mut self, now: Instant) -> bool {
-        while self.sent.front().is_some_and(|at| now.saturating_duration_since(*at) > WORKER_IDLE) {
+        while self
+            .sent
+            .front()
+            .is_some_and(|at| now.saturating_duration_since(*at) > WORKER_IDLE)
+        {
             self.sent.pop_front();
         }
         if self.sent.len() >= self.most {
@@ -92,8 +102,16 @@
     let (incoming, mut requests) = mpsc::channel(MOST_WAITING);
     let (results, mut answers) = mpsc::unbounded_channel();
     let doors = Doors::of(config.max_sockets);
-    let public = server::serve(config.listen, doors.public.clone(), server::public(incoming.clone(), doors.public));
-    let between = server::serve(config.peer_listen, doors.peers, server::between_controllers(incoming));
+    let public = server::serve(
+        config.listen,
+        doors.public.clone(),
+        server::public(incoming.clone(), doors.public),
+    );
+    let between = server::serve(
+        config.peer_listen,
+        doors.peers,
+        server::between_controllers(incoming),
+    );
     info!(node = %config.name, zone = %config.zone, listen = %config.listen, "starting");
     let mut runner = Runner {
         client: Client::new(IDLE),
@@ -104,7 +122,11 @@
         next: 0,
         state: config.state,
         cloud: config.cloud,
-        peers: config.peers.iter().map(|peer| (peer.name.clone(), peer.addr)).collect(),
+        peers: config
+            .peers
+            .iter()
+            .map(|peer| (peer.name.clone(), peer.addr))
+            .collect(),
         node: Node::new(config, policy, rand::random(), Now::read()),
     };
     tokio::pin!(public);
@@ -128,11 +150,19 @@
         let id = self.next;
         let now = Now::read().steady;
         let (waiting, event) = match request {
-            Incoming::Submit(body, reply) => (Waiting::User(reply, now), Event::Submit { id, body: body.to_vec() }),
+            Incoming::Submit(body, reply) => (
+                Waiting::User(reply, now),
+                Event::Submit {
+                    id,
+                    body: body.to_vec(),
+                },
+            ),
             Incoming::Poll(job, reply) => (Waiting::User(reply, now), Event::Poll { id, job }),
             Incoming::Cancel(job, reply) => (Waiting::User(reply, now), Event::Cancel { id, job }),
             Incoming::Health(reply) => (Waiting::Health(reply), Event::Health { id }),
-            Incoming::Report(report, reply) => (Waiting::Worker(reply), Event::Report { id, report }),
+            Incoming::Report(report, reply) => {
+                (Waiting::Worker(reply), Event::Report { id, report })
+            }
             Incoming::Peer(message) => return self.handle(Event::Peer(message)),
             Incoming::Metrics(reply) => {
                 // Whoever asked may be gone.
@@ -193,12 +223,26 @@
             Effect::Command { command, until } => {
                 let Ok(addr) = command.addr.parse() else {
                     debug!(machine = %command.machine, addr = command.addr, "a worker's address makes no sense");
-                    let Command { block, machine, body, .. } = command;
+                    let Command {
+                        block,
+                        machine,
+                        body,
+                        ..
+                    } = command;
                     let outcome = CommandOutcome::Unknown;
-                    return self.handle(Event::Commanded { block, machine, body, outcome });
+                    return self.handle(Event::Commanded {
+                        block,
+                        machine,
+                        body,
+                        outcome,
+                    });
                 };
                 let close = self.commanded.crowded(Now::read().steady);
-                let request = Request::post("/commands".to_owned(), write(&command.body), COMMAND_TIMEOUT);
+                let request = Request::post(
+                    "/commands".to_owned(),
+                    write(&command.body),
+                    COMMAND_TIMEOUT,
+                );
                 let request = Request { close, ..request };
                 self.exchange(&self.workers, addr, request, until, move |reply| {
                     let outcome = match reply {
@@ -209,11 +253,18 @@
                         },
                         None => CommandOutcome::Unknown,
                     };
-                    Event::Commanded { block: command.block, machine: command.machine, body: command.body, outcome }
+                    Event::Commanded {
+                        block: command.block,
+                        machine: command.machine,
+                        body: command.body,
+                        outcome,
+                    }
                 });
             }
             Effect::Peer { to, message } => {
-                let Some(addr) = self.peers.get(&to).copied() else { return };
+                let Some(addr) = self.peers.get(&to).copied() else {
+                    return;
+                };
                 let request = Request::post("/peer".to_owned(), write(&message), PEER_TIMEOUT);
                 let client = self.client.clone();
                 // Lost messages are repeated by whoever needs them.
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -35,11 +35,17 @@
 
 impl Bucket {
     fn new(rate: f64, now: Now) -> Self {
-        Bucket { tokens: rate, rate, burst: rate, filled: now.steady }
+        Bucket {
+            tokens: rate,
+            rate,
+            burst: rate,
+            filled: now.steady,
+        }
     }
 
     fn fill(&mut self, now: Now) {
-        self.tokens = (self.tokens + since(now, self.filled).as_secs_f64() * self.rate).min(self.burst);
+        self.tokens =
+            (self.tokens + since(now, self.filled).as_secs_f64() * self.rate).min(self.burst);
         self.filled = now.steady;
     }
 
@@ -65,7 +71,9 @@
 /// The share of the rate of requests that one node takes: together a little more than all, since nodes are seldom
 /// busy at the same time and a refusal only delays.
 fn share(limit: f64, nodes: usize) -> f64 {
-    (limit * 1.2 / nodes.max(1) as f64).min(limit * 0.9).max(1.0)
+    (limit * 1.2 / nodes.max(1) as f64)
+        .min(limit * 0.9)
+        .max(1.0)
 }
 
 /// The share of the rate of writes. The leader writes what the others do and its own duties besides. Together a
@@ -146,11 +154,16 @@
             if holding_off && lane != Urgency::Authority as usize {
                 break;
             }
-            let kept = if lane > Urgency::User as usize { self.writes.kept_for_users() } else { 0.0 };
+            let kept = if lane > Urgency::User as usize {
+                self.writes.kept_for_users()
+            } else {
+                0.0
+            };
             while let Some((_, op)) = queue.front() {
                 let writes = cost(op);
                 // A transaction may cost more than a second's worth: it goes when the bucket is full.
-                let affordable = !saving && self.writes.tokens >= (writes + kept).min(self.writes.burst);
+                let affordable =
+                    !saving && self.writes.tokens >= (writes + kept).min(self.writes.burst);
                 if self.requests.tokens < 1.0 || (writes > 0.0 && !affordable) {
                     saving |= writes > 0.0;
                     break;
@@ -169,7 +182,9 @@
         self.requests.fill(now);
         self.writes.fill(now);
         let holding_off = self.hold_off_until.is_some_and(|until| now.steady < until);
-        let clear = self.lanes[..=urgency as usize].iter().all(VecDeque::is_empty);
+        let clear = self.lanes[..=urgency as usize]
+            .iter()
+            .all(VecDeque::is_empty);
         let enough = (1.0 + self.writes.kept_for_users()).min(self.writes.burst);
         clear && !holding_off && self.requests.tokens >= 1.0 && self.writes.tokens >= enough
     }
@@ -189,7 +204,9 @@
     /// Whether the service answered since it last refused, or only just began to refuse.
     pub fn available(&self, now: Now) -> bool {
         match (self.last_answer, self.last_refusal) {
-            (Some(answer), Some(refusal)) => answer >= refusal || since(now, answer) < Duration::from_secs(1),
+            (Some(answer), Some(refusal)) => {
+                answer >= refusal || since(now, answer) < Duration::from_secs(1)
+            }
             (Some(_), None) => true,
             (None, _) => false,
         }
@@ -197,7 +214,11 @@
 
     /// How long a new request of a user would wait for a write.
     pub fn user_delay(&self) -> Duration {
-        let ahead: f64 = self.lanes[..=Urgency::User as usize].iter().flatten().map(|(_, op)| cost(op)).sum();
+        let ahead: f64 = self.lanes[..=Urgency::User as usize]
+            .iter()
+            .flatten()
+            .map(|(_, op)| cost(op))
+            .sum();
         let lacking = (ahead + 1.0 - self.writes.tokens).max(0.0);
         Duration::from_secs_f64(lacking / self.writes.rate)
     }
--- a/src/store/budget/tests.rs
+++ b/src/store/budget/tests.rs
@@ -1,7 +1,12 @@
 use super::*;
 use crate::store::Txn;
 
-const LIMITS: StateLimits = StateLimits { rps: 10.0, write_rps: 2.0, value_bytes: 8192, txn_ops: 16 };
+const LIMITS: StateLimits = StateLimits {
+    rps: 10.0,
+    write_rps: 2.0,
+    value_bytes: 8192,
+    txn_ops: 16,
+};
 
 fn write() -> Op {
     Op::Commit(Txn::default().delete("k"))
@@ -10,13 +15,22 @@
 #[test]
 fn writes_wait_for_their_rate_and_the_urgent_go_first() {
     let start = Now::read();
-    let later = |ms| Now { steady: start.steady + Duration::from_millis(ms), ..start };
+    let later = |ms| Now {
+        steady: start.steady + Duration::from_millis(ms),
+        ..start
+    };
     let mut budget = Budget::new(&LIMITS, 1, start);
     for n in 0..4 {
         assert!(budget.push(Urgency::Work, n, write()).is_ok());
     }
     assert!(budget.push(Urgency::User, 9, write()).is_ok());
-    let sent = |budget: &mut Budget<i32>, now| budget.take(now).iter().map(|(tag, _)| *tag).collect::<Vec<_>>();
+    let sent = |budget: &mut Budget<i32>, now| {
+        budget
+            .take(now)
+            .iter()
+            .map(|(tag, _)| *tag)
+            .collect::<Vec<_>>()
+    };
     // 1.8 writes a second: the user's goes at once, the others when one would be left for the next user.
     assert!(budget.spare(start));
     assert_eq!(sent(&mut budget, start), [9]);
@@ -31,19 +45,36 @@
 #[test]
 fn several_submissions_at_once_find_writes_that_less_urgent_work_has_left() {
     let start = Now::read();
-    let later = |ms| Now { steady: start.steady + Duration::from_millis(ms), ..start };
-    let mut budget = Budget::new(&StateLimits { write_rps: 10.0, ..LIMITS }, 1, start);
+    let later = |ms| Now {
+        steady: start.steady + Duration::from_millis(ms),
+        ..start
+    };
+    let mut budget = Budget::new(
+        &StateLimits {
+            write_rps: 10.0,
+            ..LIMITS
+        },
+        1,
+        start,
+    );
     for n in 0..100 {
         assert!(budget.push(Urgency::Work, n, write()).is_ok());
     }
     // Nine a second, of which 3.6 are left whatever waits.
     assert_eq!(budget.take(start).len(), 5);
     let in_a_second: usize = (1..=10).map(|n| budget.take(later(n * 100)).len()).sum();
-    assert!((8..=9).contains(&in_a_second), "{in_a_second}: the rate is used all the same");
+    assert!(
+        (8..=9).contains(&in_a_second),
+        "{in_a_second}: the rate is used all the same"
+    );
     for n in 200..203 {
         assert!(budget.push(Urgency::User, n, write()).is_ok());
     }
-    let sent: Vec<i32> = budget.take(later(1000)).iter().map(|(tag, _)| *tag).collect();
+    let sent: Vec<i32> = budget
+        .take(later(1000))
+        .iter()
+        .map(|(tag, _)| *tag)
+        .collect();
     assert_eq!(sent, [200, 201, 202]);
 }
 
@@ -51,24 +82,45 @@
 #[test]
 fn a_dear_write_is_not_overtaken_by_cheap_ones() {
     let start = Now::read();
-    let later = |ms| Now { steady: start.steady + Duration::from_millis(ms), ..start };
-    let mut budget = Budget::new(&StateLimits { write_rps: 10.0, ..LIMITS }, 1, start);
+    let later = |ms| Now {
+        steady: start.steady + Duration::from_millis(ms),
+        ..start
+    };
+    let mut budget = Budget::new(
+        &StateLimits {
+            write_rps: 10.0,
+            ..LIMITS
+        },
+        1,
+        start,
+    );
     let batch = Op::Commit((0..9).fold(Txn::default(), |txn, n| txn.delete(format!("k{n}"))));
-    let sent = |budget: &mut Budget<i32>, now| budget.take(now).iter().map(|(tag, _)| *tag).collect::<Vec<_>>();
+    let sent = |budget: &mut Budget<i32>, now| {
+        budget
+            .take(now)
+            .iter()
+            .map(|(tag, _)| *tag)
+            .collect::<Vec<_>>()
+    };
     assert!(budget.push(Urgency::Work, 1, write()).is_ok());
     assert_eq!(sent(&mut budget, start), [1]);
     assert!(budget.push(Urgency::Ends, 2, batch).is_ok());
     for n in 0..20 {
         assert!(budget.push(Urgency::Work, 10 + n, write()).is_ok());
     }
-    let order: Vec<i32> = (0..30).flat_map(|n| sent(&mut budget, later(n * 40))).collect();
+    let order: Vec<i32> = (0..30)
+        .flat_map(|n| sent(&mut budget, later(n * 40)))
+        .collect();
     assert_eq!(order.first(), Some(&2), "{order:?}");
 }
 
 #[test]
 fn an_outage_is_told_from_a_single_refusal() {
     let start = Now::read();
-    let later = |ms| Now { steady: start.steady + Duration::from_millis(ms), ..start };
+    let later = |ms| Now {
+        steady: start.steady + Duration::from_millis(ms),
+        ..start
+    };
     let mut budget: Budget<()> = Budget::new(&LIMITS, 1, start);
     assert!(!budget.available(start));
     budget.note(start, &Outcome::Conflict);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -15,12 +15,25 @@
 /// A request to the state service.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Op {
-    Get { key: String },
-    List { prefix: String, after: Option<String> },
+    Get {
+        key: String,
+    },
+    List {
+        prefix: String,
+        after: Option<String>,
+    },
     Commit(Txn),
-    Follow { prefix: String, after: u64, wait: Duration },
-    OpenHold { life: Duration },
-    ExtendHold { id: u64 },
+    Follow {
+        prefix: String,
+        after: u64,
+        wait: Duration,
+    },
+    OpenHold {
+        life: Duration,
+    },
+    ExtendHold {
+        id: u64,
+    },
 }
 
 /// A transaction: applied as a whole if every key still has the version that its writer saw.
@@ -33,8 +46,14 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum TxnChange {
-    Put { key: String, value: ciborium::Value, hold: Option<u64> },
-    Delete { key: String },
+    Put {
+        key: String,
+        value: ciborium::Value,
+        hold: Option<u64>,
+    },
+    Delete {
+        key: String,
+    },
 }
 
 impl Txn {
@@ -47,8 +66,17 @@
         self.put_held(key, record, None)
     }
 
-    pub fn put_held(mut self, key: impl Into<String>, record: &impl Record, hold: Option<u64>) -> Self {
-        self.changes.push(TxnChange::Put { key: key.into(), value: records::encode(record), hold });
+    pub fn put_held(
+        mut self,
+        key: impl Into<String>,
+        record: &impl Record,
+        hold: Option<u64>,
+    ) -> Self {
+        self.changes.push(TxnChange::Put {
+            key: key.into(),
+            value: records::encode(record),
+            hold,
+        });
         self
     }
 
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -7,7 +7,9 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::domain::{Attempt, BlockId, Final, Job, JobId, MachineId, NodeName, TaskId, Tenure, TypeName, Zone};
+use crate::domain::{
+    Attempt, BlockId, Final, Job, JobId, MachineId, NodeName, TaskId, Tenure, TypeName, Zone,
+};
 
 /// Everything of ours lies under this prefix, so that one watch sees all of it.
 pub const ROOT: &str = "dappleshore/";
@@ -114,10 +116,13 @@
         let mut types: Vec<TypeName> = Vec::new();
         let mut on = BTreeMap::new();
         for (id, machine) in roster.on {
-            let index = types.iter().position(|known| *known == machine.type_name).unwrap_or_else(|| {
-                types.push(machine.type_name.clone());
-                types.len() - 1
-            });
+            let index = types
+                .iter()
+                .position(|known| *known == machine.type_name)
+                .unwrap_or_else(|| {
+                    types.push(machine.type_name.clone());
+                    types.len() - 1
+                });
             let tenure = match (machine.tenure, machine.draining) {
                 (Tenure::Spot, false) => 's',
                 (Tenure::Spot, true) => 'S',
@@ -126,7 +131,11 @@
             };
             on.insert(id, format!("{index}{tenure}{}", machine.rented_s));
         }
-        RosterText { zone: roster.zone, types, on }
+        RosterText {
+            zone: roster.zone,
+            types,
+            on,
+        }
     }
 }
 
@@ -137,7 +146,9 @@
         let malformed = "malformed machine";
         let mut on = BTreeMap::new();
         for (id, entry) in text.on {
-            let at = entry.find(|c: char| c.is_ascii_alphabetic()).ok_or(malformed)?;
+            let at = entry
+                .find(|c: char| c.is_ascii_alphabetic())
+                .ok_or(malformed)?;
             let (index, rest) = entry.split_at(at);
             let (tenure, rented) = rest.split_at(1);
             let index: usize = index.parse().map_err(|_| malformed)?;
@@ -149,13 +160,19 @@
             };
             on.insert(id, machine);
         }
-        Ok(Roster { zone: text.zone, on })
+        Ok(Roster {
+            zone: text.zone,
+            on,
+        })
     }
 }
 
 impl Roster {
     pub fn new(zone: Zone) -> Self {
-        Roster { zone, on: BTreeMap::new() }
+        Roster {
+            zone,
+            on: BTreeMap::new(),
+        }
     }
 }
 
@@ -187,20 +204,28 @@
 
 impl Places {
     pub fn attempts(&self) -> impl Iterator<Item = (&MachineId, Attempt)> {
-        self.on.iter().flat_map(|(machine, list)| list.iter().map(move |placed| (machine, placed.0)))
+        self.on
+            .iter()
+            .flat_map(|(machine, list)| list.iter().map(move |placed| (machine, placed.0)))
     }
 
     /// Returns by how much the value may have grown.
     pub fn add(&mut self, machine: &MachineId, attempt: Attempt) -> usize {
         let placed = PlacedText(attempt);
         let list = self.on.entry(machine.clone()).or_default();
-        let entry = if list.is_empty() { machine.0.len() + 8 } else { 0 };
+        let entry = if list.is_empty() {
+            machine.0.len() + 8
+        } else {
+            0
+        };
         list.push(placed);
         entry + placed.size()
     }
 
     pub fn remove(&mut self, machine: &MachineId, attempt: Attempt) -> bool {
-        let Some(list) = self.on.get_mut(machine) else { return false };
+        let Some(list) = self.on.get_mut(machine) else {
+            return false;
+        };
         let before = list.len();
         list.retain(|placed| placed.0 != attempt);
         let removed = list.len() != before;
@@ -214,22 +239,35 @@
     /// one, but the first of its job brings the job's name along. Tasks are placed only as long as this fits: a value
     /// that has grown too large could never be written again.
     pub fn worst(&self) -> usize {
-        let jobs: BTreeSet<JobId> = self.attempts().map(|(_, attempt)| attempt.task.job).collect();
-        let names: usize = jobs.iter().filter(|job| !self.done.contains_key(job)).map(|job| done_entry(*job)).sum();
+        let jobs: BTreeSet<JobId> = self
+            .attempts()
+            .map(|(_, attempt)| attempt.task.job)
+            .collect();
+        let names: usize = jobs
+            .iter()
+            .filter(|job| !self.done.contains_key(job))
+            .map(|job| done_entry(*job))
+            .sum();
         self.size() + names
     }
 
     /// The most that this value can measure in the form that the state service counts: quotes, commas and
     /// names included.
     pub fn size(&self) -> usize {
-        let on: usize =
-            self.on.iter().map(|(m, list)| m.0.len() + 8 + list.iter().map(PlacedText::size).sum::<usize>()).sum();
+        let on: usize = self
+            .on
+            .iter()
+            .map(|(m, list)| m.0.len() + 8 + list.iter().map(PlacedText::size).sum::<usize>())
+            .sum();
         32 + on + self.done_size()
     }
 
     /// The part of the size that finished tasks take.
     pub fn done_size(&self) -> usize {
-        self.done.iter().map(|(job, ranges)| done_entry(*job) + ranges.size()).sum()
+        self.done
+            .iter()
+            .map(|(job, ranges)| done_entry(*job) + ranges.size())
+            .sum()
     }
 }
 
@@ -254,7 +292,10 @@
 
 impl Serialize for PlacedText {
     fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.collect_str(&format_args!("{}/{}:{}", self.0.task.job.0, self.0.task.index, self.0.number))
+        serializer.collect_str(&format_args!(
+            "{}/{}:{}",
+            self.0.task.job.0, self.0.task.index, self.0.number
+        ))
     }
 }
 
@@ -268,8 +309,14 @@
 fn parse_placed(text: &str) -> Option<PlacedText> {
     let (task, number) = text.split_once(':')?;
     let (job, index) = task.split_once('/')?;
-    let task = TaskId { job: JobId(job.parse().ok()?), index: index.parse().ok()? };
-    Some(PlacedText(Attempt { task, number: number.parse().ok()? }))
+    let task = TaskId {
+        job: JobId(job.parse().ok()?),
+        index: index.parse().ok()?,
+    };
+    Some(PlacedText(Attempt {
+        task,
+        number: number.parse().ok()?,
+    }))
 }
 
 /// A set of task numbers, stored as `0-4,7`.
@@ -286,7 +333,10 @@
     }
 
     pub fn len(&self) -> u64 {
-        self.0.iter().map(|range| u64::from(range.end() - range.start()) + 1).sum()
+        self.0
+            .iter()
+            .map(|range| u64::from(range.end() - range.start()) + 1)
+            .sum()
     }
 
     pub fn is_empty(&self) -> bool {
@@ -306,7 +356,10 @@
     }
 
     pub fn size(&self) -> usize {
-        self.0.iter().map(|r| digits(u64::from(*r.start())) + digits(u64::from(*r.end())) + 2).sum()
+        self.0
+            .iter()
+            .map(|r| digits(u64::from(*r.start())) + digits(u64::from(*r.end())) + 2)
+            .sum()
     }
 }
 
@@ -371,7 +424,9 @@
 macro_rules! records {
     ($($name:ident),*) => { $(impl Record for $name {})* };
 }
-records!(Leader, Token, Member, Grant, Roster, Order, Places, JobRecord, Progress);
+records!(
+    Leader, Token, Member, Grant, Roster, Order, Places, JobRecord, Progress
+);
 
 /// A changed key.
 #[derive(Debug, Clone, PartialEq)]
