--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -6,12 +6,14 @@
 use tracing::{info, warn};
 
 use super::records::{
-    CHUNK, Change, Grant, JobRecord, Leader, Member, NOWHERE, Order, PlacedText, Places, Progress, ROOT, Ranges,
-    Record, Records, Roster, Token,
+    CHUNK, Change, Grant, JobRecord, Leader, Member, NOWHERE, Order, PlacedText, Places, Progress,
+    ROOT, Ranges, Record, Records, Roster, Token,
 };
 use super::{Op, Outcome};
 use crate::config::StateLimits;
-use crate::domain::{Attempt, BlockId, Final, Job, JobId, MachineId, NodeName, Now, Tenure, TypeName, Zone, since};
+use crate::domain::{
+    Attempt, BlockId, Final, Job, JobId, MachineId, NodeName, Now, Tenure, TypeName, Zone, since,
+};
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Versioned<T> {
@@ -190,8 +192,12 @@
 
 impl View {
     pub fn new(limits: &StateLimits, nodes: usize) -> Self {
-        let spacing = |part: f64| Duration::from_secs_f64(nodes.max(1) as f64 / (limits.rps.max(1.0) * part));
-        let pace = Pace { follow: spacing(FOLLOW_PART), barrier: spacing(BARRIER_PART) };
+        let spacing =
+            |part: f64| Duration::from_secs_f64(nodes.max(1) as f64 / (limits.rps.max(1.0) * part));
+        let pace = Pace {
+            follow: spacing(FOLLOW_PART),
+            barrier: spacing(BARRIER_PART),
+        };
         View::at(pace, limits.value_bytes as u64)
     }
 
@@ -224,15 +230,26 @@
             progress: BTreeMap::new(),
             placed: HashMap::new(),
             cancellations: BTreeMap::new(),
-            touched: Touched { all: true, ..Touched::default() },
+            touched: Touched {
+                all: true,
+                ..Touched::default()
+            },
         }
     }
 
     /// A copy that is whole, for tests that apply changes themselves.
     #[cfg(test)]
     pub fn following() -> Self {
-        let limits = StateLimits { rps: 100.0, write_rps: 20.0, value_bytes: 8192, txn_ops: 16 };
-        View { state: State::Following, ..View::new(&limits, 3) }
+        let limits = StateLimits {
+            rps: 100.0,
+            write_rps: 20.0,
+            value_bytes: 8192,
+            txn_ops: 16,
+        };
+        View {
+            state: State::Following,
+            ..View::new(&limits, 3)
+        }
     }
 
     /// Whether the copy is whole (if perhaps a little old).
@@ -259,12 +276,20 @@
     pub fn poll(&mut self, now: Now) -> Vec<(Tag, Op)> {
         let mut ops = Vec::new();
         if self.barrier.wanted && !self.barrier.busy && self.ready() {
-            let spaced = self.barrier.sent.is_none_or(|sent| since(now, sent) >= self.pace.barrier);
+            let spaced = self
+                .barrier
+                .sent
+                .is_none_or(|sent| since(now, sent) >= self.pace.barrier);
             if spaced {
                 self.barrier.wanted = false;
                 self.barrier.busy = true;
                 self.barrier.sent = Some(now.steady);
-                ops.push((Tag::Barrier { sent: now.steady }, Op::Get { key: NOWHERE.to_owned() }));
+                ops.push((
+                    Tag::Barrier { sent: now.steady },
+                    Op::Get {
+                        key: NOWHERE.to_owned(),
+                    },
+                ));
             }
         }
         if self.busy || self.retry_at.is_some_and(|at| now.steady < at) {
@@ -278,27 +303,53 @@
                 self.busy = true;
                 self.asked = Some(now.steady);
                 ops.push((
-                    Tag::Page { load: self.load, after: None },
-                    Op::List { prefix: ROOT.to_owned(), after: None },
+                    Tag::Page {
+                        load: self.load,
+                        after: None,
+                    },
+                    Op::List {
+                        prefix: ROOT.to_owned(),
+                        after: None,
+                    },
                 ));
             }
             State::Reloading => {
                 self.incoming.clear();
                 self.load += 1;
                 self.busy = true;
-                let tag = Tag::Page { load: self.load, after: None };
-                ops.push((tag, Op::List { prefix: ROOT.to_owned(), after: None }));
+                let tag = Tag::Page {
+                    load: self.load,
+                    after: None,
+                };
+                ops.push((
+                    tag,
+                    Op::List {
+                        prefix: ROOT.to_owned(),
+                        after: None,
+                    },
+                ));
             }
             State::Following if self.doubtful || self.neglected(now) => {
                 self.busy = true;
-                ops.push((Tag::Distance { load: self.load }, Op::Get { key: NOWHERE.to_owned() }));
+                ops.push((
+                    Tag::Distance { load: self.load },
+                    Op::Get {
+                        key: NOWHERE.to_owned(),
+                    },
+                ));
             }
             State::Following => {
-                let spaced = self.asked.is_none_or(|asked| since(now, asked) >= self.pace.follow);
+                let spaced = self
+                    .asked
+                    .is_none_or(|asked| since(now, asked) >= self.pace.follow);
                 if spaced {
                     self.busy = true;
                     self.asked = Some(now.steady);
-                    let op = Op::Follow { prefix: ROOT.to_owned(), after: self.revision, wait: FOLLOW_FOR };
+                    let op = Op::Follow {
+                        prefix: ROOT.to_owned(),
+                        after: self.revision,
+                        wait: FOLLOW_FOR,
+                    };
                     ops.push((Tag::News { load: self.load }, op));
                 }
             }
@@ -309,7 +360,9 @@
     /// Whether nothing was heard of the service for so long that much may have changed. A process that stood still has
     /// seen no watch fail.
     fn neglected(&self, now: Now) -> bool {
-        self.fresh.max(self.near).is_some_and(|at| since(now, at) > DOUBTFUL_AFTER)
+        self.fresh
+            .max(self.near)
+            .is_some_and(|at| since(now, at) > DOUBTFUL_AFTER)
     }
 
     fn clear(&mut self) {
@@ -319,7 +372,10 @@
         *self = View::at(self.pace, self.value_bytes);
         self.load = load;
         self.cancellations = cancellations;
-        self.barrier = Barrier { wanted: barrier.wanted || barrier.busy, ..Barrier::default() };
+        self.barrier = Barrier {
+            wanted: barrier.wanted || barrier.busy,
+            ..Barrier::default()
+        };
     }
 
     /// The one place where the copy changes.
@@ -365,25 +421,43 @@
 
     fn page(&mut self, now: Now, after: Option<String>, outcome: Outcome) -> Vec<(Tag, Op)> {
         match outcome {
-            Outcome::Rows { rows, more, revision } => {
+            Outcome::Rows {
+                rows,
+                more,
+                revision,
+            } => {
                 if after.is_none() {
                     // Later pages may be newer; following from the first one's revision repeats, and so
                     // corrects, whatever changed in between.
                     self.load_revision = revision;
                 }
                 let last = rows.last().map(|(key, _, _)| key.clone());
-                let changes = rows.into_iter().map(|(key, value, version)| Change { key, version, value: Some(value) });
+                let changes = rows.into_iter().map(|(key, value, version)| Change {
+                    key,
+                    version,
+                    value: Some(value),
+                });
                 if self.state == State::Reloading {
                     self.incoming.extend(changes);
                 } else {
                     changes.for_each(|change| self.apply(change));
                 }
                 if more && last.is_some() {
-                    let op = Op::List { prefix: ROOT.to_owned(), after: last.clone() };
-                    return vec![(Tag::Page { load: self.load, after: last }, op)];
+                    let op = Op::List {
+                        prefix: ROOT.to_owned(),
+                        after: last.clone(),
+                    };
+                    return vec![(
+                        Tag::Page {
+                            load: self.load,
+                            after: last,
+                        },
+                        op,
+                    )];
                 }
                 if self.state == State::Reloading {
-                    let (incoming, revision) = (std::mem::take(&mut self.incoming), self.load_revision);
+                    let (incoming, revision) =
+                        (std::mem::take(&mut self.incoming), self.load_revision);
                     self.clear();
                     incoming.into_iter().for_each(|change| self.apply(change));
                     self.load_revision = revision;
@@ -395,7 +469,12 @@
                 // The first page may predate the rest: only what was asked before it is covered.
                 self.fresh = None;
                 self.asked = None;
-                info!(revision = self.revision, open = self.open.len(), ended = self.ended.len(), "state loaded");
+                info!(
+                    revision = self.revision,
+                    open = self.open.len(),
+                    ended = self.ended.len(),
+                    "state loaded"
+                );
             }
             _ => {
                 self.busy = false;
@@ -418,7 +497,10 @@
                 self.settle_barrier();
             }
             Outcome::TooOld => {
-                warn!(revision = self.revision, "changes are no longer kept; reading everything again");
+                warn!(
+                    revision = self.revision,
+                    "changes are no longer kept; reading everything again"
+                );
                 self.state = State::Reloading;
             }
             _ => {
@@ -446,7 +528,9 @@
     }
 
     fn apply_cancellation(&mut self, id: JobId) {
-        let (Some(open), Some((version, at_ms))) = (self.open.get_mut(&id), self.cancellations.get(&id)) else {
+        let (Some(open), Some((version, at_ms))) =
+            (self.open.get_mut(&id), self.cancellations.get(&id))
+        else {
             return;
         };
         if *version > open.version {
@@ -460,7 +544,8 @@
     /// Forgets what our copy shows by itself.
     fn forget_shown(&mut self) {
         let revision = self.revision;
-        self.cancellations.retain(|_, (version, _)| *version > revision);
+        self.cancellations
+            .retain(|_, (version, _)| *version > revision);
     }
 
     fn settle_barrier(&mut self) {
@@ -481,7 +566,9 @@
 
     /// Applies one change. Also used for our own commits, before the watch tells of them.
     pub fn apply(&mut self, change: Change) {
-        let Some(which) = Records::of(&change.key) else { return };
+        let Some(which) = Records::of(&change.key) else {
+            return;
+        };
         let version = change.version;
         match which {
             Records::Leader => set(&mut self.leader, change),
@@ -497,7 +584,9 @@
             Records::Job(job) => self.apply_job(job, version, change),
             Records::Progress(job, chunk) => {
                 set_in(&mut self.progress, (job, chunk), change);
-                if let (Some(open), Some(progress)) = (self.open.get_mut(&job), self.progress.get(&(job, chunk))) {
+                if let (Some(open), Some(progress)) =
+                    (self.open.get_mut(&job), self.progress.get(&(job, chunk)))
+                {
                     open.done.merge(&progress.value.done);
                 }
             }
@@ -505,7 +594,11 @@
     }
 
     fn apply_roster(&mut self, block: BlockId, change: Change) {
-        if self.rosters.get(&block).is_some_and(|old| old.version > change.version) {
+        if self
+            .rosters
+            .get(&block)
+            .is_some_and(|old| old.version > change.version)
+        {
             return;
         }
         let old = self.rosters.remove(&block);
@@ -513,7 +606,12 @@
         let new = self.rosters.get(&block).map(|roster| &roster.value);
         for id in old.iter().flat_map(|old| old.value.on.keys()) {
             let kept = new.is_some_and(|new| new.on.contains_key(id));
-            if !kept && self.machines.get(id).is_some_and(|machine| machine.block == block) {
+            if !kept
+                && self
+                    .machines
+                    .get(id)
+                    .is_some_and(|machine| machine.block == block)
+            {
                 self.machines.remove(id);
                 self.touched.machines.insert(id.clone());
             }
@@ -537,10 +635,18 @@
     }
 
     fn apply_places(&mut self, block: BlockId, change: Change) {
-        if self.places.get(&block).is_some_and(|old| old.version > change.version) {
+        if self
+            .places
+            .get(&block)
+            .is_some_and(|old| old.version > change.version)
+        {
             return;
         }
-        let old = self.places.remove(&block).map(|old| old.value).unwrap_or_default();
+        let old = self
+            .places
+            .remove(&block)
+            .map(|old| old.value)
+            .unwrap_or_default();
         set_in(&mut self.places, block.clone(), change);
         let Some(new) = self.places.get(&block).map(|places| &places.value) else {
             for (_, attempt) in old.attempts() {
@@ -549,20 +655,41 @@
             return;
         };
         // Only what differs: most of a block is as it was.
-        for (machine, list) in old.on.iter().filter(|(machine, list)| new.on.get(*machine) != Some(*list)) {
+        for (machine, list) in old
+            .on
+            .iter()
+            .filter(|(machine, list)| new.on.get(*machine) != Some(*list))
+        {
             let now = new.on.get(machine);
-            for placed in list.iter().filter(|placed| now.is_none_or(|now| !now.contains(placed))) {
+            for placed in list
+                .iter()
+                .filter(|placed| now.is_none_or(|now| !now.contains(placed)))
+            {
                 unplace(&mut self.placed, placed.0);
             }
         }
-        for (machine, list) in new.on.iter().filter(|(machine, list)| old.on.get(*machine) != Some(*list)) {
+        for (machine, list) in new
+            .on
+            .iter()
+            .filter(|(machine, list)| old.on.get(*machine) != Some(*list))
+        {
             let before = old.on.get(machine);
-            for placed in list.iter().filter(|placed| before.is_none_or(|before| !before.contains(placed))) {
+            for placed in list
+                .iter()
+                .filter(|placed| before.is_none_or(|before| !before.contains(placed)))
+            {
                 let of_job = self.placed.entry(placed.0.task.job).or_default();
-                of_job.insert((placed.0.task.index, placed.0.number), place(&block, machine));
+                of_job.insert(
+                    (placed.0.task.index, placed.0.number),
+                    place(&block, machine),
+                );
             }
         }
-        for (job, done) in new.done.iter().filter(|(job, done)| old.done.get(job) != Some(*done)) {
+        for (job, done) in new
+            .done
+            .iter()
+            .filter(|(job, done)| old.done.get(job) != Some(*done))
+        {
             if let Some(open) = self.open.get_mut(job) {
                 open.done.merge(done);
             }
@@ -570,20 +697,21 @@
     }
 
     fn apply_job(&mut self, id: JobId, version: u64, change: Change) {
-        let (job, cancelled, cancelled_ms) = match change.value.as_ref().and_then(decode::<JobRecord>) {
-            Some(JobRecord::Open(job)) => (job, false, 0),
-            Some(JobRecord::Cancelled(job, at_ms)) => (job, true, at_ms),
-            Some(JobRecord::Ended(end, tasks)) => {
-                self.open.remove(&id);
-                self.ended.insert(id, (end, tasks));
-                self.touched.ended.insert(id);
-                return;
-            }
-            None => {
-                warn!(job = %id, "a job's record is missing or malformed");
-                return;
-            }
-        };
+        let (job, cancelled, cancelled_ms) =
+            match change.value.as_ref().and_then(decode::<JobRecord>) {
+                Some(JobRecord::Open(job)) => (job, false, 0),
+                Some(JobRecord::Cancelled(job, at_ms)) => (job, true, at_ms),
+                Some(JobRecord::Ended(end, tasks)) => {
+                    self.open.remove(&id);
+                    self.ended.insert(id, (end, tasks));
+                    self.touched.ended.insert(id);
+                    return;
+                }
+                None => {
+                    warn!(job = %id, "a job's record is missing or malformed");
+                    return;
+                }
+            };
         // A final state is final: an older copy of the record can't bring the job back.
         if self.ended.contains_key(&id) {
             return;
@@ -599,8 +727,18 @@
             }
             return;
         }
-        let mut open = OpenJob { job, version, cancelled, cancelled_ms, done: Ranges::default() };
-        for done in self.places.values().filter_map(|places| places.value.done.get(&id)) {
+        let mut open = OpenJob {
+            job,
+            version,
+            cancelled,
+            cancelled_ms,
+            done: Ranges::default(),
+        };
+        for done in self
+            .places
+            .values()
+            .filter_map(|places| places.value.done.get(&id))
+        {
             open.done.merge(done);
         }
         for (_, progress) in self.progress.range((id, 0)..=(id, u32::MAX)) {
@@ -631,7 +769,12 @@
         self.places.iter().flat_map(move |(block, places)| {
             places.value.on.iter().filter_map(move |(id, attempts)| {
                 let machine = self.machines.get(id)?;
-                Some(Live { block, id, machine, attempts })
+                Some(Live {
+                    block,
+                    id,
+                    machine,
+                    attempts,
+                })
             })
         })
     }
@@ -642,7 +785,12 @@
             if self.ended.contains_key(job) {
                 return false;
             }
-            if self.progress.range((*job, 0)..=(*job, u32::MAX)).next().is_none() {
+            if self
+                .progress
+                .range((*job, 0)..=(*job, u32::MAX))
+                .next()
+                .is_none()
+            {
                 return true;
             }
             *done = self.not_folded(*job, done);
@@ -676,7 +824,10 @@
 }
 
 fn place(block: &BlockId, machine: &MachineId) -> Place {
-    Place { block: block.clone(), machine: machine.clone() }
+    Place {
+        block: block.clone(),
+        machine: machine.clone(),
+    }
 }
 
 pub fn decode<T: Record>(value: &ciborium::Value) -> Option<T> {
@@ -684,19 +835,38 @@
 }
 
 fn set<T: Record>(slot: &mut Option<Versioned<T>>, change: Change) {
-    if slot.as_ref().is_some_and(|old| old.version > change.version) {
+    if slot
+        .as_ref()
+        .is_some_and(|old| old.version > change.version)
+    {
         return;
     }
-    *slot = change.value.as_ref().and_then(decode).map(|value| Versioned { value, version: change.version });
+    *slot = change
+        .value
+        .as_ref()
+        .and_then(decode)
+        .map(|value| Versioned {
+            value,
+            version: change.version,
+        });
 }
 
 fn set_in<K: Ord, T: Record>(map: &mut BTreeMap<K, Versioned<T>>, key: K, change: Change) {
-    if map.get(&key).is_some_and(|old| old.version > change.version) {
+    if map
+        .get(&key)
+        .is_some_and(|old| old.version > change.version)
+    {
         return;
     }
     match change.value.as_ref().and_then(decode) {
         Some(value) => {
-            map.insert(key, Versioned { value, version: change.version });
+            map.insert(
+                key,
+                Versioned {
+                    value,
+                    version: change.version,
+                },
+            );
         }
         None => {
             map.remove(&key);
--- a/src/store/view/tests.rs
+++ b/src/store/view/tests.rs
@@ -8,27 +8,65 @@
 #[test]
 fn a_copy_that_is_far_behind_is_read_anew_while_the_old_one_is_still_in_use() {
     let start = Now::read();
-    let at = |seconds: u64| Now { steady: start.steady + Duration::from_secs(seconds), ..start };
+    let at = |seconds: u64| Now {
+        steady: start.steady + Duration::from_secs(seconds),
+        ..start
+    };
     let mut view = View::following();
     view.revision = 5;
     view.fresh = Some(start.steady);
-    view.apply(Change { key: job_key(JobId(1)), version: 5, value: Some(encode(&JobRecord::Open(job(1, 1.0)))) });
+    view.apply(Change {
+        key: job_key(JobId(1)),
+        version: 5,
+        value: Some(encode(&JobRecord::Open(job(1, 1.0)))),
+    });
     let next = |view: &mut View, now: Now| view.poll(now).remove(0);
     let (tag, op) = next(&mut view, at(40));
-    assert!(matches!((&tag, op), (Tag::Distance { .. }, Op::Get { .. })), "how far behind?");
-    view.handle(at(40), tag, Outcome::Missing { revision: 5 + MOST_MISSED / 8192 });
+    assert!(
+        matches!((&tag, op), (Tag::Distance { .. }, Op::Get { .. })),
+        "how far behind?"
+    );
+    view.handle(
+        at(40),
+        tag,
+        Outcome::Missing {
+            revision: 5 + MOST_MISSED / 8192,
+        },
+    );
     let (tag, op) = next(&mut view, at(40));
-    assert!(matches!(op, Op::Follow { after: 5, .. }), "near enough: {op:?}");
+    assert!(
+        matches!(op, Op::Follow { after: 5, .. }),
+        "near enough: {op:?}"
+    );
     view.handle(at(44), tag, Outcome::Unknown);
     let (tag, _) = next(&mut view, at(45));
-    assert!(matches!(tag, Tag::Distance { .. }), "the answer was too much after all, or none came");
+    assert!(
+        matches!(tag, Tag::Distance { .. }),
+        "the answer was too much after all, or none came"
+    );
     view.handle(at(45), tag, Outcome::Missing { revision: 9000 });
     let (tag, op) = next(&mut view, at(45));
     assert!(matches!(op, Op::List { .. }), "{op:?}");
     assert!(view.ready() && view.open.contains_key(&JobId(1)));
-    assert_eq!(view.fresh_since(), Some(start.steady), "no newer than it was");
-    let rows = vec![(job_key(JobId(2)), encode(&JobRecord::Open(job(1, 1.0))), 800)];
-    view.handle(at(46), tag, Outcome::Rows { rows, more: false, revision: 9000 });
+    assert_eq!(
+        view.fresh_since(),
+        Some(start.steady),
+        "no newer than it was"
+    );
+    let rows = vec![(
+        job_key(JobId(2)),
+        encode(&JobRecord::Open(job(1, 1.0))),
+        800,
+    )];
+    view.handle(
+        at(46),
+        tag,
+        Outcome::Rows {
+            rows,
+            more: false,
+            revision: 9000,
+        },
+    );
     assert!(!view.open.contains_key(&JobId(1)) && view.open.contains_key(&JobId(2)));
     assert!(view.take_touched().all);
     let (_, op) = next(&mut view, at(46));
@@ -40,26 +78,63 @@
 #[test]
 fn a_lost_attempt_does_not_hide_the_next_one() {
     let mut view = View::following();
-    let put = |key: String, version, value| Change { key, version, value: Some(value) };
-    let entry = || Rostered { type_name: "small".into(), tenure: Tenure::Spot, draining: false, rented_s: 0 };
+    let put = |key: String, version, value| Change {
+        key,
+        version,
+        value: Some(value),
+    };
+    let entry = || Rostered {
+        type_name: "small".into(),
+        tenure: Tenure::Spot,
+        draining: false,
+        rented_s: 0,
+    };
     let roster = |machines: &[&MachineId]| Roster {
         zone: "a".into(),
-        on: machines.iter().map(|machine| ((*machine).clone(), entry())).collect(),
+        on: machines
+            .iter()
+            .map(|machine| ((*machine).clone(), entry()))
+            .collect(),
     };
     let (first, second) = (MachineId::from("m-000014"), MachineId::from("m-000011"));
-    view.apply(put(job_key(JobId(1)), 1, encode(&JobRecord::Open(job(1, 1.0)))));
-    view.apply(put(roster_key(&"a.0".into()), 2, encode(&roster(&[&first, &second]))));
-    let attempt = |number| Attempt { task: TaskId { job: JobId(1), index: 0 }, number };
+    view.apply(put(
+        job_key(JobId(1)),
+        1,
+        encode(&JobRecord::Open(job(1, 1.0))),
+    ));
+    view.apply(put(
+        roster_key(&"a.0".into()),
+        2,
+        encode(&roster(&[&first, &second])),
+    ));
+    let attempt = |number| Attempt {
+        task: TaskId {
+            job: JobId(1),
+            index: 0,
+        },
+        number,
+    };
     let mut places = Places::default();
     places.add(&first, attempt(7));
     view.apply(put(places_key(&"a.0".into()), 3, encode(&places)));
-    view.apply(put(roster_key(&"a.0".into()), 4, encode(&roster(&[&second]))));
+    view.apply(put(
+        roster_key(&"a.0".into()),
+        4,
+        encode(&roster(&[&second])),
+    ));
     places.add(&second, attempt(8));
     view.apply(put(places_key(&"a.0".into()), 5, encode(&places)));
-    let live: Vec<u64> = view.live_places().flat_map(|live| live.attempts()).map(|attempt| attempt.number).collect();
+    let live: Vec<u64> = view
+        .live_places()
+        .flat_map(|live| live.attempts())
+        .map(|attempt| attempt.number)
+        .collect();
     assert_eq!(live, [8]);
     let placed = view.placed(JobId(1));
-    assert!(placed.values().any(|place| place.machine == second), "{placed:?}");
+    assert!(
+        placed.values().any(|place| place.machine == second),
+        "{placed:?}"
+    );
     places.remove(&first, attempt(7));
     view.apply(put(places_key(&"a.0".into()), 6, encode(&places)));
     assert_eq!(view.placed(JobId(1)).len(), 1);
@@ -69,13 +144,19 @@
 #[test]
 fn a_cancellation_told_by_another_controller_counts_until_the_copy_shows_what_is_true() {
     let mut view = View::following();
-    let put =
-        |id, version| Change { key: job_key(JobId(id)), version, value: Some(encode(&JobRecord::Open(job(1, 1.0)))) };
+    let put = |id, version| Change {
+        key: job_key(JobId(id)),
+        version,
+        value: Some(encode(&JobRecord::Open(job(1, 1.0)))),
+    };
     (1..=3).for_each(|id| view.apply(put(id, id)));
     view.revision = 10;
     let _ = view.take_touched();
     assert!(view.note_cancellation(JobId(1), 9, 1000));
-    assert!(!view.open[&JobId(1)].cancelled, "the copy is newer and shows otherwise");
+    assert!(
+        !view.open[&JobId(1)].cancelled,
+        "the copy is newer and shows otherwise"
+    );
     assert!(view.note_cancellation(JobId(2), 12, 1000));
     assert!(view.note_cancellation(JobId(2), 12, 1000));
     assert!(view.open[&JobId(2)].cancelled && view.open[&JobId(2)].version == 12);
@@ -87,14 +168,27 @@
     // Pages that were read before it was committed.
     view.clear();
     (2..=4).for_each(|id| view.apply(put(id, id)));
-    assert!(view.open[&JobId(2)].cancelled && view.open[&JobId(4)].cancelled && !view.open[&JobId(3)].cancelled);
+    assert!(
+        view.open[&JobId(2)].cancelled
+            && view.open[&JobId(4)].cancelled
+            && !view.open[&JobId(3)].cancelled
+    );
     view.state = State::Following;
-    let news = Outcome::News { revision: 14, changes: Vec::new() };
+    let news = Outcome::News {
+        revision: 14,
+        changes: Vec::new(),
+    };
     view.news(Now::read(), news);
-    assert!(view.cancellations.is_empty(), "the copy is new enough to know by itself");
+    assert!(
+        view.cancellations.is_empty(),
+        "the copy is new enough to know by itself"
+    );
     // Nothing is claimed to be known that could not be kept.
     let most = 100..100 + MOST_CANCELLATIONS as u64;
-    assert!(most.clone().all(|id| view.note_cancellation(JobId(id), 20, 1000)));
+    assert!(
+        most.clone()
+            .all(|id| view.note_cancellation(JobId(id), 20, 1000))
+    );
     assert!(!view.note_cancellation(JobId(most.end), 20, 1000));
     assert!(view.note_cancellation(JobId(100), 20, 1000), "a repeat");
 }
--- a/src/store/wire.rs
+++ b/src/store/wire.rs
@@ -95,56 +95,103 @@
 }
 
 fn multi(txn: &Txn) -> Vec<u8> {
-    let when = txn.conditions.iter().map(|(k, amended)| Condition { k, amended: *amended }).collect();
+    let when = txn
+        .conditions
+        .iter()
+        .map(|(k, amended)| Condition {
+            k,
+            amended: *amended,
+        })
+        .collect();
     let apply = txn.changes.iter().map(|change| match change {
-        TxnChange::Put { key, value, hold } => Apply::Put { put: key, value, tenure: *hold },
+        TxnChange::Put { key, value, hold } => Apply::Put {
+            put: key,
+            value,
+            tenure: *hold,
+        },
         TxnChange::Delete { key } => Apply::Remove { remove: key },
     });
-    write(&Multi { when, apply: apply.collect() })
+    write(&Multi {
+        when,
+        apply: apply.collect(),
+    })
 }
 
 pub fn request(op: &Op) -> Request {
     match op {
         Op::Get { key } => Request::get(format!("/keys/{key}"), TIMEOUT),
         Op::List { prefix, after } => {
-            let after = after.as_ref().map(|key| format!("&after={key}")).unwrap_or_default();
-            Request::get(format!("/keys?prefix={prefix}{after}&most={PAGE}"), TIMEOUT * 2)
+            let after = after
+                .as_ref()
+                .map(|key| format!("&after={key}"))
+                .unwrap_or_default();
+            Request::get(
+                format!("/keys?prefix={prefix}{after}&most={PAGE}"),
+                TIMEOUT * 2,
+            )
         }
         Op::Commit(txn) => Request::post("/multi".to_owned(), multi(txn), TIMEOUT),
-        Op::Follow { prefix, after, wait } => {
-            let path = format!("/follow?prefix={prefix}&after={after}&holdMs={}", millis(*wait));
+        Op::Follow {
+            prefix,
+            after,
+            wait,
+        } => {
+            let path = format!(
+                "/follow?prefix={prefix}&after={after}&holdMs={}",
+                millis(*wait)
+            );
             Request::get(path, *wait + TIMEOUT)
         }
-        Op::OpenHold { life } => {
-            Request::post("/holds".to_owned(), write(&NewHold { life_ms: millis(*life) }), TIMEOUT)
-        }
+        Op::OpenHold { life } => Request::post(
+            "/holds".to_owned(),
+            write(&NewHold {
+                life_ms: millis(*life),
+            }),
+            TIMEOUT,
+        ),
         Op::ExtendHold { id } => Request::post(format!("/holds/{id}/extend"), Vec::new(), TIMEOUT),
     }
 }
 
 pub fn outcome(op: &Op, reply: Option<&Reply>) -> Outcome {
-    let Some(reply) = reply else { return Outcome::Unknown };
+    let Some(reply) = reply else {
+        return Outcome::Unknown;
+    };
     match (reply.status, op) {
         (429 | 503, _) => Outcome::Refused,
-        (200, Op::Get { .. }) => read(&reply.body)
-            .map_or(Outcome::Unknown, |row: Row| Outcome::Value { value: row.value, version: row.amended }),
+        (200, Op::Get { .. }) => {
+            read(&reply.body).map_or(Outcome::Unknown, |row: Row| Outcome::Value {
+                value: row.value,
+                version: row.amended,
+            })
+        }
         (404, Op::Get { .. }) => {
-            read(&reply.body).map_or(Outcome::Unknown, |r: Revision| Outcome::Missing { revision: r.revision })
+            read(&reply.body).map_or(Outcome::Unknown, |r: Revision| Outcome::Missing {
+                revision: r.revision,
+            })
+        }
+        (200, Op::List { .. }) => {
+            read(&reply.body).map_or(Outcome::Unknown, |list: Rows| Outcome::Rows {
+                rows: list
+                    .rows
+                    .into_iter()
+                    .map(|row| (row.k, row.value, row.amended))
+                    .collect(),
+                more: list.more,
+                revision: list.revision,
+            })
         }
-        (200, Op::List { .. }) => read(&reply.body).map_or(Outcome::Unknown, |list: Rows| Outcome::Rows {
-            rows: list.rows.into_iter().map(|row| (row.k, row.value, row.amended)).collect(),
-            more: list.more,
-            revision: list.revision,
-        }),
         (200, Op::Commit(_)) => {
-            read(&reply.body).map_or(Outcome::Unknown, |r: Revision| Outcome::Committed { revision: r.revision })
+            read(&reply.body).map_or(Outcome::Unknown, |r: Revision| Outcome::Committed {
+                revision: r.revision,
+            })
         }
         (409, Op::Commit(_)) => Outcome::Conflict,
         (200, Op::Follow { .. }) => read(&reply.body).map_or(Outcome::Unknown, news),
         (410, Op::Follow { .. }) => Outcome::TooOld,
-        (200, Op::OpenHold { .. }) => {
-            read(&reply.body).map_or(Outcome::Unknown, |hold: HoldId| Outcome::Hold { id: hold.tenure })
-        }
+        (200, Op::OpenHold { .. }) => read(&reply.body).map_or(Outcome::Unknown, |hold: HoldId| {
+            Outcome::Hold { id: hold.tenure }
+        }),
         (200, Op::ExtendHold { id }) => Outcome::Hold { id: *id },
         (404, Op::ExtendHold { .. }) => Outcome::HoldGone,
         (400 | 404, _) => Outcome::Invalid,
@@ -153,12 +200,26 @@
 }
 
 fn news(news: News) -> Outcome {
-    let changes = news.news.into_iter().filter_map(|item| match (item.put, item.remove) {
-        (Some(key), _) => Some(Change { key, version: item.amended, value: item.value }),
-        (None, Some(key)) => Some(Change { key, version: item.amended, value: None }),
-        (None, None) => None,
-    });
-    Outcome::News { revision: news.revision, changes: changes.collect() }
+    let changes = news
+        .news
+        .into_iter()
+        .filter_map(|item| match (item.put, item.remove) {
+            (Some(key), _) => Some(Change {
+                key,
+                version: item.amended,
+                value: item.value,
+            }),
+            (None, Some(key)) => Some(Change {
+                key,
+                version: item.amended,
+                value: None,
+            }),
+            (None, None) => None,
+        });
+    Outcome::News {
+        revision: news.revision,
+        changes: changes.collect(),
+    }
 }
 
 #[cfg(test)]
--- a/src/store/wire/tests.rs
+++ b/src/store/wire/tests.rs
@@ -3,7 +3,10 @@
 use super::*;
 
 fn reply(status: u16, value: ciborium::Value) -> Reply {
-    Reply { status, body: write(&value).into() }
+    Reply {
+        status,
+        body: write(&value).into(),
+    }
 }
 
 #[test]
@@ -11,7 +14,11 @@
     let txn = Txn {
         conditions: vec![("a/b".into(), 0)],
         changes: vec![
-            TxnChange::Put { key: "a/b".into(), value: 3.into(), hold: Some(7) },
+            TxnChange::Put {
+                key: "a/b".into(),
+                value: 3.into(),
+                hold: Some(7),
+            },
             TxnChange::Delete { key: "c/d".into() },
         ],
     };
@@ -28,20 +35,53 @@
 fn answers_are_told_apart() {
     let commit = Op::Commit(Txn::default());
     assert_eq!(outcome(&commit, None), Outcome::Unknown);
-    assert_eq!(outcome(&commit, Some(&reply(503, Value::Null))), Outcome::Refused);
-    assert_eq!(outcome(&commit, Some(&reply(200, Value::Null))), Outcome::Unknown);
+    assert_eq!(
+        outcome(&commit, Some(&reply(503, Value::Null))),
+        Outcome::Refused
+    );
+    assert_eq!(
+        outcome(&commit, Some(&reply(200, Value::Null))),
+        Outcome::Unknown
+    );
     let revision = cbor!({"ledgerLine" => 9}).expect("valid");
-    assert_eq!(outcome(&commit, Some(&reply(200, revision.clone()))), Outcome::Committed { revision: 9 });
-    assert_eq!(outcome(&commit, Some(&reply(409, revision.clone()))), Outcome::Conflict);
+    assert_eq!(
+        outcome(&commit, Some(&reply(200, revision.clone()))),
+        Outcome::Committed { revision: 9 }
+    );
+    assert_eq!(
+        outcome(&commit, Some(&reply(409, revision.clone()))),
+        Outcome::Conflict
+    );
     let get = Op::Get { key: "k".into() };
-    assert_eq!(outcome(&get, Some(&reply(404, revision))), Outcome::Missing { revision: 9 });
-    let follow = Op::Follow { prefix: "c/".into(), after: 3, wait: Duration::ZERO };
+    assert_eq!(
+        outcome(&get, Some(&reply(404, revision))),
+        Outcome::Missing { revision: 9 }
+    );
+    let follow = Op::Follow {
+        prefix: "c/".into(),
+        after: 3,
+        wait: Duration::ZERO,
+    };
     let news = cbor!({"ledgerLine" => 9, "news" => [
         {"put" => "c/9", "value" => {"x" => 1}, "amended" => 9}, {"remove" => "c/d", "amended" => 8}]});
-    let Outcome::News { revision: 9, changes } = outcome(&follow, Some(&reply(200, news.expect("valid")))) else {
+    let Outcome::News {
+        revision: 9,
+        changes,
+    } = outcome(&follow, Some(&reply(200, news.expect("valid"))))
+    else {
         panic!("not news");
     };
     assert_eq!(changes.len(), 2);
-    assert_eq!((changes[1].key.as_str(), changes[1].version, &changes[1].value), ("c/d", 8, &None));
-    assert_eq!(outcome(&follow, Some(&reply(410, Value::Null))), Outcome::TooOld);
+    assert_eq!(
+        (
+            changes[1].key.as_str(),
+            changes[1].version,
+            &changes[1].value
+        ),
+        ("c/d", 8, &None)
+    );
+    assert_eq!(
+        outcome(&follow, Some(&reply(410, Value::Null))),
+        Outcome::TooOld
+    );
 }
--- a/src/store/writer.rs
+++ b/src/store/writer.rs
@@ -54,7 +54,9 @@
 
     pub fn answered(&mut self, now: Now, outcome: &Outcome) {
         *self = match outcome {
-            Outcome::Committed { revision } => Writer::Settling { revision: *revision },
+            Outcome::Committed { revision } => Writer::Settling {
+                revision: *revision,
+            },
             _ => Writer::Unsure { since: now.steady },
         };
     }
--- a/tests/simulation/machine.rs
+++ b/tests/simulation/machine.rs
@@ -69,7 +69,10 @@
     }
 
     pub fn addr(&self) -> String {
-        format!("10.1.0.1:{}", 9000 + self.id.trim_start_matches("m-").parse::<u32>().unwrap_or(0))
+        format!(
+            "10.1.0.1:{}",
+            9000 + self.id.trim_start_matches("m-").parse::<u32>().unwrap_or(0)
+        )
     }
 
     pub fn message(&mut self) -> Report {
@@ -87,14 +90,21 @@
             tasks: self
                 .tasks
                 .iter()
-                .map(|(task, t)| ReportedTask { task: *task, number: t.number, state: t.state, cause: t.cause })
+                .map(|(task, t)| ReportedTask {
+                    task: *task,
+                    number: t.number,
+                    state: t.state,
+                    cause: t.cause,
+                })
                 .collect(),
         }
     }
 
     /// Up for a while, fit for tasks, and not being taken away.
     pub fn settled(&self, now: Duration) -> bool {
-        let up = self.up_at.is_some_and(|at| now > at + Duration::from_secs(10));
+        let up = self
+            .up_at
+            .is_some_and(|at| now > at + Duration::from_secs(10));
         up && self.runs(now) && self.notice.is_none() && !self.faulty
     }
 
@@ -149,7 +159,12 @@
                     }
                     let cached = self.images.contains(&*job.image.0);
                     let left = if cached { Duration::ZERO } else { FETCH };
-                    let fetching = Task { number: *number, state: TaskState::Fetching, cause: None, left };
+                    let fetching = Task {
+                        number: *number,
+                        state: TaskState::Fetching,
+                        cause: None,
+                        left,
+                    };
                     self.tasks.insert(*task, fetching);
                     if cached {
                         happened.extend(self.has_image(*task, results, &run_for));
@@ -185,7 +200,9 @@
         run_for: &impl Fn(TaskId) -> Duration,
     ) -> Vec<Happened> {
         self.changed = true;
-        let Some(t) = self.tasks.get_mut(&task) else { return Vec::new() };
+        let Some(t) = self.tasks.get_mut(&task) else {
+            return Vec::new();
+        };
         if results.contains(&task) {
             t.state = TaskState::Exited;
             t.cause = Some(Cause::Done);
@@ -215,7 +232,9 @@
             })
             .collect();
         for task in due {
-            let Some(t) = self.tasks.get_mut(&task) else { continue };
+            let Some(t) = self.tasks.get_mut(&task) else {
+                continue;
+            };
             if t.state == TaskState::Fetching {
                 if let Some(job) = jobs.get(&task.job) {
                     self.images.insert(job.image.0.to_string());
--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -16,8 +16,15 @@
 
 /// With LOG_LEVEL set, a failing seed tells what its controllers did and when.
 fn log_if_asked() {
-    if let Some(level) = std::env::var("LOG_LEVEL").ok().and_then(|level| level.parse::<tracing::Level>().ok()) {
-        let _ = tracing_subscriber::fmt().with_max_level(level).without_time().with_ansi(false).try_init();
+    if let Some(level) = std::env::var("LOG_LEVEL")
+        .ok()
+        .and_then(|level| level.parse::<tracing::Level>().ok())
+    {
+        let _ = tracing_subscriber::fmt()
+            .with_max_level(level)
+            .without_time()
+            .with_ansi(false)
+            .try_init();
     }
 }
 
@@ -31,13 +38,36 @@
 /// Every rule kept, and nothing that was accepted left undone once faults have ceased.
 fn check(seed: u64, faults: Faults) {
     let world = world(seed, faults);
-    assert!(world.rules.broken.is_empty(), "seed {seed}: {:?}", world.rules.broken);
-    assert!(world.rules.started > 50, "seed {seed}: only {} tasks started", world.rules.started);
+    assert!(
+        world.rules.broken.is_empty(),
+        "seed {seed}: {:?}",
+        world.rules.broken
+    );
+    assert!(
+        world.rules.started > 50,
+        "seed {seed}: only {} tasks started",
+        world.rules.started
+    );
     let unfinished = world.rules.unfinished();
-    assert!(unfinished.is_empty(), "seed {seed}: accepted and neither done nor cancelled: {unfinished:?}");
-    assert_eq!(world.rules.running(), 0, "seed {seed}: tasks of jobs that are over");
-    assert_eq!(world.listed(), 0, "seed {seed}: workers list tasks of jobs that are over");
-    assert!(world.jobs_told() > 20, "seed {seed}: {} jobs accepted", world.jobs_told());
+    assert!(
+        unfinished.is_empty(),
+        "seed {seed}: accepted and neither done nor cancelled: {unfinished:?}"
+    );
+    assert_eq!(
+        world.rules.running(),
+        0,
+        "seed {seed}: tasks of jobs that are over"
+    );
+    assert_eq!(
+        world.listed(),
+        0,
+        "seed {seed}: workers list tasks of jobs that are over"
+    );
+    assert!(
+        world.jobs_told() > 20,
+        "seed {seed}: {} jobs accepted",
+        world.jobs_told()
+    );
     assert_eq!(world.rules.unserved(), [] as [&str; 0], "seed {seed}");
 }
 
@@ -51,14 +81,29 @@
 #[test]
 fn lost_and_late_messages() {
     for seed in 10..=15 {
-        check(seed, Faults { lost: 0.03, held: 0.03, ..Faults::default() });
+        check(
+            seed,
+            Faults {
+                lost: 0.03,
+                held: 0.03,
+                ..Faults::default()
+            },
+        );
     }
 }
 
 #[test]
 fn controllers_crash() {
     for seed in 20..=25 {
-        check(seed, Faults { crash: 12.0, crash_all: 60.0, held: 0.01, ..Faults::default() });
+        check(
+            seed,
+            Faults {
+                crash: 12.0,
+                crash_all: 60.0,
+                held: 0.01,
+                ..Faults::default()
+            },
+        );
     }
 }
 
@@ -79,7 +124,13 @@
 
 #[test]
 fn the_state_service_is_away() {
-    let faults = Faults { outage: 40.0, cut_one: 30.0, crash: 40.0, lost: 0.01, ..Faults::default() };
+    let faults = Faults {
+        outage: 40.0,
+        cut_one: 30.0,
+        crash: 40.0,
+        lost: 0.01,
+        ..Faults::default()
+    };
     for seed in 40..=45 {
         check(seed, faults);
     }
@@ -87,7 +138,12 @@
 
 #[test]
 fn zones_are_cut_off() {
-    let faults = Faults { zone_cut: 30.0, peers_cut: 50.0, held: 0.01, ..Faults::default() };
+    let faults = Faults {
+        zone_cut: 30.0,
+        peers_cut: 50.0,
+        held: 0.01,
+        ..Faults::default()
+    };
     for seed in 50..=55 {
         check(seed, faults);
     }
@@ -96,37 +152,84 @@
 #[test]
 fn answers_do_not_reach_machines() {
     for seed in 60..=64 {
-        check(seed, Faults { machine_deaf: 12.0, machine_restarts: 25.0, copies: 0.05, ..Faults::default() });
+        check(
+            seed,
+            Faults {
+                machine_deaf: 12.0,
+                machine_restarts: 25.0,
+                copies: 0.05,
+                ..Faults::default()
+            },
+        );
     }
 }
 
 #[test]
 fn a_controller_hears_its_workers_only() {
     for seed in 70..=74 {
-        check(seed, Faults { island: 20.0, copies: 0.05, crash: 60.0, held: 0.01, ..Faults::default() });
+        check(
+            seed,
+            Faults {
+                island: 20.0,
+                copies: 0.05,
+                crash: 60.0,
+                held: 0.01,
+                ..Faults::default()
+            },
+        );
     }
 }
 
 #[test]
 fn a_controller_stands_still() {
     for seed in 80..=85 {
-        check(seed, Faults { freeze: 15.0, crash: 80.0, held: 0.01, ..Faults::default() });
+        check(
+            seed,
+            Faults {
+                freeze: 15.0,
+                crash: 80.0,
+                held: 0.01,
+                ..Faults::default()
+            },
+        );
     }
 }
 
 #[test]
 fn what_was_carried_out_is_repeated() {
     for seed in 90..=92 {
-        check(seed, Faults { copies: 0.1, crash: 60.0, machine_hangs: 30.0, ..Faults::default() });
+        check(
+            seed,
+            Faults {
+                copies: 0.1,
+                crash: 60.0,
+                machine_hangs: 30.0,
+                ..Faults::default()
+            },
+        );
         // Tasks that failed are launched again by copies: without the worker's memory of them, seed 92 breaks `ran_twice`.
-        check(seed, Faults { copies: 0.7, faulty_machines: 0.3, ..Faults::default() });
+        check(
+            seed,
+            Faults {
+                copies: 0.7,
+                faulty_machines: 0.3,
+                ..Faults::default()
+            },
+        );
     }
 }
 
 #[test]
 fn many_machines_are_lost_together() {
     for seed in 96..=99 {
-        check(seed, Faults { mass_loss: 30.0, crash: 60.0, ..Faults::default() });
+        check(
+            seed,
+            Faults {
+                mass_loss: 30.0,
+                crash: 60.0,
+                ..Faults::default()
+            },
+        );
     }
 }
 
@@ -143,18 +246,36 @@
     world.run_until(end);
     let seconds = end.as_secs_f64();
     assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
-    assert_eq!(world.rules.unfinished(), [], "accepted and neither done nor cancelled");
+    assert_eq!(
+        world.rules.unfinished(),
+        [],
+        "accepted and neither done nor cancelled"
+    );
     assert_eq!(world.rules.unserved(), [] as [&str; 0]);
-    assert!(world.most_machines > bounds.machines, "{} machines", world.most_machines);
-    assert!(world.rules.started > bounds.started, "{} tasks started", world.rules.started);
+    assert!(
+        world.most_machines > bounds.machines,
+        "{} machines",
+        world.most_machines
+    );
+    assert!(
+        world.rules.started > bounds.started,
+        "{} tasks started",
+        world.rules.started
+    );
     let (looked, plans) = world.looked();
     let each = looked as f64 / world.events_handled as f64;
     // A write looks at its whole block, a machine that is silent is asked again and again, all else looks at its own
     // machine. A pass over a holder's machines, a third of them all, for each event would fail this.
-    assert!(each < 30.0, "{each:.1} machines and tasks looked at for each event");
+    assert!(
+        each < 30.0,
+        "{each:.1} machines and tasks looked at for each event"
+    );
     assert!(plans as f64 / seconds < 25.0, "{plans} plans");
     let changes = world.state().changes as f64 / seconds;
-    assert!(changes < bounds.changes, "{changes:.1} changes of the state service a second");
+    assert!(
+        changes < bounds.changes,
+        "{changes:.1} changes of the state service a second"
+    );
     // The stand-in refuses values above the limit; so many tasks must need most of it, or they are not packed.
     let largest = world.state().largest;
     assert!(largest > 2000, "the largest value has {largest} bytes");
@@ -176,10 +297,21 @@
         ..Faults::default()
     };
     let end = Duration::from_secs(240);
-    let bounds = Bounds { machines: 200, started: 3000, changes: 25.0 };
-    let world = check_at_size(World::new(7, faults, Duration::from_secs(90), Size::GROWN), end, bounds);
+    let bounds = Bounds {
+        machines: 200,
+        started: 3000,
+        changes: 25.0,
+    };
+    let world = check_at_size(
+        World::new(7, faults, Duration::from_secs(90), Size::GROWN),
+        end,
+        bounds,
+    );
     let bytes = world.peer_bytes as f64 / end.as_secs_f64();
-    assert!(bytes < 60_000.0, "{bytes:.0} bytes between controllers a second");
+    assert!(
+        bytes < 60_000.0,
+        "{bytes:.0} bytes between controllers a second"
+    );
 }
 
 /// A thousand machines and more, of which a third is lost in the same moment, again and again, while controllers end,
@@ -198,11 +330,22 @@
         ..Faults::default()
     };
     let end = Duration::from_secs(300);
-    let bounds = Bounds { machines: 1000, started: 10_000, changes: 30.0 };
-    let world = check_at_size(World::new(11, faults, Duration::from_secs(90), Size::FLEET), end, bounds);
+    let bounds = Bounds {
+        machines: 1000,
+        started: 10_000,
+        changes: 30.0,
+    };
+    let world = check_at_size(
+        World::new(11, faults, Duration::from_secs(90), Size::FLEET),
+        end,
+        bounds,
+    );
     // One in eight of the sample's 2,500 sockets.
     let commands = world.most_commands;
-    assert!((100..=312).contains(&commands), "{commands} commands under way");
+    assert!(
+        (100..=312).contains(&commands),
+        "{commands} commands under way"
+    );
 }
 
 #[test]
@@ -218,7 +361,11 @@
 #[test]
 #[ignore = "for replaying and searching seeds by hand"]
 fn by_hand() {
-    let number = |name| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let number = |name| {
+        std::env::var(name)
+            .ok()
+            .and_then(|text| text.parse::<u64>().ok())
+    };
     let first = number("SEED").expect("SEED is a number");
     let failed: Vec<u64> = (first..first + number("COUNT").unwrap_or(1))
         .filter(|seed| std::panic::catch_unwind(|| check(*seed, Faults::all())).is_err())
@@ -228,6 +375,20 @@
 
 #[test]
 fn the_checks_can_fail() {
-    let world = world(1, Faults { sabotage: true, ..Faults::default() });
-    assert!(world.rules.broken.iter().any(|text| text.contains("ran_twice")), "{:?}", world.rules.broken);
+    let world = world(
+        1,
+        Faults {
+            sabotage: true,
+            ..Faults::default()
+        },
+    );
+    assert!(
+        world
+            .rules
+            .broken
+            .iter()
+            .any(|text| text.contains("ran_twice")),
+        "{:?}",
+        world.rules.broken
+    );
 }
--- a/tests/simulation/meetings.rs
+++ b/tests/simulation/meetings.rs
@@ -37,12 +37,22 @@
 
 impl Gap {
     fn new(seed: u64, cut: f64) -> Self {
-        Gap { seed, cut, out_for: OUT_FOR, hang: None }
+        Gap {
+            seed,
+            cut,
+            out_for: OUT_FOR,
+            hang: None,
+        }
     }
 
     /// `meanwhile` happens as the outage begins; it is told the jobs and the leader.
     fn play(self, meanwhile: impl FnOnce(&mut World, Vec<JobId>, usize) + 'static) -> World {
-        let Gap { seed, cut, out_for, hang } = self;
+        let Gap {
+            seed,
+            cut,
+            out_for,
+            hang,
+        } = self;
         let mut world = world(seed);
         world.plan(OUT_AT - seconds(cut), move |world| {
             let leader = world.leader().expect("led by now");
@@ -51,13 +61,24 @@
         world.plan(OUT_AT - seconds(cut.clamp(1.0, 3.0)), move |world| {
             let jobs = world.cancel_now(8);
             for machine in machines_of(world, &jobs) {
-                hang.into_iter().for_each(|how_long| world.hang(&machine, how_long));
+                hang.into_iter()
+                    .for_each(|how_long| world.hang(&machine, how_long));
             }
             world.plan(OUT_AT, move |world| {
-                let jobs: Vec<JobId> = jobs.into_iter().filter(|job| world.rules.is_cancelled(*job)).collect();
-                assert!(jobs.len() >= 2, "seed {seed}: {} cancellations confirmed before the outage", jobs.len());
+                let jobs: Vec<JobId> = jobs
+                    .into_iter()
+                    .filter(|job| world.rules.is_cancelled(*job))
+                    .collect();
+                assert!(
+                    jobs.len() >= 2,
+                    "seed {seed}: {} cancellations confirmed before the outage",
+                    jobs.len()
+                );
                 let left = machines_of(world, &jobs).len();
-                assert!(hang.is_none() || left > 0, "seed {seed}: no machine hangs with a cancelled task");
+                assert!(
+                    hang.is_none() || left > 0,
+                    "seed {seed}: no machine hangs with a cancelled task"
+                );
                 world.state_outage(out_for);
                 let leader = world.leader().expect("nobody could replace it");
                 meanwhile(world, jobs, leader);
@@ -71,9 +92,21 @@
 pub fn finish(seed: u64, mut world: World) -> World {
     world.run_until(CALM_FROM + seconds(350.0));
     assert_eq!(world.rules.broken, [] as [&str; 0], "seed {seed}");
-    assert_eq!(world.rules.unfinished(), [], "seed {seed}: accepted and neither done nor cancelled");
-    assert_eq!(world.rules.running(), 0, "seed {seed}: tasks of jobs that are over");
-    assert!(world.rules.started > 50, "seed {seed}: only {} tasks started", world.rules.started);
+    assert_eq!(
+        world.rules.unfinished(),
+        [],
+        "seed {seed}: accepted and neither done nor cancelled"
+    );
+    assert_eq!(
+        world.rules.running(),
+        0,
+        "seed {seed}: tasks of jobs that are over"
+    );
+    assert!(
+        world.rules.started > 50,
+        "seed {seed}: only {} tasks started",
+        world.rules.started
+    );
     world
 }
 
@@ -87,7 +120,13 @@
     world
 }
 
-fn every(world: &mut World, from: u64, until: u64, step: u64, act: impl Fn(&mut World) + Clone + 'static) {
+fn every(
+    world: &mut World,
+    from: u64,
+    until: u64,
+    step: u64,
+    act: impl Fn(&mut World) + Clone + 'static,
+) {
     for at in (from..until).step_by(step as usize) {
         world.plan(Duration::from_secs(at), act.clone());
     }
@@ -101,7 +140,9 @@
 
 /// The machines that have tasks of these jobs.
 fn machines_of(world: &World, jobs: &[JobId]) -> Vec<String> {
-    jobs.iter().flat_map(|job| world.rules.machines_of(*job)).collect()
+    jobs.iter()
+        .flat_map(|job| world.rules.machines_of(*job))
+        .collect()
 }
 
 /// The old leader's workers go on reporting to it, and its copy does not show the cancellations.
@@ -110,7 +151,11 @@
     for seed in 200..=203 {
         for cut in [0.1, 1.5, 5.0] {
             Gap::new(seed, cut).play(|_, _, _| {});
-            Gap { out_for: 2 * OUT_FOR, ..Gap::new(seed, cut) }.play(|_, _, _| {});
+            Gap {
+                out_for: 2 * OUT_FOR,
+                ..Gap::new(seed, cut)
+            }
+            .play(|_, _, _| {});
         }
     }
 }
@@ -120,7 +165,11 @@
 #[test]
 fn no_lease_runs_out_in_an_outage_in_which_controllers_hear_each_other() {
     for seed in 200..=203 {
-        let world = Gap { out_for: 2 * OUT_FOR, ..Gap::new(seed, 1.5) }.play(|_, _, _| {});
+        let world = Gap {
+            out_for: 2 * OUT_FOR,
+            ..Gap::new(seed, 1.5)
+        }
+        .play(|_, _, _| {});
         assert_eq!(world.leases_over, 0, "seed {seed}");
     }
 }
@@ -144,7 +193,11 @@
 fn machines_hang_in_the_gap_with_cancelled_tasks() {
     for seed in 200..=203 {
         for cut in [1.5, 5.0] {
-            Gap { hang: Some(seconds(90.0)), ..Gap::new(seed, cut) }.play(|_, _, _| {});
+            Gap {
+                hang: Some(seconds(90.0)),
+                ..Gap::new(seed, cut)
+            }
+            .play(|_, _, _| {});
         }
     }
 }
@@ -153,7 +206,10 @@
 #[test]
 fn machines_hang_in_the_gap_and_their_holder_is_away() {
     for seed in 200..=202 {
-        let gap = Gap { hang: Some(seconds(90.0)), ..Gap::new(seed, 1.5) };
+        let gap = Gap {
+            hang: Some(seconds(90.0)),
+            ..Gap::new(seed, 1.5)
+        };
         gap.play(|world, _, leader| world.end_controller(leader, seconds(0.1)));
         gap.play(|world, _, leader| world.end_controller(leader, seconds(5.0)));
         gap.play(|world, _, leader| world.freeze(leader, seconds(60.0)));
@@ -180,16 +236,25 @@
 #[test]
 fn commands_are_held_up_and_the_machines_go_on() {
     for seed in 210..=213 {
-        play(seed, Faults { held: 0.06, faulty_machines: 0.3, ..Faults::default() }, Size::SMALL, |world| {
-            every(world, 20, 145, 5, |world| {
-                for (n, machine) in world.up(None).into_iter().enumerate() {
-                    // Within their leases, and some for longer.
-                    if n.is_multiple_of(3) {
-                        world.hang(&machine, seconds(1.0 + 4.0 * n as f64));
+        play(
+            seed,
+            Faults {
+                held: 0.06,
+                faulty_machines: 0.3,
+                ..Faults::default()
+            },
+            Size::SMALL,
+            |world| {
+                every(world, 20, 145, 5, |world| {
+                    for (n, machine) in world.up(None).into_iter().enumerate() {
+                        // Within their leases, and some for longer.
+                        if n.is_multiple_of(3) {
+                            world.hang(&machine, seconds(1.0 + 4.0 * n as f64));
+                        }
                     }
-                }
-            });
-        });
+                });
+            },
+        );
     }
 }
 
@@ -199,12 +264,21 @@
     for seed in 215..=217 {
         for back_after in [0.1, 3.0, 14.0] {
             let world = play(seed, Faults::default(), Size::SMALL, |world| {
-                every(world, 25, 145, 12, move |world| end_leader(world, back_after));
+                every(world, 25, 145, 12, move |world| {
+                    end_leader(world, back_after)
+                });
             });
-            assert_eq!(world.leases_over, 0, "seed {seed}, back after {back_after} s");
+            assert_eq!(
+                world.leases_over, 0,
+                "seed {seed}, back after {back_after} s"
+            );
             // A term for each of the ten, and the blocks that the ended one held: raised by every leader for all blocks,
             // they would come to 44 and more.
-            assert!(world.last_token() <= 36, "seed {seed}: {} tokens", world.last_token());
+            assert!(
+                world.last_token() <= 36,
+                "seed {seed}: {} tokens",
+                world.last_token()
+            );
         }
     }
 }
@@ -227,9 +301,18 @@
         play(seed, Faults::default(), Size::SMALL, |world| {
             world.bind_jobs();
             world.longer = seconds(15.0);
-            for (at, zone, part) in [(50.0, "a", 1), (70.0, "b", 2), (95.0, "c", 1), (120.0, "a", 2)] {
+            for (at, zone, part) in [
+                (50.0, "a", 1),
+                (70.0, "b", 2),
+                (95.0, "c", 1),
+                (120.0, "a", 2),
+            ] {
                 world.plan(seconds(at), move |world| {
-                    world.up(Some(zone)).iter().step_by(part).for_each(|machine| world.kill(machine));
+                    world
+                        .up(Some(zone))
+                        .iter()
+                        .step_by(part)
+                        .for_each(|machine| world.kill(machine));
                 });
             }
             world.plan(seconds(100.0), |world| end_leader(world, 5.0));
@@ -241,8 +324,20 @@
 #[test]
 fn the_end_of_a_job_meets_its_cancellation() {
     for seed in 225..=230 {
-        let faults = Faults { cancel_at_end: 1.0, odd_requests: 0.3, ..Faults::default() };
-        play(seed, faults, Size { jobs: 60, ..Size::SMALL }, |_| {});
+        let faults = Faults {
+            cancel_at_end: 1.0,
+            odd_requests: 0.3,
+            ..Faults::default()
+        };
+        play(
+            seed,
+            faults,
+            Size {
+                jobs: 60,
+                ..Size::SMALL
+            },
+            |_| {},
+        );
     }
 }
 
@@ -250,13 +345,26 @@
 #[test]
 fn machines_reach_no_controller_while_commands_reach_them() {
     for seed in 235..=238 {
-        play(seed, Faults { machine_mute: 8.0, crash: 60.0, ..Faults::default() }, Size::SMALL, |world| {
-            world.longer = seconds(20.0);
-            world.plan(seconds(60.0), |world| {
-                world.up(None).iter().step_by(2).for_each(|machine| world.mute(machine, seconds(70.0)));
-                world.cancel_now(4);
-            });
-        });
+        play(
+            seed,
+            Faults {
+                machine_mute: 8.0,
+                crash: 60.0,
+                ..Faults::default()
+            },
+            Size::SMALL,
+            |world| {
+                world.longer = seconds(20.0);
+                world.plan(seconds(60.0), |world| {
+                    world
+                        .up(None)
+                        .iter()
+                        .step_by(2)
+                        .for_each(|machine| world.mute(machine, seconds(70.0)));
+                    world.cancel_now(4);
+                });
+            },
+        );
     }
 }
 
@@ -269,10 +377,14 @@
             world.plan(seconds(60.0), move |world| {
                 let mute: Vec<String> = world.up(None).into_iter().step_by(2).collect();
                 assert!(mute.len() > 3, "seed {seed}: {mute:?}");
-                mute.iter().for_each(|machine| world.mute(machine, seconds(1000.0)));
+                mute.iter()
+                    .for_each(|machine| world.mute(machine, seconds(1000.0)));
                 world.plan(seconds(120.0), move |world| {
                     let left = world.up(None);
-                    assert!(!mute.iter().any(|machine| left.contains(machine)), "seed {seed}: {left:?} of {mute:?}");
+                    assert!(
+                        !mute.iter().any(|machine| left.contains(machine)),
+                        "seed {seed}: {left:?} of {mute:?}"
+                    );
                 });
             });
         });
@@ -283,7 +395,16 @@
 #[test]
 fn transactions_are_carried_out_late() {
     for seed in 240..=245 {
-        play(seed, Faults { late_writes: 0.2, crash: 40.0, ..Faults::default() }, Size::SMALL, |_| {});
+        play(
+            seed,
+            Faults {
+                late_writes: 0.2,
+                crash: 40.0,
+                ..Faults::default()
+            },
+            Size::SMALL,
+            |_| {},
+        );
     }
 }
 
@@ -291,8 +412,15 @@
 #[test]
 fn old_reports_arrive_after_newer_ones() {
     for seed in 250..=253 {
-        let faults = Faults { copies: 0.5, machine_restarts: 10.0, faulty_machines: 0.2, ..Faults::default() };
-        play(seed, faults, Size::SMALL, |world| every(world, 40, 145, 20, |world| end_leader(world, 1.0)));
+        let faults = Faults {
+            copies: 0.5,
+            machine_restarts: 10.0,
+            faulty_machines: 0.2,
+            ..Faults::default()
+        };
+        play(seed, faults, Size::SMALL, |world| {
+            every(world, 40, 145, 20, |world| end_leader(world, 1.0))
+        });
     }
 }
 
@@ -300,10 +428,18 @@
 #[test]
 fn tasks_of_a_job_end_far_apart_across_changes_of_leader() {
     for seed in 255..=258 {
-        play(seed, Faults::default(), Size { tasks: 4, ..Size::SMALL }, |world| {
-            world.apart = seconds(25.0);
-            every(world, 30, 150, 15, |world| end_leader(world, 4.0));
-        });
+        play(
+            seed,
+            Faults::default(),
+            Size {
+                tasks: 4,
+                ..Size::SMALL
+            },
+            |world| {
+                world.apart = seconds(25.0);
+                every(world, 30, 150, 15, |world| end_leader(world, 4.0));
+            },
+        );
     }
 }
 
@@ -311,7 +447,11 @@
 #[test]
 fn the_state_service_is_slow_and_out_while_users_ask() {
     for seed in 260..=262 {
-        let faults = Faults { state_slow: 25.0, odd_requests: 0.1, ..Faults::default() };
+        let faults = Faults {
+            state_slow: 25.0,
+            odd_requests: 0.1,
+            ..Faults::default()
+        };
         play(seed, faults, Size::SMALL, |world| {
             world.plan(seconds(52.0), |world| {
                 let leader = world.leader().expect("led by now");
@@ -330,17 +470,35 @@
 #[test]
 fn a_team_at_its_limit_with_machines_that_cannot_be_asked() {
     for seed in 265..=268 {
-        play(seed, Faults::default(), Size { jobs: 40, teams: 0.5, ..Size::SMALL }, |world| {
-            world.longer = seconds(10.0);
-            every(world, 40, 140, 25, |world| {
-                world.up(None).iter().step_by(3).for_each(|machine| world.hang(machine, seconds(24.0)));
-                world.up(None).iter().skip(1).step_by(3).for_each(|machine| world.deafen(machine, seconds(24.0)));
-                end_leader(world, 6.0);
-                world.plan(Duration::ZERO, |world| {
-                    world.cancel_now(2);
+        play(
+            seed,
+            Faults::default(),
+            Size {
+                jobs: 40,
+                teams: 0.5,
+                ..Size::SMALL
+            },
+            |world| {
+                world.longer = seconds(10.0);
+                every(world, 40, 140, 25, |world| {
+                    world
+                        .up(None)
+                        .iter()
+                        .step_by(3)
+                        .for_each(|machine| world.hang(machine, seconds(24.0)));
+                    world
+                        .up(None)
+                        .iter()
+                        .skip(1)
+                        .step_by(3)
+                        .for_each(|machine| world.deafen(machine, seconds(24.0)));
+                    end_leader(world, 6.0);
+                    world.plan(Duration::ZERO, |world| {
+                        world.cancel_now(2);
+                    });
                 });
-            });
-        });
+            },
+        );
     }
 }
 
@@ -348,9 +506,19 @@
 #[test]
 fn more_work_than_room_over_slow_links() {
     for seed in 270..=272 {
-        let faults = Faults { lost: 0.02, crash: 60.0, ..Faults::default() };
-        let size = Size { jobs: 45, stock: [3, 1], ..Size::SMALL };
-        play(seed, faults, size, |world| world.latency = Duration::from_millis(600));
+        let faults = Faults {
+            lost: 0.02,
+            crash: 60.0,
+            ..Faults::default()
+        };
+        let size = Size {
+            jobs: 45,
+            stock: [3, 1],
+            ..Size::SMALL
+        };
+        play(seed, faults, size, |world| {
+            world.latency = Duration::from_millis(600)
+        });
     }
 }
 
@@ -374,15 +542,23 @@
 #[test]
 fn reports_arrive_after_a_new_leader_has_acted() {
     for seed in 280..=283 {
-        play(seed, Faults { faulty_machines: 0.2, ..Faults::default() }, Size::SMALL, |world| {
-            every(world, 30, 145, 22, |world| {
-                world.hold_reports(seconds(3.0));
-                end_leader(world, 12.0);
-            });
-            world.plan(seconds(70.0), |world| {
-                world.hold_reports(seconds(24.0));
-            });
-        });
+        play(
+            seed,
+            Faults {
+                faulty_machines: 0.2,
+                ..Faults::default()
+            },
+            Size::SMALL,
+            |world| {
+                every(world, 30, 145, 22, |world| {
+                    world.hold_reports(seconds(3.0));
+                    end_leader(world, 12.0);
+                });
+                world.plan(seconds(70.0), |world| {
+                    world.hold_reports(seconds(24.0));
+                });
+            },
+        );
     }
 }
 
@@ -390,18 +566,26 @@
 #[test]
 fn a_zone_is_cut_off_for_longer_than_a_lease_while_jobs_are_cancelled() {
     for seed in 285..=288 {
-        play(seed, Faults { machine_hangs: 20.0, ..Faults::default() }, Size::SMALL, |world| {
-            world.longer = seconds(20.0);
-            for (at, how_long) in [(50.0, 28.0), (95.0, 55.0)] {
-                world.plan(seconds(at), move |world| {
-                    let zone = ["a", "b", "c"][world.leader().unwrap_or(0)];
-                    world.cut_zone(zone, seconds(how_long));
-                });
-                world.plan(seconds(at + 2.0), |world| {
-                    world.cancel_now(4);
-                });
-            }
-        });
+        play(
+            seed,
+            Faults {
+                machine_hangs: 20.0,
+                ..Faults::default()
+            },
+            Size::SMALL,
+            |world| {
+                world.longer = seconds(20.0);
+                for (at, how_long) in [(50.0, 28.0), (95.0, 55.0)] {
+                    world.plan(seconds(at), move |world| {
+                        let zone = ["a", "b", "c"][world.leader().unwrap_or(0)];
+                        world.cut_zone(zone, seconds(how_long));
+                    });
+                    world.plan(seconds(at + 2.0), |world| {
+                        world.cancel_now(4);
+                    });
+                }
+            },
+        );
     }
 }
 
@@ -412,9 +596,23 @@
         play(seed, Faults::default(), Size::SMALL, |world| {
             world.longer = seconds(30.0);
             every(world, 45, 140, 30, |world| {
-                world.up(None).iter().step_by(4).for_each(|machine| world.hang(machine, seconds(15.0)));
-                world.up(None).iter().skip(1).step_by(4).for_each(|machine| world.deafen(machine, seconds(40.0)));
-                world.up(None).iter().skip(2).step_by(4).for_each(|machine| world.mute(machine, seconds(18.0)));
+                world
+                    .up(None)
+                    .iter()
+                    .step_by(4)
+                    .for_each(|machine| world.hang(machine, seconds(15.0)));
+                world
+                    .up(None)
+                    .iter()
+                    .skip(1)
+                    .step_by(4)
+                    .for_each(|machine| world.deafen(machine, seconds(40.0)));
+                world
+                    .up(None)
+                    .iter()
+                    .skip(2)
+                    .step_by(4)
+                    .for_each(|machine| world.mute(machine, seconds(18.0)));
                 end_leader(world, 20.0);
             });
         });
@@ -451,18 +649,32 @@
 #[test]
 fn controllers_hand_over_and_back_and_all_end() {
     for seed in 300..=303 {
-        play(seed, Faults { copies: 0.05, ..Faults::default() }, Size::SMALL, |world| {
-            for at in [30, 60, 95, 130] {
-                every(world, at, at + 6, 2, |world| end_leader(world, 0.3));
-                world.plan(seconds(at as f64 + 7.0), move |world| {
-                    let back = |node: usize| if node == at as usize % NODES { 0.2 } else { 9.0 };
-                    (0..NODES).for_each(|node| world.end_controller(node, seconds(back(node))));
-                });
-                // In the middle of the election.
-                world.plan(seconds(at as f64 + 10.8), move |world| {
-                    world.end_controller(at as usize % NODES, seconds(0.1));
-                });
-            }
-        });
+        play(
+            seed,
+            Faults {
+                copies: 0.05,
+                ..Faults::default()
+            },
+            Size::SMALL,
+            |world| {
+                for at in [30, 60, 95, 130] {
+                    every(world, at, at + 6, 2, |world| end_leader(world, 0.3));
+                    world.plan(seconds(at as f64 + 7.0), move |world| {
+                        let back = |node: usize| {
+                            if node == at as usize % NODES {
+                                0.2
+                            } else {
+                                9.0
+                            }
+                        };
+                        (0..NODES).for_each(|node| world.end_controller(node, seconds(back(node))));
+                    });
+                    // In the middle of the election.
+                    world.plan(seconds(at as f64 + 10.8), move |world| {
+                        world.end_controller(at as usize % NODES, seconds(0.1));
+                    });
+                }
+            },
+        );
     }
 }
--- a/tests/simulation/operations.rs
+++ b/tests/simulation/operations.rs
@@ -21,10 +21,22 @@
             world.rented
         };
         let usual = rented(None);
-        let late = rented(Some(BootTrouble { lost: 0.03, factor: 8.0 }));
-        let lost = rented(Some(BootTrouble { lost: 0.4, factor: 1.0 }));
-        assert!(late < usual * 2, "seed {seed}: {late} machines rented while they were late, {usual} usually");
-        assert!(lost < usual * 3, "seed {seed}: {lost} machines rented while many were lost, {usual} usually");
+        let late = rented(Some(BootTrouble {
+            lost: 0.03,
+            factor: 8.0,
+        }));
+        let lost = rented(Some(BootTrouble {
+            lost: 0.4,
+            factor: 1.0,
+        }));
+        assert!(
+            late < usual * 2,
+            "seed {seed}: {late} machines rented while they were late, {usual} usually"
+        );
+        assert!(
+            lost < usual * 3,
+            "seed {seed}: {lost} machines rented while many were lost, {usual} usually"
+        );
     }
 }
 
@@ -46,16 +58,25 @@
             world.deleted_up
         };
         let (with, without) = (deleted(4), deleted(0));
-        assert!(with <= without + 4, "seed {seed}: {with} machines deleted that were up, {without} without such jobs");
+        assert!(
+            with <= without + 4,
+            "seed {seed}: {with} machines deleted that were up, {without} without such jobs"
+        );
     }
 }
 
 fn check_broken(world: &mut World, job: JobId) {
     assert!(world.rules.is_cancelled(job), "its user has called it off");
-    assert!(world.rules.machines_of(job).is_empty(), "tasks of a cancelled job");
+    assert!(
+        world.rules.machines_of(job).is_empty(),
+        "tasks of a cancelled job"
+    );
     let starts = world.rules.starts_of(job);
     // All of it once or twice before that is known to be no bad luck, then one every 20 s at most.
-    assert!((1..=2 * 12 + 12).contains(&starts), "{job}: {starts} starts");
+    assert!(
+        (1..=2 * 12 + 12).contains(&starts),
+        "{job}: {starts} starts"
+    );
 }
 
 /// Guests' work fills no gap that others need: theirs starts as soon as without it. It runs all the same, and its largest
@@ -77,7 +98,10 @@
             jobs
         };
         let (with, without) = (mean(&began(4)), mean(&began(0)));
-        assert!(with < without + seconds(5.0), "seed {seed}: jobs began after {with:?} on average, {without:?} alone");
+        assert!(
+            with < without + seconds(5.0),
+            "seed {seed}: jobs began after {with:?} on average, {without:?} alone"
+        );
     }
 }
 
@@ -91,17 +115,33 @@
 fn users_ask_many_times_as_often() {
     for seed in 430..=432 {
         let played = |asking: u32| {
-            let faults = Faults { crash: 60.0, odd_requests: 0.05, cancel_at_end: 0.1, ..Faults::default() };
+            let faults = Faults {
+                crash: 60.0,
+                odd_requests: 0.05,
+                cancel_at_end: 0.1,
+                ..Faults::default()
+            };
             play(seed, faults, Size::SMALL, |world| {
                 world.plan(seconds(20.0), move |world| world.asking = asking);
                 world.plan(seconds(130.0), |world| world.asking = 1);
             })
         };
         let (usual, many) = (played(1), played(50));
-        assert!(many.questions > 2 * usual.questions, "seed {seed}: {} questions", many.questions);
-        assert_eq!(many.state().refused, 0, "seed {seed}: requests beyond the state service's rate");
+        assert!(
+            many.questions > 2 * usual.questions,
+            "seed {seed}: {} questions",
+            many.questions
+        );
+        assert_eq!(
+            many.state().refused,
+            0,
+            "seed {seed}: requests beyond the state service's rate"
+        );
         let reads = many.state().reads as f64 / many.questions as f64;
-        assert!(reads < 0.8, "seed {seed}: {reads:.2} reads for each question");
+        assert!(
+            reads < 0.8,
+            "seed {seed}: {reads:.2} reads for each question"
+        );
     }
 }
 
@@ -120,7 +160,12 @@
             ..Faults::default()
         };
         play(seed, faults, Size::SMALL, |world| {
-            world.plan(seconds(10.0), |world| world.boots_badly(Some(BootTrouble { lost: 0.2, factor: 5.0 })));
+            world.plan(seconds(10.0), |world| {
+                world.boots_badly(Some(BootTrouble {
+                    lost: 0.2,
+                    factor: 5.0,
+                }))
+            });
             world.plan(seconds(90.0), |world| world.boots_badly(None));
             world.plan(seconds(30.0), |world| world.asking = 10);
             world.plan(seconds(100.0), |world| world.asking = 1);
@@ -138,13 +183,18 @@
 #[test]
 fn bad_nights_can_be_told_from_quiet_ones() {
     let mut world = World::new(450, Faults::default(), CALM_FROM, Size::SMALL);
-    world.boots_badly(Some(BootTrouble { lost: 1.0, factor: 1.0 }));
+    world.boots_badly(Some(BootTrouble {
+        lost: 1.0,
+        factor: 1.0,
+    }));
     world.run_until(seconds(60.0));
     assert_eq!(world.rules.started, 0, "no machine comes up");
     let mut world = World::new(451, Faults::default(), CALM_FROM, Size::SMALL);
     world.plan(seconds(10.0), |world| {
         let job = world.add_broken_job(5, seconds(1000.0));
-        world.plan(seconds(100.0), move |world| assert_eq!(world.rules.done(job), 0, "it fails everywhere"));
+        world.plan(seconds(100.0), move |world| {
+            assert_eq!(world.rules.done(job), 0, "it fails everywhere")
+        });
     });
     world.run_until(seconds(101.0));
 }
--- a/tests/simulation/rules.rs
+++ b/tests/simulation/rules.rs
@@ -110,13 +110,20 @@
             known.starts += 1;
         }
         let cancelled = self.jobs.get(&task.job).and_then(|known| known.cancel_told);
-        self.started_cancelled.extend(cancelled.map(|told| (task, now - told)));
+        self.started_cancelled
+            .extend(cancelled.map(|told| (task, now - told)));
         let Some(known) = self.jobs.get(&task.job) else {
-            return self.break_rule(now, format!("invented: {task} starts but was never submitted"));
+            return self.break_rule(
+                now,
+                format!("invented: {task} starts but was never submitted"),
+            );
         };
         let mut wrong = Vec::new();
         if known.on.contains_key(&task.index) {
-            wrong.push(format!("ran_twice: {task} starts on {} and is on {:?}", place.machine, known.on[&task.index]));
+            wrong.push(format!(
+                "ran_twice: {task} starts on {} and is on {:?}",
+                place.machine, known.on[&task.index]
+            ));
         }
         let job = &known.job;
         let others = || known.on.values().flatten();
@@ -130,14 +137,23 @@
         {
             wrong.push(format!("wrong_place: {task} starts on {place:?}"));
         }
-        if known.cancel_told.is_some_and(|told| now > told + self.cancel_within) {
+        if known
+            .cancel_told
+            .is_some_and(|told| now > told + self.cancel_within)
+        {
             wrong.push(format!("ran_cancelled: {task} starts on {}", place.machine));
         }
         for text in wrong {
             self.break_rule(now, text);
         }
         let team = self.jobs[&task.job].job.team.clone();
-        self.jobs.get_mut(&task.job).expect("known").on.entry(task.index).or_default().push(place);
+        self.jobs
+            .get_mut(&task.job)
+            .expect("known")
+            .on
+            .entry(task.index)
+            .or_default()
+            .push(place);
         self.check_limit(now, &team);
     }
 
@@ -154,7 +170,9 @@
     }
 
     pub fn ends(&mut self, task: TaskId, machine: &str, done: bool) {
-        let Some(known) = self.jobs.get_mut(&task.job) else { return };
+        let Some(known) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
         if let Some(places) = known.on.get_mut(&task.index) {
             places.retain(|place| place.machine != machine);
             if places.is_empty() {
@@ -186,8 +204,12 @@
                 continue;
             }
             let all = known.done.len() == known.job.tasks as usize;
-            let served = all || known.began.is_some() && (known.job.kind == Kind::Service || known.cancel_asked);
-            for group in [format!("class {}", known.job.class), format!("team {}", known.job.team)] {
+            let served = all
+                || known.began.is_some() && (known.job.kind == Kind::Service || known.cancel_asked);
+            for group in [
+                format!("class {}", known.job.class),
+                format!("team {}", known.job.team),
+            ] {
                 let (of, count) = groups.entry(group).or_default();
                 *of += 1;
                 *count += usize::from(served);
@@ -214,21 +236,37 @@
     /// Called after each step.
     pub fn check(&mut self, now: Duration) {
         let calm = self.calm;
-        let silent = |known: &Known| known.unanswered.is_some_and(|at| now > at.max(calm) + ANSWER_WITHIN);
-        let unheard: Vec<JobId> =
-            self.jobs.iter().filter(|(_, k)| k.told.is_some() && silent(k)).map(|(id, _)| *id).collect();
+        let silent = |known: &Known| {
+            known
+                .unanswered
+                .is_some_and(|at| now > at.max(calm) + ANSWER_WITHIN)
+        };
+        let unheard: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, k)| k.told.is_some() && silent(k))
+            .map(|(id, _)| *id)
+            .collect();
         for id in unheard {
-            self.break_rule(now, format!("forgotten: no question about {id} was answered for long"));
+            self.break_rule(
+                now,
+                format!("forgotten: no question about {id} was answered for long"),
+            );
         }
         let within = self.cancel_within;
         let late: Vec<JobId> = self
             .jobs
             .iter()
-            .filter(|(_, known)| known.cancel_told.is_some_and(|told| now > told + within) && !known.on.is_empty())
+            .filter(|(_, known)| {
+                known.cancel_told.is_some_and(|told| now > told + within) && !known.on.is_empty()
+            })
             .map(|(id, _)| *id)
             .collect();
         for id in late {
-            self.break_rule(now, format!("ran_cancelled: {id} is still on {:?}", self.jobs[&id].on));
+            self.break_rule(
+                now,
+                format!("ran_cancelled: {id} is still on {:?}", self.jobs[&id].on),
+            );
         }
     }
 
@@ -267,41 +305,65 @@
             self.break_rule(now, format!("went_back: {id} was {before:?}, is {new:?}"));
         }
         if new == Told::Cancelled && !cancel_asked {
-            self.break_rule(now, format!("went_back: {id} is called cancelled, its user never asked"));
+            self.break_rule(
+                now,
+                format!("went_back: {id} is called cancelled, its user never asked"),
+            );
         }
     }
 
     pub fn refused(&mut self, now: Duration, id: JobId, status: u16) {
         if self.jobs.get(&id).is_some_and(|known| known.told.is_some()) {
-            self.break_rule(now, format!("forgotten: {id} is answered {status} after it was accepted"));
+            self.break_rule(
+                now,
+                format!("forgotten: {id} is answered {status} after it was accepted"),
+            );
         }
     }
 
     /// What was sent should have been refused with this status: by a controller that can decide, and at once.
     pub fn odd_answered(&mut self, now: Duration, expected: u16, status: u16) {
         if ![expected, 429, 503].contains(&status) {
-            self.break_rule(now, format!("odd: a request is answered {status} instead of {expected}"));
+            self.break_rule(
+                now,
+                format!("odd: a request is answered {status} instead of {expected}"),
+            );
         }
     }
 
     /// Accepted jobs with tasks to do.
     pub fn waiting(&self) -> Vec<JobId> {
         let waits = |known: &Known| known.told == Some(Told::Accepted) && !known.cancel_asked;
-        self.jobs.iter().filter(|(_, known)| waits(known)).map(|(id, _)| *id).collect()
+        self.jobs
+            .iter()
+            .filter(|(_, known)| waits(known))
+            .map(|(id, _)| *id)
+            .collect()
     }
 
     pub fn done(&self, id: JobId) -> u32 {
-        self.jobs.get(&id).map_or(0, |known| known.done.len() as u32)
+        self.jobs
+            .get(&id)
+            .map_or(0, |known| known.done.len() as u32)
     }
 
     pub fn all_done(&self, id: JobId) -> bool {
-        self.jobs.get(&id).is_some_and(|known| known.done.len() == known.job.tasks as usize)
+        self.jobs
+            .get(&id)
+            .is_some_and(|known| known.done.len() == known.job.tasks as usize)
     }
 
     pub fn team_has_room(&self, id: JobId) -> bool {
-        let Some(job) = self.jobs.get(&id).map(|known| &known.job) else { return false };
-        let of_team = self.jobs.values().filter(|known| known.job.team == job.team);
-        let used: f64 = of_team.map(|known| known.job.need.cpus * known.on.len() as f64).sum();
+        let Some(job) = self.jobs.get(&id).map(|known| &known.job) else {
+            return false;
+        };
+        let of_team = self
+            .jobs
+            .values()
+            .filter(|known| known.job.team == job.team);
+        let used: f64 = of_team
+            .map(|known| known.job.need.cpus * known.on.len() as f64)
+            .sum();
         used + job.need.cpus <= self.limits[&job.team]
     }
 
@@ -310,13 +372,23 @@
         let calm = self.calm;
         let mut late = Vec::new();
         for (id, known) in &mut self.jobs {
-            known.beside_room = if jobs.contains(id) { known.beside_room.or(Some(now)) } else { None };
-            if known.beside_room.is_some_and(|at| now > at.max(calm) + USED_WITHIN) {
+            known.beside_room = if jobs.contains(id) {
+                known.beside_room.or(Some(now))
+            } else {
+                None
+            };
+            if known
+                .beside_room
+                .is_some_and(|at| now > at.max(calm) + USED_WITHIN)
+            {
                 late.push(*id);
             }
         }
         for id in late {
-            self.break_rule(now, format!("idle: {id} has waited for long beside a machine with room"));
+            self.break_rule(
+                now,
+                format!("idle: {id} has waited for long beside a machine with room"),
+            );
         }
     }
 
@@ -326,17 +398,27 @@
 
     pub fn unfinished(&self) -> Vec<JobId> {
         let open = |known: &&Known| matches!(known.told, Some(Told::Accepted));
-        self.jobs.iter().filter(|(_, known)| open(known)).map(|(id, _)| *id).collect()
+        self.jobs
+            .iter()
+            .filter(|(_, known)| open(known))
+            .map(|(id, _)| *id)
+            .collect()
     }
 
     /// Whether its user was told that it is cancelled.
     pub fn is_cancelled(&self, id: JobId) -> bool {
-        self.jobs.get(&id).is_some_and(|known| known.cancel_told.is_some())
+        self.jobs
+            .get(&id)
+            .is_some_and(|known| known.cancel_told.is_some())
     }
 
     /// Where a job's tasks are.
     pub fn machines_of(&self, id: JobId) -> BTreeSet<String> {
-        let places = self.jobs.get(&id).into_iter().flat_map(|known| known.on.values().flatten());
+        let places = self
+            .jobs
+            .get(&id)
+            .into_iter()
+            .flat_map(|known| known.on.values().flatten());
         places.map(|place| place.machine.clone()).collect()
     }
 
@@ -347,12 +429,20 @@
 
     /// From acceptance to the first start, of each job of a class that began.
     pub fn waits_of(&self, class: &str) -> Vec<Duration> {
-        let of_class = self.jobs.values().filter(|known| *known.job.class == *class);
-        of_class.filter_map(|known| Some(known.began?.saturating_sub(known.accepted?))).collect()
+        let of_class = self
+            .jobs
+            .values()
+            .filter(|known| *known.job.class == *class);
+        of_class
+            .filter_map(|known| Some(known.began?.saturating_sub(known.accepted?)))
+            .collect()
     }
 
     pub fn running(&self) -> usize {
-        self.jobs.values().map(|known| known.on.values().flatten().count()).sum()
+        self.jobs
+            .values()
+            .map(|known| known.on.values().flatten().count())
+            .sum()
     }
 }
 
@@ -366,7 +456,11 @@
         kind: Kind::Array,
         priority: Priority::Standard,
         tasks,
-        need: Room { cpus, gpus: 0.0, memory_gb: 1.0 },
+        need: Room {
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        },
         types: None,
         zone: None,
         one_zone: false,
@@ -380,28 +474,67 @@
         deadline_s: None,
         accepted_ms: 0,
     };
-    let place =
-        |zone: &str, tenure| Place { machine: zone.into(), type_name: "small".into(), zone: zone.into(), tenure };
-    let task = |index| TaskId { job: JobId(1), index };
+    let place = |zone: &str, tenure| Place {
+        machine: zone.into(),
+        type_name: "small".into(),
+        zone: zone.into(),
+        tenure,
+    };
+    let task = |index| TaskId {
+        job: JobId(1),
+        index,
+    };
     let at = Duration::from_secs;
     let broken = |job: Job, play: &dyn Fn(&mut Rules)| {
         let mut rules = Rules::new([("red".into(), 8.0)].into(), at(50), at(5));
         rules.submitted(JobId(1), job);
         play(&mut rules);
         rules.check(at(100));
-        rules.broken.first().map(|text| text.split(' ').nth(1).unwrap_or_default().to_owned())
+        rules
+            .broken
+            .first()
+            .map(|text| text.split(' ').nth(1).unwrap_or_default().to_owned())
     };
     let ordinary = Tenure::Ordinary;
     let expect = |rule: &str, found: Option<String>| assert_eq!(found, Some(format!("{rule}:")));
-    assert_eq!(broken(job(2, 4.0), &|r| (0..2).for_each(|n| r.starts(at(1), task(n), place("a", ordinary)))), None);
-    expect("quota", broken(job(3, 4.0), &|r| (0..3).for_each(|n| r.starts(at(1), task(n), place("a", ordinary)))));
+    assert_eq!(
+        broken(job(2, 4.0), &|r| (0..2).for_each(|n| r.starts(
+            at(1),
+            task(n),
+            place("a", ordinary)
+        ))),
+        None
+    );
+    expect(
+        "quota",
+        broken(job(3, 4.0), &|r| {
+            (0..3).for_each(|n| r.starts(at(1), task(n), place("a", ordinary)))
+        }),
+    );
     expect(
         "ran_twice",
-        broken(job(1, 1.0), &|r| ["a", "b"].iter().for_each(|zone| r.starts(at(1), task(0), place(zone, ordinary)))),
+        broken(job(1, 1.0), &|r| {
+            ["a", "b"]
+                .iter()
+                .for_each(|zone| r.starts(at(1), task(0), place(zone, ordinary)))
+        }),
+    );
+    expect(
+        "wrong_place",
+        broken(job(1, 1.0), &|r| {
+            r.starts(at(1), task(0), place("a", Tenure::Spot))
+        }),
+    );
+    let spread = Job {
+        spread: true,
+        ..job(2, 1.0)
+    };
+    expect(
+        "wrong_place",
+        broken(spread, &|r| {
+            (0..2).for_each(|n| r.starts(at(1), task(n), place("a", ordinary)))
+        }),
     );
-    expect("wrong_place", broken(job(1, 1.0), &|r| r.starts(at(1), task(0), place("a", Tenure::Spot))));
-    let spread = Job { spread: true, ..job(2, 1.0) };
-    expect("wrong_place", broken(spread, &|r| (0..2).for_each(|n| r.starts(at(1), task(n), place("a", ordinary)))));
     let cancelled = |r: &mut Rules| {
         r.cancel_asked(JobId(1));
         r.told(at(10), JobId(1), Some("cancelled"));
@@ -422,8 +555,14 @@
             then(r);
         })
     };
-    expect("forgotten", accepted_then(&|r| r.told(at(2), JobId(1), None)));
-    expect("forgotten", accepted_then(&|r| r.refused(at(2), JobId(1), 422)));
+    expect(
+        "forgotten",
+        accepted_then(&|r| r.told(at(2), JobId(1), None)),
+    );
+    expect(
+        "forgotten",
+        accepted_then(&|r| r.refused(at(2), JobId(1), 422)),
+    );
     expect("forgotten", accepted_then(&|r| r.asked(at(3), JobId(1))));
     let answered = |r: &mut Rules| {
         r.asked(at(3), JobId(1));
@@ -440,11 +579,23 @@
         rules.unserved()
     };
     assert_eq!(unserved(200, true), [] as [&str; 0]);
-    assert_eq!(unserved(200, false), ["class class: 0 of 1", "team red: 0 of 1"]);
+    assert_eq!(
+        unserved(200, false),
+        ["class class: 0 of 1", "team red: 0 of 1"]
+    );
     assert_eq!(unserved(242, true), ["largest of class: 0 of 1"]);
-    expect("invented", accepted_then(&|r| r.told(at(2), JobId(2), Some("queued"))));
-    expect("not_done", accepted_then(&|r| r.told(at(2), JobId(1), Some("done"))));
-    expect("went_back", accepted_then(&|r| r.told(at(2), JobId(1), Some("cancelled"))));
+    expect(
+        "invented",
+        accepted_then(&|r| r.told(at(2), JobId(2), Some("queued"))),
+    );
+    expect(
+        "not_done",
+        accepted_then(&|r| r.told(at(2), JobId(1), Some("done"))),
+    );
+    expect(
+        "went_back",
+        accepted_then(&|r| r.told(at(2), JobId(1), Some("cancelled"))),
+    );
     let back = |r: &mut Rules| {
         cancelled(r);
         r.told(at(11), JobId(1), Some("running"));
@@ -458,12 +609,22 @@
     assert_eq!(beside(2, 95), None, "counted from when troubles are over");
     expect("idle", beside(2, 96));
     let gap = |r: &mut Rules| {
-        (6..=110)
-            .for_each(|second| r.beside_room(at(second), (second != 50).then_some(JobId(1)).into_iter().collect()));
+        (6..=110).for_each(|second| {
+            r.beside_room(
+                at(second),
+                (second != 50).then_some(JobId(1)).into_iter().collect(),
+            )
+        });
     };
     assert_eq!(accepted_then(&gap), None, "now and then it finds none");
-    expect("odd", broken(job(1, 1.0), &|r| r.odd_answered(at(1), 422, 201)));
-    assert_eq!(broken(job(1, 1.0), &|r| r.odd_answered(at(1), 422, 503)), None);
+    expect(
+        "odd",
+        broken(job(1, 1.0), &|r| r.odd_answered(at(1), 422, 201)),
+    );
+    assert_eq!(
+        broken(job(1, 1.0), &|r| r.odd_answered(at(1), 422, 503)),
+        None
+    );
     let mut rules = Rules::new([("red".into(), 8.0)].into(), at(50), at(5));
     rules.submitted(JobId(1), job(1, 1.0));
     cancelled(&mut rules);
--- a/tests/simulation/state.rs
+++ b/tests/simulation/state.rs
@@ -62,13 +62,24 @@
         let version = self.revision;
         match value.clone() {
             Some(value) => {
-                self.keys.insert(key.to_owned(), Key { value, version, hold });
+                self.keys.insert(
+                    key.to_owned(),
+                    Key {
+                        value,
+                        version,
+                        hold,
+                    },
+                );
             }
             None => {
                 self.keys.remove(key);
             }
         }
-        self.log.push(Change { key: key.to_owned(), version, value });
+        self.log.push(Change {
+            key: key.to_owned(),
+            version,
+            value,
+        });
     }
 
     pub fn leader(&self) -> Option<Leader> {
@@ -76,18 +87,30 @@
     }
 
     pub fn last_token(&self) -> u64 {
-        let token = self.keys.get(TOKEN).and_then(|key| key.value.deserialized::<Token>().ok());
+        let token = self
+            .keys
+            .get(TOKEN)
+            .and_then(|key| key.value.deserialized::<Token>().ok());
         token.map_or(0, |token| token.last)
     }
 
     /// Ends holds that were not extended. Returns whether anything changed.
     pub fn expire(&mut self, now: Duration) -> bool {
-        let gone: Vec<u64> = self.holds.iter().filter(|(_, (_, until))| *until <= now).map(|(id, _)| *id).collect();
+        let gone: Vec<u64> = self
+            .holds
+            .iter()
+            .filter(|(_, (_, until))| *until <= now)
+            .map(|(id, _)| *id)
+            .collect();
         let mut changed = false;
         for id in gone {
             self.holds.remove(&id);
-            let keys: Vec<String> =
-                self.keys.iter().filter(|(_, key)| key.hold == Some(id)).map(|(name, _)| name.clone()).collect();
+            let keys: Vec<String> = self
+                .keys
+                .iter()
+                .filter(|(_, key)| key.hold == Some(id))
+                .map(|(name, _)| name.clone())
+                .collect();
             for key in keys {
                 self.revision += 1;
                 self.change(&key, None, None);
@@ -106,7 +129,11 @@
 
     pub fn news(&self, prefix: &str, after: u64) -> Vec<Change> {
         let from = self.log.partition_point(|change| change.version <= after);
-        self.log[from..].iter().filter(|change| change.key.starts_with(prefix)).cloned().collect()
+        self.log[from..]
+            .iter()
+            .filter(|change| change.key.starts_with(prefix))
+            .cloned()
+            .collect()
     }
 
     /// Any request but a watch.
@@ -119,8 +146,13 @@
         }
         match op {
             Op::Get { key } => match self.keys.get(key) {
-                Some(found) => Outcome::Value { value: found.value.clone(), version: found.version },
-                None => Outcome::Missing { revision: self.revision },
+                Some(found) => Outcome::Value {
+                    value: found.value.clone(),
+                    version: found.version,
+                },
+                None => Outcome::Missing {
+                    revision: self.revision,
+                },
             },
             Op::List { prefix, after } => {
                 let from = after.clone().unwrap_or_default();
@@ -133,7 +165,11 @@
                 // Small pages, so that reading in pages is tried.
                 let more = rows.len() > 20;
                 rows.truncate(20);
-                Outcome::Rows { rows, more, revision: self.revision }
+                Outcome::Rows {
+                    rows,
+                    more,
+                    revision: self.revision,
+                }
             }
             Op::Commit(txn) => self.commit(now, txn),
             Op::OpenHold { life } => {
@@ -155,18 +191,33 @@
     fn commit(&mut self, now: Duration, txn: &Txn) -> Outcome {
         use dappleshore::store::TxnChange::{Delete, Put};
         let cost = txn.changes.len();
-        assert!(cost <= self.limits.txn_ops, "too many changes in a transaction: {cost}");
-        assert!(txn.conditions.len() <= 4 * self.limits.txn_ops, "too many conditions");
+        assert!(
+            cost <= self.limits.txn_ops,
+            "too many changes in a transaction: {cost}"
+        );
+        assert!(
+            txn.conditions.len() <= 4 * self.limits.txn_ops,
+            "too many conditions"
+        );
         if !bucket(&mut self.writes, now, self.limits.write_rps, cost as f64) {
             self.refused += 1;
             return Outcome::Refused;
         }
         let version = |key: &String| self.keys.get(key).map_or(0, |found| found.version);
-        if txn.conditions.iter().any(|(key, expected)| version(key) != *expected) {
+        if txn
+            .conditions
+            .iter()
+            .any(|(key, expected)| version(key) != *expected)
+        {
             return Outcome::Conflict;
         }
-        let unknown_hold = |hold: &Option<u64>| hold.is_some_and(|id| !self.holds.contains_key(&id));
-        if txn.changes.iter().any(|change| matches!(change, Put { hold, .. } if unknown_hold(hold))) {
+        let unknown_hold =
+            |hold: &Option<u64>| hold.is_some_and(|id| !self.holds.contains_key(&id));
+        if txn
+            .changes
+            .iter()
+            .any(|change| matches!(change, Put { hold, .. } if unknown_hold(hold)))
+        {
             return Outcome::Invalid;
         }
         self.revision += 1;
@@ -182,15 +233,29 @@
                 Delete { key } => self.change(key, None, None),
             }
         }
-        Outcome::Committed { revision: self.revision }
+        Outcome::Committed {
+            revision: self.revision,
+        }
     }
 }
 
 fn json_size(value: &Value) -> usize {
     match value {
         Value::Text(text) => text.len() + 2,
-        Value::Array(list) => 1 + list.iter().map(|item| json_size(item) + 1).sum::<usize>().max(1),
-        Value::Map(map) => 1 + map.iter().map(|(k, v)| json_size(k) + json_size(v) + 2).sum::<usize>().max(1),
+        Value::Array(list) => {
+            1 + list
+                .iter()
+                .map(|item| json_size(item) + 1)
+                .sum::<usize>()
+                .max(1)
+        }
+        Value::Map(map) => {
+            1 + map
+                .iter()
+                .map(|(k, v)| json_size(k) + json_size(v) + 2)
+                .sum::<usize>()
+                .max(1)
+        }
         Value::Integer(number) => i128::from(*number).to_string().len(),
         Value::Float(number) => number.to_string().len(),
         _ => 5,
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -6,14 +6,18 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use dappleshore::config::{Config, TeamLimits};
-use dappleshore::domain::{Amount, Job, JobId, Kind, Now, Priority, Room, TaskId, Team, Tenure, Zone};
+use dappleshore::domain::{
+    Amount, Job, JobId, Kind, Now, Priority, Room, TaskId, Team, Tenure, Zone,
+};
 use dappleshore::fleet::wire::{Orders, Report, TaskState};
 use dappleshore::fleet::{Answer, Command, CommandOutcome};
 use dappleshore::intake::Response;
 use dappleshore::node::{Effect, Event, Node, StoreTag};
 use dappleshore::peer::Message;
 use dappleshore::policy::Policy;
-use dappleshore::provisioning::wire::{Flavor, FlavorList, ListedMachine, ListedState, MachineList, MachineNames};
+use dappleshore::provisioning::wire::{
+    Flavor, FlavorList, ListedMachine, ListedState, MachineList, MachineNames,
+};
 use dappleshore::provisioning::{Call, CallOutcome, Tag as CallTag};
 use dappleshore::store::{Op, Outcome};
 use rand::rngs::SmallRng;
@@ -221,9 +225,24 @@
 }
 
 impl Size {
-    pub const SMALL: Size = Size { jobs: 30, stock: [5, 2], tasks: 16, teams: 1.0 };
-    pub const FLEET: Size = Size { jobs: 500, stock: [170, 70], tasks: 90, teams: 120.0 };
-    pub const GROWN: Size = Size { jobs: 220, stock: [50, 25], tasks: 60, teams: 30.0 };
+    pub const SMALL: Size = Size {
+        jobs: 30,
+        stock: [5, 2],
+        tasks: 16,
+        teams: 1.0,
+    };
+    pub const FLEET: Size = Size {
+        jobs: 500,
+        stock: [170, 70],
+        tasks: 90,
+        teams: 120.0,
+    };
+    pub const GROWN: Size = Size {
+        jobs: 220,
+        stock: [50, 25],
+        tasks: 60,
+        teams: 30.0,
+    };
 }
 
 struct Slot {
@@ -370,7 +389,9 @@
         boot_s: Amount(6.0),
         zones: vec!["a".into(), "b".into(), "c".into()],
     };
-    FlavorList { types: vec![flavor("small", 4.0, 0.3), flavor("large", 16.0, 1.3)] }
+    FlavorList {
+        types: vec![flavor("small", 4.0, 0.3), flavor("large", 16.0, 1.3)],
+    }
 }
 
 impl World {
@@ -382,7 +403,11 @@
             team.cpus_max *= size.teams;
         }
         config.teams.push(guests());
-        let limits = config.teams.iter().map(|team| (team.name.clone(), team.cpus_max)).collect();
+        let limits = config
+            .teams
+            .iter()
+            .map(|team| (team.name.clone(), team.cpus_max))
+            .collect();
         let mut rng = SmallRng::seed_from_u64(seed);
         let slots = (0..NODES)
             .map(|_| Slot {
@@ -490,9 +515,21 @@
             class: (if service { "service" } else { "array" }).into(),
             team: Team::from(if rng.random_bool(0.5) { "red" } else { "blue" }),
             kind: if service { Kind::Service } else { Kind::Array },
-            priority: if service { Priority::Production } else { Priority::Standard },
-            tasks: if service { rng.random_range(1..4) } else { rng.random_range(1..self.size.tasks) },
-            need: Room { cpus: [1.0, 2.0, 4.0][rng.random_range(0..3)], gpus: 0.0, memory_gb: 2.0 },
+            priority: if service {
+                Priority::Production
+            } else {
+                Priority::Standard
+            },
+            tasks: if service {
+                rng.random_range(1..4)
+            } else {
+                rng.random_range(1..self.size.tasks)
+            },
+            need: Room {
+                cpus: [1.0, 2.0, 4.0][rng.random_range(0..3)],
+                gpus: 0.0,
+                memory_gb: 2.0,
+            },
             types: rng.random_bool(0.2).then(|| vec!["large".into()]),
             zone: rng.random_bool(0.1).then(|| Zone::from(zone)),
             one_zone: rng.random_bool(0.1),
@@ -515,7 +552,8 @@
         let last = self.calm_from.as_secs_f64().max(20.0);
         let submit_at = Duration::from_secs_f64(rng.random_range(0.0..last));
         let cancel = service || rng.random_bool(0.15);
-        let cancel_at = cancel.then(|| submit_at + Duration::from_secs_f64(rng.random_range(0.5..70.0)));
+        let cancel_at =
+            cancel.then(|| submit_at + Duration::from_secs_f64(rng.random_range(0.5..70.0)));
         let body = body_of(id, &job);
         self.jobs.insert(id, job);
         self.users.push(User {
@@ -561,7 +599,10 @@
     fn clock(&self, node: usize) -> Now {
         let steady = self.now.mul_f64(1.0 + self.slots[node].drift);
         let off = Duration::from_millis(300 * node as u64);
-        Now { steady: self.base + steady, wall: self.wall + self.now + off }
+        Now {
+            steady: self.base + steady,
+            wall: self.wall + self.now + off,
+        }
     }
 
     pub fn run_until(&mut self, end: Duration) {
@@ -588,7 +629,14 @@
         let frozen = self.slots[node].frozen_until;
         if self.now < frozen {
             let boot = self.slots[node].boot;
-            self.at(frozen, Ev::Deliver { node, boot, event: Box::new(event) });
+            self.at(
+                frozen,
+                Ev::Deliver {
+                    node,
+                    boot,
+                    event: Box::new(event),
+                },
+            );
             return;
         }
         let boot = self.slots[node].boot;
@@ -601,7 +649,9 @@
         let now = self.clock(node);
         let slot = &mut self.slots[node];
         slot.commands -= usize::from(matches!(event, Event::Commanded { .. }));
-        let Some(machine) = &mut slot.node else { return Vec::new() };
+        let Some(machine) = &mut slot.node else {
+            return Vec::new();
+        };
         let at = self.now.as_secs_f64();
         self.events_handled += 1;
         tracing::info_span!("node", node, at).in_scope(|| machine.handle(now, event))
@@ -625,20 +675,55 @@
                     at += Duration::from_millis(self.rng.random_range(50..1000));
                 }
                 let calm = self.now >= self.calm_from;
-                if matches!(op, Op::Commit(_)) && !calm && self.rng.random_bool(self.faults.late_writes) {
+                if matches!(op, Op::Commit(_))
+                    && !calm
+                    && self.rng.random_bool(self.faults.late_writes)
+                {
                     at = self.now + Duration::from_secs_f64(self.rng.random_range(2.0..12.0));
                     answer = false;
                 }
                 if !answer {
-                    let unknown = Event::Store { tag: tag.clone(), sent, outcome: Outcome::Unknown };
+                    let unknown = Event::Store {
+                        tag: tag.clone(),
+                        sent,
+                        outcome: Outcome::Unknown,
+                    };
                     let after = Duration::from_millis(1500);
-                    self.at(self.now + after, Ev::Deliver { node, boot, event: Box::new(unknown) });
+                    self.at(
+                        self.now + after,
+                        Ev::Deliver {
+                            node,
+                            boot,
+                            event: Box::new(unknown),
+                        },
+                    );
                 }
-                if let (Op::Commit(_) | Op::OpenHold { .. } | Op::ExtendHold { .. }, Some(late)) = (&op, self.copied())
+                if let (Op::Commit(_) | Op::OpenHold { .. } | Op::ExtendHold { .. }, Some(late)) =
+                    (&op, self.copied())
                 {
-                    self.at(late, Ev::Store { node, boot, tag: tag.clone(), sent, op: op.clone(), answer: false });
+                    self.at(
+                        late,
+                        Ev::Store {
+                            node,
+                            boot,
+                            tag: tag.clone(),
+                            sent,
+                            op: op.clone(),
+                            answer: false,
+                        },
+                    );
                 }
-                self.at(at, Ev::Store { node, boot, tag, sent, op, answer });
+                self.at(
+                    at,
+                    Ev::Store {
+                        node,
+                        boot,
+                        tag,
+                        sent,
+                        op,
+                        answer,
+                    },
+                );
             }
             Effect::Command { command, until } => {
                 self.slots[node].commands += 1;
@@ -651,25 +736,76 @@
                     self.unanswered(node, boot, &command);
                 }
                 if let Some(late) = self.copied() {
-                    self.at(late, Ev::Command { node, boot, command: command.clone(), answer: false });
+                    self.at(
+                        late,
+                        Ev::Command {
+                            node,
+                            boot,
+                            command: command.clone(),
+                            answer: false,
+                        },
+                    );
                 }
-                self.at(at, Ev::Command { node, boot, command, answer });
+                self.at(
+                    at,
+                    Ev::Command {
+                        node,
+                        boot,
+                        command,
+                        answer,
+                    },
+                );
             }
             Effect::Call { tag, call, until } => {
                 if until.is_some_and(|until| self.clock(node).steady >= until) {
-                    let event = Event::Called { tag, outcome: CallOutcome::Unknown };
-                    return self.soon(Ev::Deliver { node, boot, event: Box::new(event) });
+                    let event = Event::Called {
+                        tag,
+                        outcome: CallOutcome::Unknown,
+                    };
+                    return self.soon(Ev::Deliver {
+                        node,
+                        boot,
+                        event: Box::new(event),
+                    });
                 }
                 let (at, answer) = self.fate();
                 if !answer {
-                    let event = Event::Called { tag: tag.clone(), outcome: CallOutcome::Unknown };
-                    self.at(self.now + Duration::from_secs(5), Ev::Deliver { node, boot, event: Box::new(event) });
+                    let event = Event::Called {
+                        tag: tag.clone(),
+                        outcome: CallOutcome::Unknown,
+                    };
+                    self.at(
+                        self.now + Duration::from_secs(5),
+                        Ev::Deliver {
+                            node,
+                            boot,
+                            event: Box::new(event),
+                        },
+                    );
                 }
                 let at = at + Duration::from_millis(150);
                 if let Some(late) = self.copied() {
-                    self.at(late, Ev::Call { node, boot, tag: tag.clone(), call: call.clone(), answer: false });
+                    self.at(
+                        late,
+                        Ev::Call {
+                            node,
+                            boot,
+                            tag: tag.clone(),
+                            call: call.clone(),
+                            answer: false,
+                        },
+                    );
                 }
-                self.at(at, Ev::Call { node, boot, tag, call, answer });
+                self.at(
+                    at,
+                    Ev::Call {
+                        node,
+                        boot,
+                        tag,
+                        call,
+                        answer,
+                    },
+                );
             }
             Effect::Peer { to, message } => {
                 let target = to.0.trim_start_matches("node-").parse().unwrap_or(0);
@@ -680,15 +816,28 @@
                 }
                 if self.now >= self.peers_cut_until && !island(node) && !island(target) {
                     if let Some(late) = self.copied() {
-                        self.at(late, Ev::Peer { node: target, message: message.clone() });
+                        self.at(
+                            late,
+                            Ev::Peer {
+                                node: target,
+                                message: message.clone(),
+                            },
+                        );
                     }
-                    self.at(at, Ev::Peer { node: target, message });
+                    self.at(
+                        at,
+                        Ev::Peer {
+                            node: target,
+                            message,
+                        },
+                    );
                 }
             }
             Effect::Answer { id, response } => match self.slots[node].waiting.remove(&id) {
                 Some(Asker::User { user, asked }) => self.user_answered(user, asked, &response),
                 Some(Asker::Odd { expected }) => {
-                    let (Response::State { status, .. } | Response::Problem { status, .. }) = response;
+                    let (Response::State { status, .. } | Response::Problem { status, .. }) =
+                        response;
                     self.rules.odd_answered(self.now, expected, status);
                 }
                 _ => {}
@@ -696,13 +845,31 @@
             Effect::AnswerWorker { id, answer, until } => {
                 let over = self.clock(node).steady >= until && matches!(answer, Answer::Orders(_));
                 let answer = if over { Answer::Unavailable } else { answer };
-                if let Some(Asker::Worker { machine, session, seq, sent }) = self.slots[node].waiting.remove(&id)
-                    && self.machines.get(&machine).is_none_or(|machine| self.now >= machine.deaf_until)
+                if let Some(Asker::Worker {
+                    machine,
+                    session,
+                    seq,
+                    sent,
+                }) = self.slots[node].waiting.remove(&id)
+                    && self
+                        .machines
+                        .get(&machine)
+                        .is_none_or(|machine| self.now >= machine.deaf_until)
                 {
                     let (at, answered) = self.fate();
                     if answered {
                         let answer = Some(answer);
-                        self.at(at, Ev::Answered { machine, session, seq, sent, node, answer });
+                        self.at(
+                            at,
+                            Ev::Answered {
+                                machine,
+                                session,
+                                seq,
+                                sent,
+                                node,
+                                answer,
+                            },
+                        );
                     }
                 }
             }
@@ -717,7 +884,14 @@
             body: command.body.clone(),
             outcome: CommandOutcome::Unknown,
         };
-        self.at(self.now + Duration::from_secs(3), Ev::Deliver { node, boot, event: Box::new(event) });
+        self.at(
+            self.now + Duration::from_secs(3),
+            Ev::Deliver {
+                node,
+                boot,
+                event: Box::new(event),
+            },
+        );
     }
 
     fn take(&mut self, event: Ev) {
@@ -738,7 +912,14 @@
                 self.step();
                 self.at(self.now + STEP, Ev::Step);
             }
-            Ev::Store { node, boot, tag, sent, op, answer } => self.store(node, boot, tag, sent, op, answer),
+            Ev::Store {
+                node,
+                boot,
+                tag,
+                sent,
+                op,
+                answer,
+            } => self.store(node, boot, tag, sent, op, answer),
             Ev::Watch { id } => self.watch_over(id),
             Ev::Deliver { node, boot, event } => {
                 if self.alive(node, boot) {
@@ -751,7 +932,8 @@
                     Message::Alive(alive) => Some(alive.node.clone()),
                     Message::Work(_) | Message::Cancelled(_) => None,
                 };
-                let from = from.and_then(|name| name.0.trim_start_matches("node-").parse::<usize>().ok());
+                let from =
+                    from.and_then(|name| name.0.trim_start_matches("node-").parse::<usize>().ok());
                 let zone = from.map(|from| Zone::from(ZONES[from]));
                 if let Some(until) = zone.and_then(|zone| self.cut(node, Some(&zone))) {
                     self.at(until, Ev::Peer { node, message });
@@ -760,8 +942,19 @@
                 // Held messages reach whichever process is there by then.
                 self.handle(node, Event::Peer(message));
             }
-            Ev::Command { node, boot, command, answer } => self.command(node, boot, command, answer),
-            Ev::Call { node, boot, tag, call, answer } => {
+            Ev::Command {
+                node,
+                boot,
+                command,
+                answer,
+            } => self.command(node, boot, command, answer),
+            Ev::Call {
+                node,
+                boot,
+                tag,
+                call,
+                answer,
+            } => {
                 let outcome = self.cloud(&call);
                 if answer {
                     let event = Box::new(Event::Called { tag, outcome });
@@ -769,7 +962,9 @@
                 }
             }
             Ev::Report { node, report } => {
-                let Some(machine) = self.machines.get(&*report.machine.0) else { return };
+                let Some(machine) = self.machines.get(&*report.machine.0) else {
+                    return;
+                };
                 let sent = machine.report.map_or(self.now, |(_, sent)| sent);
                 if let Some(until) = self.cut(node, Some(&machine.zone)) {
                     self.at(until, Ev::Report { node, report });
@@ -788,19 +983,42 @@
                     sent,
                 };
                 slot.waiting.insert(id, asker);
-                self.handle(node, Event::Report { id, report: *report });
+                self.handle(
+                    node,
+                    Event::Report {
+                        id,
+                        report: *report,
+                    },
+                );
             }
             Ev::Copy { node, report } => {
                 let slot = &mut self.slots[node];
                 slot.next_request += 1;
                 let id = slot.next_request;
-                self.handle(node, Event::Report { id, report: *report });
+                self.handle(
+                    node,
+                    Event::Report {
+                        id,
+                        report: *report,
+                    },
+                );
             }
-            Ev::Answered { machine, session, seq, sent, node, answer } => {
+            Ev::Answered {
+                machine,
+                session,
+                seq,
+                sent,
+                node,
+                answer,
+            } => {
                 self.answered(&machine, session, seq, sent, node, answer);
             }
             Ev::Repeat { node, event } => self.handle(node, *event),
-            Ev::Resume { node, boot, effects } => {
+            Ev::Resume {
+                node,
+                boot,
+                effects,
+            } => {
                 if self.alive(node, boot) {
                     for effect in effects {
                         self.perform(node, boot, effect);
@@ -823,7 +1041,11 @@
         config.zone = ZONES[node].into();
         config.peers = (0..NODES)
             .filter(|other| *other != node)
-            .map(|other| dappleshore::config::Peer { name: names[other].into(), zone: ZONES[other].into(), addr })
+            .map(|other| dappleshore::config::Peer {
+                name: names[other].into(),
+                zone: ZONES[other].into(),
+                addr,
+            })
             .collect();
         let policy = Policy::defaults(&config);
         let seed = self.rng.random();
@@ -857,32 +1079,78 @@
         (crosses && self.now < *until).then_some(*until)
     }
 
-    fn store(&mut self, node: usize, boot: u64, tag: StoreTag, sent: Instant, op: Op, answer: bool) {
+    fn store(
+        &mut self,
+        node: usize,
+        boot: u64,
+        tag: StoreTag,
+        sent: Instant,
+        op: Op,
+        answer: bool,
+    ) {
         if let Some(until) = self.cut(node, None) {
             if answer {
-                let unknown = Event::Store { tag: tag.clone(), sent, outcome: Outcome::Unknown };
+                let unknown = Event::Store {
+                    tag: tag.clone(),
+                    sent,
+                    outcome: Outcome::Unknown,
+                };
                 let after = Duration::from_millis(1500);
-                self.at(self.now + after, Ev::Deliver { node, boot, event: Box::new(unknown) });
+                self.at(
+                    self.now + after,
+                    Ev::Deliver {
+                        node,
+                        boot,
+                        event: Box::new(unknown),
+                    },
+                );
             }
             let late = until + Duration::from_millis(self.rng.random_range(1..50));
-            self.at(late, Ev::Store { node, boot, tag, sent, op, answer: false });
+            self.at(
+                late,
+                Ev::Store {
+                    node,
+                    boot,
+                    tag,
+                    sent,
+                    op,
+                    answer: false,
+                },
+            );
             return;
         }
         let out = self.state_out(node);
-        if let Op::Follow { prefix, after, wait } = &op {
+        if let Op::Follow {
+            prefix,
+            after,
+            wait,
+        } = &op
+        {
             if !answer {
                 return;
             }
             self.order += 1;
             let id = self.order;
             let until = self.now + *wait;
-            let watcher = Watcher { node, boot, tag, sent, prefix: prefix.clone(), after: *after, until };
+            let watcher = Watcher {
+                node,
+                boot,
+                tag,
+                sent,
+                prefix: prefix.clone(),
+                after: *after,
+                until,
+            };
             self.watchers.insert(id, watcher);
             self.at(until, Ev::Watch { id });
             self.wake_watchers();
             return;
         }
-        let outcome = if out { Outcome::Refused } else { self.state.serve(self.now, &op) };
+        let outcome = if out {
+            Outcome::Refused
+        } else {
+            self.state.serve(self.now, &op)
+        };
         if matches!(outcome, Outcome::Committed { .. }) {
             self.wake_watchers();
         }
@@ -896,7 +1164,9 @@
         let ready: Vec<u64> = self
             .watchers
             .iter()
-            .filter(|(_, w)| !self.state_out(w.node) && !self.state.news(&w.prefix, w.after).is_empty())
+            .filter(|(_, w)| {
+                !self.state_out(w.node) && !self.state.news(&w.prefix, w.after).is_empty()
+            })
             .map(|(id, _)| *id)
             .collect();
         for id in ready {
@@ -905,14 +1175,24 @@
     }
 
     fn watch_over(&mut self, id: u64) {
-        let Some(watcher) = self.watchers.get(&id) else { return };
+        let Some(watcher) = self.watchers.get(&id) else {
+            return;
+        };
         if self.state_out(watcher.node) {
             // Open watches wait.
             let later = self.now + Duration::from_millis(500);
             if self.now > watcher.until + Duration::from_secs(2) {
                 let watcher = self.watchers.remove(&id).expect("looked up");
-                let event = Event::Store { tag: watcher.tag, sent: watcher.sent, outcome: Outcome::Unknown };
-                self.soon(Ev::Deliver { node: watcher.node, boot: watcher.boot, event: Box::new(event) });
+                let event = Event::Store {
+                    tag: watcher.tag,
+                    sent: watcher.sent,
+                    outcome: Outcome::Unknown,
+                };
+                self.soon(Ev::Deliver {
+                    node: watcher.node,
+                    boot: watcher.boot,
+                    event: Box::new(event),
+                });
             } else {
                 self.at(later, Ev::Watch { id });
             }
@@ -920,9 +1200,20 @@
         }
         let watcher = self.watchers.remove(&id).expect("looked up");
         let changes = self.state.news(&watcher.prefix, watcher.after);
-        let outcome = Outcome::News { revision: self.state.revision, changes };
-        let event = Box::new(Event::Store { tag: watcher.tag, sent: watcher.sent, outcome });
-        self.soon(Ev::Deliver { node: watcher.node, boot: watcher.boot, event });
+        let outcome = Outcome::News {
+            revision: self.state.revision,
+            changes,
+        };
+        let event = Box::new(Event::Store {
+            tag: watcher.tag,
+            sent: watcher.sent,
+            outcome,
+        });
+        self.soon(Ev::Deliver {
+            node: watcher.node,
+            boot: watcher.boot,
+            event,
+        });
     }
 
     fn happened(&mut self, id: &str, happened: Vec<Happened>) {
@@ -971,7 +1262,15 @@
                 self.unanswered(node, boot, &command);
             }
             let late = until + Duration::from_millis(self.rng.random_range(1..50));
-            self.at(late, Ev::Command { node, boot, command, answer: false });
+            self.at(
+                late,
+                Ev::Command {
+                    node,
+                    boot,
+                    command,
+                    answer: false,
+                },
+            );
             return;
         }
         let Some(machine) = self.machines.get_mut(&id) else {
@@ -997,18 +1296,34 @@
         }
         let executed = self.direct(&id, &command.body);
         if answer {
-            let Some(machine) = self.machines.get_mut(&id) else { return };
+            let Some(machine) = self.machines.get_mut(&id) else {
+                return;
+            };
             let report = machine.message();
-            let outcome = if executed { CommandOutcome::Executed(report) } else { CommandOutcome::Rejected(report) };
-            let event =
-                Event::Commanded { block: command.block, machine: command.machine, body: command.body, outcome };
-            self.soon(Ev::Deliver { node, boot, event: Box::new(event) });
+            let outcome = if executed {
+                CommandOutcome::Executed(report)
+            } else {
+                CommandOutcome::Rejected(report)
+            };
+            let event = Event::Commanded {
+                block: command.block,
+                machine: command.machine,
+                body: command.body,
+                outcome,
+            };
+            self.soon(Ev::Deliver {
+                node,
+                boot,
+                event: Box::new(event),
+            });
         }
     }
 
     /// A direct command at a machine that runs. False: token or session did not match.
     fn direct(&mut self, id: &str, body: &Orders) -> bool {
-        let Some(machine) = self.machines.get_mut(id) else { return false };
+        let Some(machine) = self.machines.get_mut(id) else {
+            return false;
+        };
         if body.token < machine.token || body.session != Some(machine.session) {
             return false;
         }
@@ -1016,16 +1331,25 @@
             machine.token = body.token;
             machine.changed = true;
         }
-        let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for(self.longer, self.apart));
+        let happened = machine.execute(
+            &body.orders,
+            &self.jobs,
+            &self.results,
+            run_for(self.longer, self.apart),
+        );
         self.happened(id, happened);
         true
     }
 
     /// Breaks the first rule on purpose: whatever one machine is told, another executes as well.
     fn sabotage(&mut self, id: &str, body: &Orders) {
-        let Some(meant) = self.machines.get(id) else { return };
+        let Some(meant) = self.machines.get(id) else {
+            return;
+        };
         // Alike in all else, so that it is the first rule that breaks.
-        let alike = |m: &Machine| (&m.type_name, &m.zone, m.tenure) == (&meant.type_name, &meant.zone, meant.tenure);
+        let alike = |m: &Machine| {
+            (&m.type_name, &m.zone, m.tenure) == (&meant.type_name, &meant.zone, meant.tenure)
+        };
         let other = self
             .machines
             .iter()
@@ -1033,7 +1357,12 @@
             .map(|(id, _)| id.clone());
         if let Some(other) = other {
             let machine = self.machines.get_mut(&other).expect("just found");
-            let happened = machine.execute(&body.orders, &self.jobs, &self.results, run_for(self.longer, self.apart));
+            let happened = machine.execute(
+                &body.orders,
+                &self.jobs,
+                &self.results,
+                run_for(self.longer, self.apart),
+            );
             self.happened(&other, happened);
         }
     }
@@ -1050,15 +1379,18 @@
                     return CallOutcome::Rented(MachineNames { machines });
                 }
                 let tenure = Tenure::spot(rent.spot);
-                let alike = |m: &&Machine| m.type_name == rent.type_name && m.zone == rent.zone && m.tenure == tenure;
+                let alike = |m: &&Machine| {
+                    m.type_name == rent.type_name && m.zone == rent.zone && m.tenure == tenure
+                };
                 let stock = self.size.stock[usize::from(&*rent.type_name.0 != "small")];
                 let left = stock.saturating_sub(self.machines.values().filter(alike).count());
                 let count = left.min(rent.count as usize);
                 if count == 0 {
                     return CallOutcome::NoCapacity;
                 }
-                let names: Vec<String> =
-                    (0..count).map(|_| self.rent(&rent.type_name.0, &rent.zone.0, tenure)).collect();
+                let names: Vec<String> = (0..count)
+                    .map(|_| self.rent(&rent.type_name.0, &rent.zone.0, tenure))
+                    .collect();
                 self.requests.insert(rent.request.clone(), names.clone());
                 let machines = names.iter().map(|name| name.as_str().into()).collect();
                 CallOutcome::Rented(MachineNames { machines })
@@ -1078,17 +1410,32 @@
             }
             Call::List { after } => {
                 let old = |m: &&Machine| self.now > m.rented + Duration::from_secs(8);
-                let after = after.as_ref().map(|id| id.0.to_string()).unwrap_or_default();
-                let machines = self.machines.values().filter(|m| m.id > after).filter(old).map(|m| ListedMachine {
-                    id: m.id.as_str().into(),
-                    addr: Some(m.addr()),
-                    type_name: m.type_name.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.tenure.is_spot(),
-                    state: if m.up { ListedState::Running } else { ListedState::Booting },
-                    age_s: Amount((self.now - m.rented).as_secs_f64()),
-                });
-                CallOutcome::Listed(MachineList { machines: machines.collect(), more: false })
+                let after = after
+                    .as_ref()
+                    .map(|id| id.0.to_string())
+                    .unwrap_or_default();
+                let machines = self
+                    .machines
+                    .values()
+                    .filter(|m| m.id > after)
+                    .filter(old)
+                    .map(|m| ListedMachine {
+                        id: m.id.as_str().into(),
+                        addr: Some(m.addr()),
+                        type_name: m.type_name.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.tenure.is_spot(),
+                        state: if m.up {
+                            ListedState::Running
+                        } else {
+                            ListedState::Booting
+                        },
+                        age_s: Amount((self.now - m.rented).as_secs_f64()),
+                    });
+                CallOutcome::Listed(MachineList {
+                    machines: machines.collect(),
+                    more: false,
+                })
             }
         }
     }
@@ -1098,7 +1445,10 @@
         self.most_machines = self.most_machines.max(self.machines.len() + 1);
         self.next_machine += 1;
         let id = format!("m-{:06}", self.next_machine);
-        let BootTrouble { lost, factor } = self.boot_trouble.unwrap_or(BootTrouble { lost: 0.03, factor: 1.0 });
+        let BootTrouble { lost, factor } = self.boot_trouble.unwrap_or(BootTrouble {
+            lost: 0.03,
+            factor: 1.0,
+        });
         let boot = Duration::from_secs_f64(self.rng.random_range(0.5..10.0) * factor);
         let never = self.rng.random_bool(lost);
         let faulty = self.now < self.calm_from && self.rng.random_bool(self.faults.faulty_machines);
@@ -1108,7 +1458,11 @@
             type_name: type_name.into(),
             zone: zone.into(),
             tenure,
-            size: Room { cpus, gpus: 0.0, memory_gb: cpus * 4.0 },
+            size: Room {
+                cpus,
+                gpus: 0.0,
+                memory_gb: cpus * 4.0,
+            },
             rented: self.now,
             up_at: (!never).then(|| self.now + boot),
             up: false,
@@ -1157,7 +1511,9 @@
         let lease = self.config.lease;
         let report_every = self.config.report_every;
         let jitter = report_every.mul_f64(self.rng.random_range(0.75..1.25));
-        let Some(machine) = self.machines.get_mut(id) else { return };
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
         if machine.notice.is_some_and(|taken| now >= taken) {
             let mut machine = self.machines.remove(id).expect("just found");
             for what in machine.gone() {
@@ -1185,8 +1541,16 @@
             }
             return;
         }
-        happened.extend(machine.progress(STEP, &self.jobs, &self.results, run_for(self.longer, self.apart)));
-        if machine.report.is_some_and(|(_, sent)| now > sent + REPORT_TIMEOUT) {
+        happened.extend(machine.progress(
+            STEP,
+            &self.jobs,
+            &self.results,
+            run_for(self.longer, self.apart),
+        ));
+        if machine
+            .report
+            .is_some_and(|(_, sent)| now > sent + REPORT_TIMEOUT)
+        {
             machine.report = None;
             machine.node = (machine.node + 1) % NODES;
             machine.next_report = now + Duration::from_secs(1);
@@ -1204,31 +1568,64 @@
             self.happened(id, happened);
             if let Some(late) = self.copied() {
                 let node = self.rng.random_range(0..NODES);
-                self.at(late, Ev::Copy { node, report: Box::new(report.clone()) });
+                self.at(
+                    late,
+                    Ev::Copy {
+                        node,
+                        report: Box::new(report.clone()),
+                    },
+                );
             }
             let mute = now < self.machines[id].mute_until;
             if now < self.reports_held_until {
                 let held = self.reports_held_until;
                 self.plan(held, move |world| {
                     if let Some(node) = world.leader() {
-                        world.take(Ev::Copy { node, report: Box::new(report) });
+                        world.take(Ev::Copy {
+                            node,
+                            report: Box::new(report),
+                        });
                     }
                 });
             } else if up && !mute {
                 let (at, _) = self.fate();
-                self.at(at, Ev::Report { node, report: Box::new(report) });
+                self.at(
+                    at,
+                    Ev::Report {
+                        node,
+                        report: Box::new(report),
+                    },
+                );
             } else {
-                self.soon(Ev::Answered { machine: id.to_owned(), session, seq, sent: now, node, answer: None });
+                self.soon(Ev::Answered {
+                    machine: id.to_owned(),
+                    session,
+                    seq,
+                    sent: now,
+                    node,
+                    answer: None,
+                });
             }
             return;
         }
         self.happened(id, happened);
     }
 
-    fn answered(&mut self, id: &str, session: u64, seq: u64, sent: Duration, node: usize, answer: Option<Answer>) {
+    fn answered(
+        &mut self,
+        id: &str,
+        session: u64,
+        seq: u64,
+        sent: Duration,
+        node: usize,
+        answer: Option<Answer>,
+    ) {
         let now = self.now;
-        let Some(machine) = self.machines.get_mut(id) else { return };
-        let waited_for = machine.session == session && machine.report.is_some_and(|(number, _)| number == seq);
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let waited_for =
+            machine.session == session && machine.report.is_some_and(|(number, _)| number == seq);
         if !waited_for || now > sent + REPORT_TIMEOUT || !machine.runs(now) {
             return;
         }
@@ -1244,8 +1641,12 @@
                     machine.changed = true;
                 }
                 machine.lease_from = sent;
-                let happened =
-                    machine.execute(&orders.orders, &self.jobs, &self.results, run_for(self.longer, self.apart));
+                let happened = machine.execute(
+                    &orders.orders,
+                    &self.jobs,
+                    &self.results,
+                    run_for(self.longer, self.apart),
+                );
                 self.happened(id, happened);
             }
             Some(Answer::Elsewhere(Some(holder))) => {
@@ -1272,7 +1673,11 @@
                 return;
             }
             user.pending = None;
-            let pause = if asked == Ask::Poll { POLL_EVERY / self.asking } else { Duration::from_secs(1) };
+            let pause = if asked == Ask::Poll {
+                POLL_EVERY / self.asking
+            } else {
+                Duration::from_secs(1)
+            };
             user.next_ask = now + pause;
         }
         if now < user.next_ask {
@@ -1309,7 +1714,9 @@
             Ask::Cancel => self.rules.cancel_asked(job),
             Ask::Poll => {}
         }
-        let up: Vec<usize> = (0..NODES).filter(|node| self.slots[*node].node.is_some()).collect();
+        let up: Vec<usize> = (0..NODES)
+            .filter(|node| self.slots[*node].node.is_some())
+            .collect();
         if up.is_empty() {
             return;
         }
@@ -1319,24 +1726,49 @@
         let id = slot.next_request;
         slot.waiting.insert(id, Asker::User { user: index, asked });
         let event = match asked {
-            Ask::Submit => Event::Submit { id, body: self.users[index].body.clone() },
-            Ask::Poll => Event::Poll { id, job: job.to_string() },
-            Ask::Cancel => Event::Cancel { id, job: job.to_string() },
+            Ask::Submit => Event::Submit {
+                id,
+                body: self.users[index].body.clone(),
+            },
+            Ask::Poll => Event::Poll {
+                id,
+                job: job.to_string(),
+            },
+            Ask::Cancel => Event::Cancel {
+                id,
+                job: job.to_string(),
+            },
         };
         let boot = slot.boot;
         if let Some(late) = self.copied() {
             let again = match asked {
                 // To any controller, whoever is there by then; nobody waits for the answer.
-                Ask::Submit => Some(Event::Submit { id: 0, body: self.users[index].body.clone() }),
-                Ask::Cancel => Some(Event::Cancel { id: 0, job: job.to_string() }),
+                Ask::Submit => Some(Event::Submit {
+                    id: 0,
+                    body: self.users[index].body.clone(),
+                }),
+                Ask::Cancel => Some(Event::Cancel {
+                    id: 0,
+                    job: job.to_string(),
+                }),
                 Ask::Poll => None,
             };
             let node = self.rng.random_range(0..NODES);
             if let Some(event) = again {
-                self.at(late, Ev::Repeat { node, event: Box::new(event) });
+                self.at(
+                    late,
+                    Ev::Repeat {
+                        node,
+                        event: Box::new(event),
+                    },
+                );
             }
         }
-        self.soon(Ev::Deliver { node, boot, event: Box::new(event) });
+        self.soon(Ev::Deliver {
+            node,
+            boot,
+            event: Box::new(event),
+        });
     }
 
     /// A job that can't run or lacks a field, under a name that nobody uses.
@@ -1344,9 +1776,42 @@
         let job = self.jobs[&self.users[index].job].clone();
         let id = JobId(500_000 + self.order);
         let (body, expected) = match self.rng.random_range(0..4) {
-            0 => (body_of(id, &Job { team: "nobody".into(), ..job }), 422),
-            1 => (body_of(id, &Job { need: Room { cpus: 17.0, ..job.need }, ..job }), 422),
-            2 => (body_of(id, &Job { need: Room { cpus: -1.0, ..job.need }, ..job }), 400),
+            0 => (
+                body_of(
+                    id,
+                    &Job {
+                        team: "nobody".into(),
+                        ..job
+                    },
+                ),
+                422,
+            ),
+            1 => (
+                body_of(
+                    id,
+                    &Job {
+                        need: Room {
+                            cpus: 17.0,
+                            ..job.need
+                        },
+                        ..job
+                    },
+                ),
+                422,
+            ),
+            2 => (
+                body_of(
+                    id,
+                    &Job {
+                        need: Room {
+                            cpus: -1.0,
+                            ..job.need
+                        },
+                        ..job
+                    },
+                ),
+                400,
+            ),
             _ => {
                 let mut body = body_of(id, &job);
                 body.truncate(body.len() / 2);
@@ -1362,22 +1827,38 @@
         let id = slot.next_request;
         slot.waiting.insert(id, Asker::Odd { expected });
         let boot = slot.boot;
-        self.soon(Ev::Deliver { node, boot, event: Box::new(Event::Submit { id, body }) });
+        self.soon(Ev::Deliver {
+            node,
+            boot,
+            event: Box::new(Event::Submit { id, body }),
+        });
     }
 
     /// Jobs that wait while a machine that fits has room and their team is under its limit.
     fn look_for_idle_room(&mut self) {
         let mut free: Vec<(&Machine, Room)> = Vec::new();
-        for machine in self.machines.values().filter(|machine| machine.settled(self.now)) {
+        for machine in self
+            .machines
+            .values()
+            .filter(|machine| machine.settled(self.now))
+        {
             free.push((machine, machine.free(&self.jobs)));
         }
         let mut beside = BTreeSet::new();
         for id in self.rules.waiting() {
-            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
             let mut listed: BTreeMap<&Zone, u32> = BTreeMap::new();
             for machine in self.machines.values() {
-                let of_job = TaskId { job: id, index: 0 }..=TaskId { job: id, index: u32::MAX };
-                let there = machine.tasks.range(of_job).filter(|(_, t)| t.state != TaskState::Exited);
+                let of_job = TaskId { job: id, index: 0 }..=TaskId {
+                    job: id,
+                    index: u32::MAX,
+                };
+                let there = machine
+                    .tasks
+                    .range(of_job)
+                    .filter(|(_, t)| t.state != TaskState::Exited);
                 *listed.entry(&machine.zone).or_default() += there.count() as u32;
             }
             let all: u32 = listed.values().sum();
@@ -1393,7 +1874,9 @@
                     && (!job.one_zone || here == all)
                     && room.fits(&job.need)
             };
-            if self.rules.team_has_room(id) && free.iter().any(|(machine, room)| fits(machine, room)) {
+            if self.rules.team_has_room(id)
+                && free.iter().any(|(machine, room)| fits(machine, room))
+            {
                 beside.insert(id);
             }
         }
@@ -1408,16 +1891,28 @@
             return;
         }
         user.pending = None;
-        user.next_ask = now + if asked == Ask::Poll { POLL_EVERY / self.asking } else { Duration::from_secs(2) };
+        user.next_ask = now
+            + if asked == Ask::Poll {
+                POLL_EVERY / self.asking
+            } else {
+                Duration::from_secs(2)
+            };
         let job = user.job;
         match response {
             Response::State { state, .. } => self.rules.told(now, job, Some(state.status)),
             Response::Problem { status: 404, .. } => self.rules.told(now, job, None),
-            Response::Problem { status: status @ (400 | 422), .. } => self.rules.refused(now, job, *status),
+            Response::Problem {
+                status: status @ (400 | 422),
+                ..
+            } => self.rules.refused(now, job, *status),
             Response::Problem { retry_after, .. } => {
-                assert!(retry_after.is_some(), "a refusal that does not say when to come back");
+                assert!(
+                    retry_after.is_some(),
+                    "a refusal that does not say when to come back"
+                );
                 if asked != Ask::Poll {
-                    self.users[index].next_ask = now + retry_after.unwrap_or_default().max(Duration::from_secs(1));
+                    self.users[index].next_ask =
+                        now + retry_after.unwrap_or_default().max(Duration::from_secs(1));
                 }
             }
         }
@@ -1467,7 +1962,14 @@
         let effects = self.effects(node, Event::Tick);
         self.slots[node].frozen_until = until;
         let boot = self.slots[node].boot;
-        self.at(until, Ev::Resume { node, boot, effects });
+        self.at(
+            until,
+            Ev::Resume {
+                node,
+                boot,
+                effects,
+            },
+        );
     }
 
     pub fn hang(&mut self, machine: &str, how_long: Duration) {
@@ -1489,11 +1991,17 @@
     /// The machines that are up, in a zone or all.
     pub fn up(&self, zone: Option<&str>) -> Vec<String> {
         let here = |m: &&Machine| m.up && !m.dead && zone.is_none_or(|zone| *m.zone.0 == *zone);
-        self.machines.values().filter(here).map(|m| m.id.clone()).collect()
+        self.machines
+            .values()
+            .filter(here)
+            .map(|m| m.id.clone())
+            .collect()
     }
 
     pub fn kill(&mut self, machine: &str) {
-        let Some(found) = self.machines.get_mut(machine) else { return };
+        let Some(found) = self.machines.get_mut(machine) else {
+            return;
+        };
         found.dead = true;
         let happened = found.gone();
         self.happened(machine, happened);
@@ -1513,13 +2021,25 @@
 
     /// A user of the team without a guarantee submits an array now.
     pub fn add_guests_job(&mut self, tasks: u32, cpus: f64) -> JobId {
-        let job = Job { tasks, need: Room { cpus, gpus: 0.0, memory_gb: 1.0 }, ..array(GUESTS, Priority::Low) };
+        let job = Job {
+            tasks,
+            need: Room {
+                cpus,
+                gpus: 0.0,
+                memory_gb: 1.0,
+            },
+            ..array(GUESTS, Priority::Low)
+        };
         self.add_job(job, None)
     }
 
     /// A user submits an array with a mistake now, which fails on every machine, and calls it off after this long.
     pub fn add_broken_job(&mut self, tasks: u32, cancel_after: Duration) -> JobId {
-        let job = Job { tasks, class: BROKEN.into(), ..array("red", Priority::Standard) };
+        let job = Job {
+            tasks,
+            class: BROKEN.into(),
+            ..array("red", Priority::Standard)
+        };
         self.add_job(job, Some(self.now + cancel_after))
     }
 
@@ -1528,14 +2048,28 @@
         let body = body_of(id, &job);
         self.jobs.insert(id, job);
         let now = self.now;
-        self.users.push(User { job: id, body, submit_at: now, cancel_at, next_ask: now, pending: None, again: false });
+        self.users.push(User {
+            job: id,
+            body,
+            submit_at: now,
+            cancel_at,
+            next_ask: now,
+            pending: None,
+            again: false,
+        });
         id
     }
 
     /// All arrays are bound to one zone: every other one to a given zone.
     pub fn bind_jobs(&mut self) {
         for (n, user) in self.users.iter_mut().enumerate() {
-            let Some(job) = self.jobs.get_mut(&user.job).filter(|job| job.kind == Kind::Array) else { continue };
+            let Some(job) = self
+                .jobs
+                .get_mut(&user.job)
+                .filter(|job| job.kind == Kind::Array)
+            else {
+                continue;
+            };
             job.one_zone = n.is_multiple_of(2);
             job.zone = (!job.one_zone).then(|| ZONES[n % NODES].into());
             user.body = body_of(user.job, job);
@@ -1557,9 +2091,15 @@
     /// Up to so many accepted jobs that run.
     pub fn running_jobs(&self, count: usize) -> Vec<JobId> {
         let running = |job: &JobId| {
-            self.rules.told_state(*job) == Some(Told::Accepted) && !self.rules.machines_of(*job).is_empty()
+            self.rules.told_state(*job) == Some(Told::Accepted)
+                && !self.rules.machines_of(*job).is_empty()
         };
-        self.users.iter().map(|user| user.job).filter(running).take(count).collect()
+        self.users
+            .iter()
+            .map(|user| user.job)
+            .filter(running)
+            .take(count)
+            .collect()
     }
 
     /// Users call off up to so many jobs that run. Returns the jobs.
@@ -1581,7 +2121,8 @@
     }
 
     fn fault(&mut self, fault: Fault) {
-        let long = |rng: &mut SmallRng, most: f64| Duration::from_secs_f64(rng.random_range(1.0..most));
+        let long =
+            |rng: &mut SmallRng, most: f64| Duration::from_secs_f64(rng.random_range(1.0..most));
         match fault {
             Fault::Crash => {
                 let node = self.rng.random_range(0..NODES);
@@ -1608,8 +2149,12 @@
                 self.freeze(node, how_long);
             }
             Fault::MassLoss => {
-                let kind = [Fault::MachineDies, Fault::MachineHangs, Fault::MachineDeaf, Fault::SpotTaken]
-                    [self.rng.random_range(0..4)];
+                let kind = [
+                    Fault::MachineDies,
+                    Fault::MachineHangs,
+                    Fault::MachineDeaf,
+                    Fault::SpotTaken,
+                ][self.rng.random_range(0..4)];
                 let up = self.machines.values().filter(|m| m.up && !m.dead).count();
                 for _ in 0..up / 3 {
                     self.fault(kind);
@@ -1630,7 +2175,12 @@
             | Fault::MachineRestarts => {
                 let spot = fault == Fault::SpotTaken;
                 let fits = |m: &&Machine| m.up && !m.dead && (!spot || m.tenure.is_spot());
-                let ids: Vec<String> = self.machines.values().filter(fits).map(|m| m.id.clone()).collect();
+                let ids: Vec<String> = self
+                    .machines
+                    .values()
+                    .filter(fits)
+                    .map(|m| m.id.clone())
+                    .collect();
                 if ids.is_empty() {
                     return;
                 }
@@ -1658,7 +2208,11 @@
 
     /// Machines and tasks that all controllers have looked at, and the plans that they made.
     pub fn looked(&self) -> (u64, u64) {
-        let all = self.slots.iter().filter_map(|slot| slot.node.as_ref()).map(Node::looked);
+        let all = self
+            .slots
+            .iter()
+            .filter_map(|slot| slot.node.as_ref())
+            .map(Node::looked);
         all.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
     }
 
@@ -1667,12 +2221,20 @@
     }
 
     pub fn jobs_told(&self) -> usize {
-        self.users.iter().filter(|user| self.rules.told_state(user.job).is_some()).count()
+        self.users
+            .iter()
+            .filter(|user| self.rules.told_state(user.job).is_some())
+            .count()
     }
 
     /// Tasks that workers still list as there.
     pub fn listed(&self) -> usize {
-        let there = |m: &Machine| m.tasks.values().filter(|t| t.state != TaskState::Exited).count();
+        let there = |m: &Machine| {
+            m.tasks
+                .values()
+                .filter(|t| t.state != TaskState::Exited)
+                .count()
+        };
         self.machines.values().map(there).sum()
     }
 }
@@ -1680,7 +2242,11 @@
 fn run_for(longer: Duration, apart: Duration) -> impl Fn(TaskId) -> Duration {
     move |task| {
         Duration::from_millis(1500 + (task.job.0 * 31 + u64::from(task.index) * 977) % 9000)
-            + if task.job.0.is_multiple_of(3) { Duration::from_secs(5) } else { Duration::ZERO }
+            + if task.job.0.is_multiple_of(3) {
+                Duration::from_secs(5)
+            } else {
+                Duration::ZERO
+            }
             + longer
             + apart * task.index
     }
@@ -1691,7 +2257,13 @@
 
 fn guests() -> TeamLimits {
     let none = f64::INFINITY;
-    TeamLimits { name: GUESTS.into(), cpus: 0.0, cpus_max: none, gpus: 0.0, gpus_max: none }
+    TeamLimits {
+        name: GUESTS.into(),
+        cpus: 0.0,
+        cpus_max: none,
+        gpus: 0.0,
+        gpus_max: none,
+    }
 }
 
 /// An array that may go anywhere.
@@ -1702,7 +2274,11 @@
         kind: Kind::Array,
         priority,
         tasks: 1,
-        need: Room { cpus: 1.0, gpus: 0.0, memory_gb: 1.0 },
+        need: Room {
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        },
         types: None,
         zone: None,
         one_zone: false,
@@ -1720,17 +2296,20 @@
 
 fn body_of(id: JobId, job: &Job) -> Vec<u8> {
     use ciborium::Value;
-    let kind = if job.kind == Kind::Service { "service" } else { "sweep" };
+    let kind = if job.kind == Kind::Service {
+        "service"
+    } else {
+        "sweep"
+    };
     let priority = match job.priority {
         Priority::Production => "prod",
         Priority::High => "high",
         Priority::Standard => "standard",
         Priority::Low => "low",
     };
-    let types = job
-        .types
-        .as_ref()
-        .map_or(Value::Null, |types| Value::Array(types.iter().map(|name| Value::from(&*name.0)).collect()));
+    let types = job.types.as_ref().map_or(Value::Null, |types| {
+        Value::Array(types.iter().map(|name| Value::from(&*name.0)).collect())
+    });
     let fields: Vec<(&str, Value)> = vec![
         ("id", id.to_string().into()),
         ("docket", (&*job.class).into()),
@@ -1744,7 +2323,12 @@
         ("bundle", (&*job.image.0).into()),
         ("imageGb", job.image_gb.into()),
         ("berthKinds", types),
-        ("wing", job.zone.as_ref().map_or(Value::Null, |zone| Value::from(&*zone.0))),
+        (
+            "wing",
+            job.zone
+                .as_ref()
+                .map_or(Value::Null, |zone| Value::from(&*zone.0)),
+        ),
         ("samePlace", job.one_zone.into()),
         ("scatter", job.spread.into()),
         ("loaner", job.spot.into()),
@@ -1752,7 +2336,10 @@
         ("stampEveryS", 0.0.into()),
         ("stampS", 0.0.into()),
     ];
-    let map = fields.into_iter().map(|(key, value)| (key.into(), value)).collect();
+    let map = fields
+        .into_iter()
+        .map(|(key, value)| (key.into(), value))
+        .collect();
     let mut bytes = Vec::new();
     ciborium::into_writer(&Value::Map(map), &mut bytes).expect("to memory");
     bytes
