--- a/src/fleet/block.rs
+++ b/src/fleet/block.rs
@@ -37,9 +37,9 @@
 /// How a worker came to say something. Only a report that reached us can renew its lease: a worker that answers commands
 /// and reaches no controller loses its tasks again and again, so that its answers are no sign of its being well.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Said {
-    Reporting,
-    Answering,
+pub(super) enum ReportSource {
+    Report,
+    CommandAnswer,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -223,7 +223,13 @@
     }
 
     /// The one place where what a worker says is taken in.
-    pub(super) fn take_report(&mut self, now: Now, report: Report, view: &View, said: Said) {
+    pub(super) fn take_report(
+        &mut self,
+        now: Now,
+        report: Report,
+        view: &View,
+        source: ReportSource,
+    ) {
         let token = self.token;
         let Some(worker) = self.workers.get_mut(&report.machine) else {
             return;
@@ -243,14 +249,14 @@
         self.unsaid.insert(report.machine.clone());
         worker.session = report.session;
         worker.seq = report.seq;
-        match said {
-            Said::Reporting => {
+        match source {
+            ReportSource::Report => {
                 worker.heard = now.steady;
                 if worker.deaf.is_none() {
                     worker.probed = None;
                 }
             }
-            Said::Answering => worker.probed = worker.probed.map(|(at, _)| (at, false)),
+            ReportSource::CommandAnswer => worker.probed = worker.probed.map(|(at, _)| (at, false)),
         }
         worker.reported = true;
         worker.notice = report.notice_s.is_some();
@@ -499,7 +505,7 @@
             CommandOutcome::Executed(report) | CommandOutcome::Rejected(report) => {
                 if report.machine == *machine {
                     worker.deaf = None;
-                    self.take_report(now, report, view, Said::Answering);
+                    self.take_report(now, report, view, ReportSource::CommandAnswer);
                 }
             }
             CommandOutcome::Unknown => {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -20,7 +20,7 @@
 use crate::provisioning::Flavors;
 use crate::store::view::Touched;
 use crate::store::{Op, Outcome, View, Writer};
-use block::{Block, Said, recorded, still_there, wanted_alive};
+use block::{Block, ReportSource, recorded, still_there, wanted_alive};
 use wire::{Order, Orders, Report, TaskState};
 
 /// A report is overdue after this many times its interval.
@@ -164,7 +164,7 @@
                 .get(&report.machine)
                 .and_then(|machine| self.blocks.get_mut(&machine.block));
             if let Some(block) = block.filter(|block| report.token <= block.token) {
-                block.take_report(now, report, view, Said::Reporting);
+                block.take_report(now, report, view, ReportSource::Report);
             }
             return Answer::Unavailable;
         }
@@ -189,7 +189,7 @@
         let id = report.machine.clone();
         let here = block.places.on.get(&id).map_or(0, Vec::len);
         self.looked += (1 + report.tasks.len() + here) as u64;
-        block.take_report(now, report, view, Said::Reporting);
+        block.take_report(now, report, view, ReportSource::Report);
         match block.workers.get(&id) {
             Some(_) => Answer::Orders(block.orders(now, &id, view, None, true)),
             None => Answer::Unavailable,
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -110,7 +110,7 @@
     delete_retry: Option<Instant>,
     deleted: BTreeSet<MachineId>,
     /// Deleted machines, for the list shows them a while longer.
-    buried: HashMap<MachineId, Instant>,
+    recently_deleted: HashMap<MachineId, Instant>,
     lost: BTreeSet<MachineId>,
     /// Since when machines of a zone that may be cut off have been silent.
     silent: BTreeMap<MachineId, Instant>,
@@ -203,7 +203,7 @@
             deleting: None,
             delete_retry: None,
             deleted: BTreeSet::new(),
-            buried: HashMap::new(),
+            recently_deleted: HashMap::new(),
             lost: BTreeSet::new(),
             silent: BTreeMap::new(),
             idle: BTreeMap::new(),
@@ -253,7 +253,7 @@
             state: ListedState::Running,
             age_s: Amount(0.0),
         };
-        if !self.buried.contains_key(&listed.id) {
+        if !self.recently_deleted.contains_key(&listed.id) {
             self.unexpected
                 .entry(listed.id.clone())
                 .or_insert((listed, now.steady));
@@ -293,7 +293,7 @@
             .retain(|machine| view.machines.contains_key(machine));
         self.deleted
             .retain(|machine| view.machines.contains_key(machine));
-        self.buried
+        self.recently_deleted
             .retain(|_, at| since(now, *at) < Duration::from_secs(120));
         self.observe_boots(now, flavors, view, health);
         for (id, machine) in &view.machines {
@@ -544,7 +544,7 @@
             (Tag::Delete(machines), CallOutcome::Deleted) => {
                 self.deleting = None;
                 for machine in machines {
-                    self.buried.insert(machine.clone(), now.steady);
+                    self.recently_deleted.insert(machine.clone(), now.steady);
                     self.deleted.insert(machine);
                 }
             }
@@ -584,7 +584,7 @@
                 if listed.state == ListedState::Failed && self.lost.insert(listed.id.clone()) {
                     info!(machine = %listed.id, "machine listed as failed");
                 }
-            } else if !self.buried.contains_key(&listed.id)
+            } else if !self.recently_deleted.contains_key(&listed.id)
                 && since(now, self.term_since) > config.list_lag * 3
                 && listed.age_s.0 > config.list_lag.as_secs_f64()
             {
@@ -692,7 +692,7 @@
                 .is_some_and(|places| places.value.on.contains_key(id))
         };
         let waits = |id: &MachineId| {
-            self.buried
+            self.recently_deleted
                 .get(id)
                 .is_some_and(|at| since(now, *at) < FORGET_AFTER)
         };
--- a/src/queueing/desk.rs
+++ b/src/queueing/block_state.rs
@@ -56,7 +56,7 @@
 }
 
 #[derive(Debug)]
-pub(super) struct Desk {
+pub(super) struct BlockState {
     pub(super) grant_version: u64,
     pub(super) releases: BTreeMap<u64, Release>,
     pub(super) stops: BTreeMap<Attempt, Instant>,
@@ -66,7 +66,7 @@
     /// The last status taken in, and the last one that the holder was told was heard.
     pub(super) heard: u64,
     /// The holder should be told that its word on machines was heard, else it repeats it.
-    pub(super) owes_word: bool,
+    pub(super) ack_due: bool,
     pub(super) sent: Option<Instant>,
     pub(super) last_message: u64,
     pub(super) dirty: bool,
@@ -74,9 +74,13 @@
     pub(super) addressed: HashSet<MachineId>,
 }
 
-impl Desk {
+impl BlockState {
     /// Notes machines that the holder could ask if it were told where they are.
-    pub(super) fn find(&mut self, addresses: &HashMap<MachineId, String>, roster: Option<&Roster>) {
+    pub(super) fn note_addresses(
+        &mut self,
+        addresses: &HashMap<MachineId, String>,
+        roster: Option<&Roster>,
+    ) {
         let Some(roster) = roster.filter(|roster| roster.on.len() > self.addressed.len()) else {
             return;
         };
@@ -100,7 +104,10 @@
     }
 
     /// Those that it has not heard from since. They are told again in each message, for one can be lost.
-    pub(super) fn unmet(&self, addresses: &HashMap<MachineId, String>) -> Vec<(MachineId, String)> {
+    pub(super) fn unseen_addresses(
+        &self,
+        addresses: &HashMap<MachineId, String>,
+    ) -> Vec<(MachineId, String)> {
         let unseen = |id: &&MachineId| self.machines.get(*id).is_none_or(|status| !status.seen);
         let unmet = self.addressed.iter().filter(unseen);
         unmet
@@ -118,33 +125,36 @@
         addresses: &HashMap<MachineId, String>,
     ) -> Vec<Work> {
         let mut messages = Vec::new();
-        for (block, desk) in &mut self.desks {
-            desk.find(
+        for (block, block_state) in &mut self.block_states {
+            block_state.note_addresses(
                 addresses,
                 view.rosters.get(block).map(|roster| &roster.value),
             );
-            let acked = desk
+            let acked = block_state
                 .status
                 .as_ref()
-                .is_some_and(|(status, _)| status.last_work >= desk.last_message);
-            let overdue = !acked && desk.sent.is_some_and(|sent| since(now, sent) >= RESEND);
-            if !desk.dirty && !overdue && !desk.owes_word {
+                .is_some_and(|(status, _)| status.last_work >= block_state.last_message);
+            let overdue = !acked
+                && block_state
+                    .sent
+                    .is_some_and(|sent| since(now, sent) >= RESEND);
+            if !block_state.dirty && !overdue && !block_state.ack_due {
                 continue;
             }
             self.next_message += 1;
             let number = self.next_message;
-            desk.dirty = false;
-            desk.owes_word = false;
-            desk.sent = Some(now.steady);
-            desk.last_message = number;
-            for release in desk
+            block_state.dirty = false;
+            block_state.ack_due = false;
+            block_state.sent = Some(now.steady);
+            block_state.last_message = number;
+            for release in block_state
                 .releases
                 .values_mut()
                 .filter(|release| release.message == u64::MAX)
             {
                 release.message = number;
             }
-            let want = desk
+            let want = block_state
                 .releases
                 .values()
                 .filter(|release| !release.withdrawn)
@@ -153,15 +163,15 @@
                     machine: release.machine.clone(),
                 })
                 .collect();
-            let stop = desk.stops.keys().copied().collect();
+            let stop = block_state.stops.keys().copied().collect();
             messages.push(Work {
                 block: block.clone(),
-                grant_version: desk.grant_version,
+                grant_version: block_state.grant_version,
                 number,
-                heard: desk.heard,
+                heard: block_state.heard,
                 want,
                 stop,
-                addresses: desk.unmet(addresses),
+                addresses: block_state.unseen_addresses(addresses),
             });
         }
         messages
--- a/src/queueing/holders.rs
+++ b/src/queueing/holders.rs
@@ -55,9 +55,9 @@
                 continue;
             };
             let status = self
-                .desks
+                .block_states
                 .get(block)
-                .and_then(|desk| desk.machines.get(machine));
+                .and_then(|block_state| block_state.machines.get(machine));
             let holder = view.grants.get(block).map(|grant| &grant.value.holder);
             let unheard = holder.filter(|_| status.is_some_and(|status| !status.usable));
             if let Some(counts) = unheard.and_then(|holder| holders.get_mut(holder)) {
@@ -73,8 +73,8 @@
     /// What the holders told lately of machines that they do not hear.
     fn unheard(&self, now: Now, view: &View) -> BTreeMap<NodeName, Unheard> {
         let mut holders: BTreeMap<NodeName, Unheard> = BTreeMap::new();
-        for (block, desk) in &self.desks {
-            let recent = desk
+        for (block, block_state) in &self.block_states {
+            let recent = block_state
                 .status
                 .as_ref()
                 .filter(|(_, at)| since(now, *at) < STATUS_LIFE);
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! A released task counts as placed until its holder has said that it never will be: see `settle`.
 
-mod desk;
+mod block_state;
 mod failures;
 mod folding;
 mod holders;
@@ -30,7 +30,7 @@
 use crate::store::records::{JobRecord, LEADER, job_key, progress_key};
 use crate::store::view::OpenJob;
 use crate::store::{Machine, Op, Outcome, Txn, View, Writer};
-use desk::{Desk, Release};
+use block_state::{BlockState, Release};
 use failures::Failures;
 use opportunistic::{Opportunities, RESTRICTED_FOR, Reach, is_opportunistic, price_limit};
 use preemption::Victims;
@@ -64,7 +64,7 @@
     term: u64,
     next_attempt: u64,
     next_message: u64,
-    desks: BTreeMap<BlockId, Desk>,
+    block_states: BTreeMap<BlockId, BlockState>,
     writer: Writer,
     /// Where each attempt was when last looked, to notice those that vanish without being done.
     placed: HashMap<u64, PlacedSince>,
@@ -104,7 +104,7 @@
 
 /// What was found not to go while planning, so that it is not tried for each of a thousand jobs alike.
 #[derive(Debug, Default)]
-struct Hopeless {
+struct Exhausted {
     no_room: HashSet<Shape>,
     no_way: HashSet<(Shape, Team, Priority)>,
 }
@@ -150,7 +150,7 @@
             // Attempts of different leaders never meet: each has a range of its own.
             next_attempt: term << 20,
             next_message: 0,
-            desks: BTreeMap::new(),
+            block_states: BTreeMap::new(),
             writer: Writer::Unsure { since: now.steady },
             placed: HashMap::new(),
             looks: 0,
@@ -164,38 +164,41 @@
 
     /// A holder's word on one of its blocks.
     pub fn status(&mut self, now: Now, mut status: BlockStatus) {
-        let Some(desk) = self.desks.get_mut(&status.block) else {
+        let Some(block_state) = self.block_states.get_mut(&status.block) else {
             return;
         };
         // A message that comes late holds nothing that the later ones did not say too, or correct.
-        if desk.grant_version != status.grant_version || status.number <= desk.heard {
+        if block_state.grant_version != status.grant_version || status.number <= block_state.heard {
             return;
         }
-        desk.heard = status.number;
-        desk.owes_word |= !status.machines.is_empty();
+        block_state.heard = status.number;
+        block_state.ack_due |= !status.machines.is_empty();
         for machine in status.machines.drain(..) {
             self.failures
-                .observe(now, &machine, desk.machines.get(&machine.machine));
-            desk.machines.insert(machine.machine.clone(), machine);
+                .observe(now, &machine, block_state.machines.get(&machine.machine));
+            block_state
+                .machines
+                .insert(machine.machine.clone(), machine);
         }
-        desk.status = Some((status, now.steady));
+        block_state.status = Some((status, now.steady));
     }
 
     /// Whether a placed attempt's holder has proven it gone. None: it has not spoken under its present grant.
     pub fn proven_gone(&self, block: &BlockId, attempt: &Attempt) -> Option<bool> {
-        let (status, _) = self.desks.get(block)?.status.as_ref()?;
+        let (status, _) = self.block_states.get(block)?.status.as_ref()?;
         Some(status.ended.contains(&attempt.number))
     }
 
     fn machines(&self, now: Now) -> impl Iterator<Item = &MachineStatus> {
-        self.desks
+        self.block_states
             .values()
-            .filter(move |desk| {
-                desk.status
+            .filter(move |block_state| {
+                block_state
+                    .status
                     .as_ref()
                     .is_some_and(|(_, at)| since(now, *at) < STATUS_LIFE)
             })
-            .flat_map(|desk| desk.machines.values())
+            .flat_map(|block_state| block_state.machines.values())
     }
 
     /// `unreaching`: holders whose word on their machines' silence says more about themselves.
@@ -228,34 +231,34 @@
     /// Blocks under grants of this term, and what became of the releases to them.
     fn settle(&mut self, now: Now, view: &View) {
         let term = self.term;
-        self.desks
+        self.block_states
             .retain(|block, _| view.grants.contains_key(block));
         for (block, grant) in &view.grants {
             if grant.value.term != term {
                 // Its holder may still place what an earlier leader wanted.
-                self.desks.remove(block);
+                self.block_states.remove(block);
                 continue;
             }
             let known = self
-                .desks
+                .block_states
                 .get(block)
-                .is_some_and(|desk| desk.grant_version == grant.version);
+                .is_some_and(|block_state| block_state.grant_version == grant.version);
             if !known {
                 // Under a new grant nothing that was released under the old one can be placed any more.
-                let desk = Desk {
+                let block_state = BlockState {
                     grant_version: grant.version,
                     releases: BTreeMap::new(),
                     stops: BTreeMap::new(),
                     status: None,
                     machines: BTreeMap::new(),
                     heard: 0,
-                    owes_word: false,
+                    ack_due: false,
                     sent: None,
                     last_message: 0,
                     dirty: false,
                     addressed: HashSet::new(),
                 };
-                self.desks.insert(block.clone(), desk);
+                self.block_states.insert(block.clone(), block_state);
             }
         }
         self.looks += 1;
@@ -289,14 +292,16 @@
         });
         self.note_ends(view, gone);
         let live = &self.placed;
-        for (block, desk) in &mut self.desks {
-            desk.machines
+        for (block, block_state) in &mut self.block_states {
+            block_state
+                .machines
                 .retain(|machine, _| view.machines.contains_key(machine));
-            desk.addressed
+            block_state
+                .addressed
                 .retain(|machine| view.machines.contains_key(machine));
             let places = view.places.get(block).map_or(0, |places| places.version);
-            let status = desk.status.as_ref().map(|(status, _)| status);
-            desk.releases.retain(|number, release| {
+            let status = block_state.status.as_ref().map(|(status, _)| status);
+            block_state.releases.retain(|number, release| {
                 if live.contains_key(number) {
                     return false;
                 }
@@ -308,20 +313,21 @@
                 });
                 !settled
             });
-            desk.stops
+            block_state
+                .stops
                 .retain(|attempt, _| live.contains_key(&attempt.number));
-            for release in desk.releases.values_mut() {
+            for release in block_state.releases.values_mut() {
                 let alive = view
                     .open
                     .get(&release.attempt.task.job)
                     .is_some_and(|open| !open.cancelled);
                 let refused =
                     status.is_some_and(|status| status.refused.contains(&release.attempt.number));
-                let stuck = release.is_stuck(now, &desk.stops, refused);
+                let stuck = release.is_stuck(now, &block_state.stops, refused);
                 if !release.withdrawn && (!alive || stuck) {
                     release.withdrawn = true;
                     release.message = u64::MAX;
-                    desk.dirty = true;
+                    block_state.dirty = true;
                 }
             }
         }
@@ -355,7 +361,10 @@
         provisioner: &Provisioner,
     ) -> Vec<Candidate> {
         let mut taken: HashMap<&MachineId, Room> = HashMap::new();
-        let statuses = self.desks.values().filter_map(|desk| desk.status.as_ref());
+        let statuses = self
+            .block_states
+            .values()
+            .filter_map(|block_state| block_state.status.as_ref());
         let ended: HashSet<u64> = statuses
             .flat_map(|(status, _)| status.ended.iter().copied())
             .collect();
@@ -369,7 +378,11 @@
                 taken.add(&open.job.need);
             }
         }
-        for release in self.desks.values().flat_map(|desk| desk.releases.values()) {
+        for release in self
+            .block_states
+            .values()
+            .flat_map(|block_state| block_state.releases.values())
+        {
             if let Some(open) = view.open.get(&release.attempt.task.job) {
                 taken
                     .entry(&release.machine)
@@ -450,7 +463,11 @@
                 count(&mut demand, live.machine, open);
             }
         }
-        for release in self.desks.values().flat_map(|desk| desk.releases.values()) {
+        for release in self
+            .block_states
+            .values()
+            .flat_map(|block_state| block_state.releases.values())
+        {
             demand.occupied.insert(release.machine.clone());
             if let (Some(open), Some(machine)) = (
                 view.open.get(&release.attempt.task.job),
@@ -496,17 +513,24 @@
             Opportunities::new(lead, provisioner, &self.runs, &guaranteed, &candidates);
         // A block's tasks are one value: what does not fit it can't be placed there.
         let mut spaces: BTreeMap<BlockId, usize> = BTreeMap::new();
-        for (block, desk) in &self.desks {
+        for (block, block_state) in &self.block_states {
             let size = view
                 .places
                 .get(block)
                 .map_or(0, |places| places.value.worst());
             let space = config.state_limits.value_bytes.saturating_sub(size) / ATTEMPT_BYTES;
-            spaces.insert(block.clone(), space.saturating_sub(desk.releases.len()));
+            spaces.insert(
+                block.clone(),
+                space.saturating_sub(block_state.releases.len()),
+            );
         }
         // What each team will have once the tasks that are being stopped are gone.
         let mut kept = usage.clone();
-        for attempt in self.desks.values().flat_map(|desk| desk.stops.keys()) {
+        for attempt in self
+            .block_states
+            .values()
+            .flat_map(|block_state| block_state.stops.keys())
+        {
             if let Some(open) = view.open.get(&attempt.task.job) {
                 kept.remove(&open.job);
             }
@@ -519,7 +543,7 @@
                 .all(|grant| grant.value.term == self.term);
         let mut released = 0;
         let mut turns = Turns::new(&queue);
-        let mut hopeless = Hopeless::default();
+        let mut exhausted = Exhausted::default();
         let mut rankings: HashMap<(Shape, Image, Option<JobId>), Ranking> = HashMap::new();
         let mut victims: Option<Victims<'v>> = None;
         while complete && released < RELEASES {
@@ -538,7 +562,7 @@
             let shape = Shape::of(job, &all_zones, open_zone, reach);
             let mut chosen = None;
             let mut preempted = Vec::new();
-            if fits && !hopeless.no_room.contains(&shape) {
+            if fits && !exhausted.no_room.contains(&shape) {
                 // A job that keeps failing goes to machines on which it has not failed yet: its own ranking.
                 let id = waiting.id;
                 let failing = self.failures.keeps_failing(id).then_some(id);
@@ -555,20 +579,20 @@
                 });
                 chosen = ranking.best(&candidates, job).cloned();
                 if chosen.is_none() {
-                    hopeless.no_room.insert(shape.clone());
+                    exhausted.no_room.insert(shape.clone());
                 }
             }
             let urgency = (shape, job.team.clone(), job.priority);
             if fits
                 && reach == Reach::All
                 && chosen.is_none()
-                && !hopeless.no_way.contains(&urgency)
+                && !exhausted.no_way.contains(&urgency)
             {
                 let victims = victims.get_or_insert_with(|| self.victims(now, view));
                 match self.make_room(now, lead, &candidates, &mut kept, victims, job, &open_zone) {
                     Some(room) => (chosen, preempted) = (Some(room.machine), room.preempted),
                     None => {
-                        hopeless.no_way.insert(urgency);
+                        exhausted.no_way.insert(urgency);
                     }
                 }
             }
@@ -585,7 +609,8 @@
                 continue;
             };
             let space = spaces.get_mut(&block).filter(|space| **space > 0);
-            let (Some(desk), Some(space)) = (self.desks.get_mut(&block), space) else {
+            let (Some(block_state), Some(space)) = (self.block_states.get_mut(&block), space)
+            else {
                 // Its block is full.
                 if let Some(candidate) = candidates
                     .iter_mut()
@@ -619,8 +644,8 @@
                 preempted,
                 placeable_since: now.steady,
             };
-            desk.releases.insert(attempt.number, release);
-            desk.dirty = true;
+            block_state.releases.insert(attempt.number, release);
+            block_state.dirty = true;
             if let Some(candidate) = candidates
                 .iter_mut()
                 .find(|candidate| candidate.machine == chosen.machine)
@@ -700,13 +725,13 @@
 
     fn queue<'v>(&self, now: Now, view: &'v View) -> Vec<Waiting<'v>> {
         let mut released: HashMap<JobId, Vec<(u32, Zone)>> = HashMap::new();
-        for (block, desk) in &self.desks {
+        for (block, block_state) in &self.block_states {
             // A block is of one zone, so this holds even when the machine meant is gone: its holder may choose
             // another one.
             let Some(zone) = view.grants.get(block).map(|grant| &grant.value.zone) else {
                 continue;
             };
-            for release in desk.releases.values() {
+            for release in block_state.releases.values() {
                 let task = release.attempt.task;
                 released
                     .entry(task.job)
@@ -818,9 +843,9 @@
     }
 
     fn released(&self, job: JobId) -> bool {
-        self.desks
+        self.block_states
             .values()
-            .flat_map(|desk| desk.releases.values())
+            .flat_map(|block_state| block_state.releases.values())
             .any(|release| release.attempt.task.job == job)
     }
 
--- a/src/queueing/preemption.rs
+++ b/src/queueing/preemption.rs
@@ -52,9 +52,9 @@
     ) -> Option<MadeRoom> {
         let most = (candidates.len() / STOPS_PART).max(STOPS_LEAST);
         if self
-            .desks
+            .block_states
             .values()
-            .map(|desk| desk.stops.len())
+            .map(|block_state| block_state.stops.len())
             .sum::<usize>()
             >= most
         {
@@ -113,9 +113,9 @@
         {
             info!(%attempt, machine = %candidate.machine, class = %job.class, lost, "preempted");
             kept.remove(other);
-            if let Some(desk) = self.desks.get_mut(block) {
-                desk.stops.insert(attempt, now.steady);
-                desk.dirty = true;
+            if let Some(block_state) = self.block_states.get_mut(block) {
+                block_state.stops.insert(attempt, now.steady);
+                block_state.dirty = true;
             }
         }
         Some(MadeRoom {
@@ -140,9 +140,9 @@
                 continue;
             };
             let stopping = self
-                .desks
+                .block_states
                 .get(live.block)
-                .is_none_or(|desk| desk.stops.contains_key(&attempt));
+                .is_none_or(|block_state| block_state.stops.contains_key(&attempt));
             if stopping || open.job.kind == Kind::Service {
                 continue;
             }
--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -13,7 +13,7 @@
     Grant, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key,
 };
 
-struct Desktop {
+struct Fixture {
     config: Config,
     policy: Policy,
     flavors: Flavors,
@@ -26,7 +26,7 @@
 
 const TERM: u64 = 5;
 
-impl Desktop {
+impl Fixture {
     /// One block, `a.0`, with machines of 16 CPUs.
     fn new(machines: u32) -> Self {
         let config = Config::parse("s.toml", SETTINGS).expect("valid");
@@ -35,7 +35,7 @@
         flavors.answered(Some(FlavorList {
             types: vec![flavor()],
         }));
-        let mut desktop = Desktop {
+        let mut fixture = Fixture {
             policy: Policy::defaults(&config),
             flavors,
             view: View::following(),
@@ -45,7 +45,7 @@
             provisioner: Provisioner::new(now, TERM),
             config,
         };
-        let holder = desktop.config.name.clone();
+        let holder = fixture.config.name.clone();
         let grant = Grant {
             zone: "a".into(),
             holder,
@@ -53,11 +53,11 @@
             token: 4,
             term: TERM,
         };
-        desktop.put(grant_key(&"a.0".into()), encode(&grant));
-        desktop.roster(0..machines);
-        desktop.plan();
-        desktop.status(machines, 0, &[]);
-        desktop
+        fixture.put(grant_key(&"a.0".into()), encode(&grant));
+        fixture.roster(0..machines);
+        fixture.plan();
+        fixture.status(machines, 0, &[]);
+        fixture
     }
 
     fn put(&mut self, key: String, value: ciborium::Value) -> u64 {
@@ -131,7 +131,7 @@
     }
 
     fn plan(&mut self) -> (Demand, Vec<Work>) {
-        let Desktop {
+        let Fixture {
             config,
             policy,
             flavors,
@@ -176,23 +176,23 @@
 /// counted, and the task was released again while its holder could still place it elsewhere.
 #[test]
 fn a_release_counts_until_its_holder_has_let_go_of_it() {
-    let mut desktop = Desktop::new(2);
-    desktop.job(1, job(1, 4.0));
-    let (_, work) = desktop.plan();
+    let mut fixture = Fixture::new(2);
+    fixture.job(1, job(1, 4.0));
+    let (_, work) = fixture.plan();
     let [wanted] = work[0].want.as_slice() else {
         panic!("{work:?}")
     };
     let number = wanted.attempt.number;
     // The machine it was meant for goes.
-    desktop.roster(if wanted.machine == name(0) {
+    fixture.roster(if wanted.machine == name(0) {
         1..2
     } else {
         0..1
     });
     for (last_work, pending) in [(0, vec![]), (work[0].number, vec![number])] {
-        desktop.status(2, last_work, &pending);
+        fixture.status(2, last_work, &pending);
         assert!(
-            desktop
+            fixture
                 .plan()
                 .1
                 .iter()
@@ -200,9 +200,9 @@
         );
     }
     // Heard, and neither pending nor placed: now it is free.
-    desktop.status(2, work[0].number, &[]);
-    desktop.plan();
-    let (_, work) = desktop.plan();
+    fixture.status(2, work[0].number, &[]);
+    fixture.plan();
+    let (_, work) = fixture.plan();
     assert!(
         work.iter()
             .flat_map(|work| &work.want)
@@ -213,57 +213,63 @@
 /// Found on the bench: machines stood empty until the record of an end had been written, a second or more.
 #[test]
 fn the_room_of_a_task_that_has_ended_is_given_away_before_its_record_is_written() {
-    let mut desktop = Desktop::new(1);
-    desktop.job(1, job(1, 16.0));
-    let (_, work) = desktop.plan();
+    let mut fixture = Fixture::new(1);
+    fixture.job(1, job(1, 16.0));
+    let (_, work) = fixture.plan();
     let number = work[0].want[0].attempt.number;
-    desktop.place(&work[0]);
-    desktop.job(2, job(1, 16.0));
-    desktop.status(1, work[0].number, &[]);
-    let wanted = |desktop: &mut Desktop| {
-        desktop
+    fixture.place(&work[0]);
+    fixture.job(2, job(1, 16.0));
+    fixture.status(1, work[0].number, &[]);
+    let wanted = |fixture: &mut Fixture| {
+        fixture
             .plan()
             .1
             .iter()
             .map(|work| work.want.len())
             .sum::<usize>()
     };
-    assert_eq!(wanted(&mut desktop), 0);
-    let desk = desktop
+    assert_eq!(wanted(&mut fixture), 0);
+    let block_state = fixture
         .queues
-        .desks
+        .block_states
         .get_mut(&BlockId::from("a.0"))
         .expect("granted");
-    desk.status.as_mut().expect("heard").0.ended.push(number);
-    assert_eq!(wanted(&mut desktop), 1);
+    block_state
+        .status
+        .as_mut()
+        .expect("heard")
+        .0
+        .ended
+        .push(number);
+    assert_eq!(wanted(&mut fixture), 1);
 }
 
 /// Found on the bench: a controller was cut off from its workers, and all its machines were deleted, though they
 /// reported to the others all the time.
 #[test]
 fn a_holder_whose_machines_are_heard_elsewhere_is_cut_off_and_they_are_not_dead() {
-    let mut desktop = Desktop::new(6);
-    let holder = desktop.config.name.clone();
+    let mut fixture = Fixture::new(6);
+    let holder = fixture.config.name.clone();
     let mut judged = |overdue: u32, strays: u32| {
-        let desk = desktop
+        let block_state = fixture
             .queues
-            .desks
+            .block_states
             .get_mut(&BlockId::from("a.0"))
             .expect("granted");
-        desk.status.as_mut().expect("heard").0.overdue = overdue;
-        for status in desk.machines.values_mut() {
+        block_state.status.as_mut().expect("heard").0.overdue = overdue;
+        for status in block_state.machines.values_mut() {
             status.usable = false;
         }
-        desktop.queues.strays.clear();
-        desktop
+        fixture.queues.strays.clear();
+        fixture
             .queues
-            .strayed(desktop.now, (0..strays).map(name).collect());
-        let unreaching = desktop
+            .strayed(fixture.now, (0..strays).map(name).collect());
+        let unreaching = fixture
             .queues
-            .unreaching(desktop.now, &desktop.config, &desktop.view);
-        let health = desktop
+            .unreaching(fixture.now, &fixture.config, &fixture.view);
+        let health = fixture
             .queues
-            .health(desktop.now, &desktop.view, &unreaching);
+            .health(fixture.now, &fixture.view, &unreaching);
         let spared = health
             .values()
             .filter(|health| health.heard_elsewhere)
@@ -284,34 +290,34 @@
 #[test]
 fn a_job_that_has_waited_long_begins_before_older_ones_get_more() {
     let begins = |waited: Duration| {
-        let mut desktop = Desktop::new(1);
-        let accepted_ms = desktop.now.unix_ms();
+        let mut fixture = Fixture::new(1);
+        let accepted_ms = fixture.now.unix_ms();
         let job = |tasks, accepted_ms| Job {
             team: "blue".into(),
             tasks,
             accepted_ms,
             ..job(1, 1.0)
         };
-        desktop.job(1, job(100, accepted_ms - 1000));
-        let (_, work) = desktop.plan();
-        desktop.place(&work[0]);
-        desktop.status(1, work[0].number, &[]);
-        desktop.job(2, job(100, accepted_ms));
+        fixture.job(1, job(100, accepted_ms - 1000));
+        let (_, work) = fixture.plan();
+        fixture.place(&work[0]);
+        fixture.status(1, work[0].number, &[]);
+        fixture.job(2, job(100, accepted_ms));
         // Four tasks end: room for as many.
-        let placed = desktop.view.places[&BlockId::from("a.0")].value.clone();
+        let placed = fixture.view.places[&BlockId::from("a.0")].value.clone();
         let ended: Vec<u64> = placed
             .attempts()
             .map(|(_, attempt)| attempt.number)
             .take(4)
             .collect();
-        let desk = desktop
+        let block_state = fixture
             .queues
-            .desks
+            .block_states
             .get_mut(&BlockId::from("a.0"))
             .expect("granted");
-        desk.status.as_mut().expect("heard").0.ended = ended;
-        desktop.now.wall += waited;
-        let work = desktop.plan().1;
+        block_state.status.as_mut().expect("heard").0.ended = ended;
+        fixture.now.wall += waited;
+        let work = fixture.plan().1;
         work.iter()
             .flat_map(|work| &work.want)
             .filter(|wanted| wanted.attempt.task.job == JobId(2))
@@ -327,9 +333,9 @@
 
 #[test]
 fn a_team_gets_no_more_than_its_limit_however_large_its_job() {
-    let mut desktop = Desktop::new(30);
+    let mut fixture = Fixture::new(30);
     // 48 CPUs at most: see the sample settings.
-    desktop.job(
+    fixture.job(
         1,
         Job {
             team: "blue".into(),
@@ -338,13 +344,13 @@
     );
     let mut placed = 0;
     for _ in 0..5 {
-        let (demand, work) = desktop.plan();
+        let (demand, work) = fixture.plan();
         placed += work.iter().map(|work| work.want.len()).sum::<usize>();
         let room: f64 = demand.machines.values().sum();
         assert!(room <= 3.0 + 1e-6, "{room} machines for 48 CPUs");
         for work in &work {
-            desktop.place(work);
-            desktop.status(30, work.number, &[]);
+            fixture.place(work);
+            fixture.status(30, work.number, &[]);
         }
     }
     assert_eq!(placed, 96);
@@ -352,30 +358,30 @@
 
 #[test]
 fn a_block_is_given_no_more_than_its_value_holds() {
-    let mut desktop = Desktop::new(3);
-    desktop.job(1, job(100_000, 0.0));
+    let mut fixture = Fixture::new(3);
+    fixture.job(1, job(100_000, 0.0));
     for _ in 0..30 {
-        for work in desktop.plan().1 {
-            desktop.place(&work);
-            desktop.status(3, work.number, &[]);
+        for work in fixture.plan().1 {
+            fixture.place(&work);
+            fixture.status(3, work.number, &[]);
         }
     }
-    let places = &desktop.view.places[&BlockId::from("a.0")];
+    let places = &fixture.view.places[&BlockId::from("a.0")];
     assert!(places.value.attempts().count() > 100);
-    assert!(places.value.size() <= desktop.config.state_limits.value_bytes);
+    assert!(places.value.size() <= fixture.config.state_limits.value_bytes);
 }
 
 /// Found on the bench: two teams stopped each other's tasks in turn, over a thousand in eight minutes.
 #[test]
 fn preemption_follows_priority_and_guarantee_without_going_in_circles() {
     let stops = |waiting: Job, running: Job, tasks: u32| {
-        let mut desktop = Desktop::new(2);
-        desktop.job(1, Job { tasks, ..running });
-        let (_, work) = desktop.plan();
-        desktop.place(&work[0]);
-        desktop.status(2, work[0].number, &[]);
-        desktop.job(2, waiting);
-        let (_, work) = desktop.plan();
+        let mut fixture = Fixture::new(2);
+        fixture.job(1, Job { tasks, ..running });
+        let (_, work) = fixture.plan();
+        fixture.place(&work[0]);
+        fixture.status(2, work[0].number, &[]);
+        fixture.job(2, waiting);
+        let (_, work) = fixture.plan();
         work.iter().map(|work| work.stop.len()).sum::<usize>()
     };
     let blue = |priority, cpus| Job {
@@ -431,79 +437,80 @@
 /// minutes.
 #[test]
 fn a_release_keeps_the_room_of_preempted_tasks_while_they_save() {
-    let mut desktop = Desktop::new(1);
+    let mut fixture = Fixture::new(1);
     let low = Job {
         priority: Priority::Low,
         ..job(100, 4.0)
     };
-    desktop.job(
+    fixture.job(
         1,
         Job {
             team: "red".into(),
             ..low
         },
     );
-    let work = desktop.plan().1;
-    desktop.place(&work[0]);
-    desktop.status(1, work[0].number, &[]);
-    desktop.job(
+    let work = fixture.plan().1;
+    fixture.place(&work[0]);
+    fixture.status(1, work[0].number, &[]);
+    fixture.job(
         2,
         Job {
             team: "blue".into(),
             ..job(1, 16.0)
         },
     );
-    let (_, work) = desktop.plan();
+    let (_, work) = fixture.plan();
     let stop = work[0].stop.clone();
     assert_eq!(stop.len(), 4);
     let release = work[0].want[0].attempt;
-    let refuse = |desktop: &mut Desktop| {
-        desktop.status(1, work[0].number, &[release.number]);
-        let desk = desktop
+    let refuse = |fixture: &mut Fixture| {
+        fixture.status(1, work[0].number, &[release.number]);
+        let block_state = fixture
             .queues
-            .desks
+            .block_states
             .get_mut(&BlockId::from("a.0"))
             .expect("granted");
-        desk.status
+        block_state
+            .status
             .as_mut()
             .expect("heard")
             .0
             .refused
             .push(release.number);
     };
-    let still_wanted = |desktop: &mut Desktop| {
-        refuse(desktop);
-        let work = desktop.plan().1;
+    let still_wanted = |fixture: &mut Fixture| {
+        refuse(fixture);
+        let work = fixture.plan().1;
         let others = work
             .iter()
             .flat_map(|work| &work.want)
             .filter(|wanted| wanted.attempt != release)
             .count();
         assert_eq!(others, 0, "the room is not for others");
-        desktop.queues.desks[&BlockId::from("a.0")]
+        fixture.queues.block_states[&BlockId::from("a.0")]
             .releases
             .get(&release.number)
             .is_some_and(|r| !r.withdrawn)
     };
-    desktop.version += 1;
-    desktop.now.steady += Duration::from_secs(4);
-    assert!(still_wanted(&mut desktop), "they still save");
+    fixture.version += 1;
+    fixture.now.steady += Duration::from_secs(4);
+    assert!(still_wanted(&mut fixture), "they still save");
     // They are gone now, but the holder has no room all the same.
-    desktop.put(places_key(&"a.0".into()), encode(&Places::default()));
+    fixture.put(places_key(&"a.0".into()), encode(&Places::default()));
     assert!(
-        still_wanted(&mut desktop),
+        still_wanted(&mut fixture),
         "the holder may not have seen it yet"
     );
-    desktop.version += 1;
-    desktop.now.steady += Duration::from_secs(1);
-    assert!(!still_wanted(&mut desktop), "it has had a second");
+    fixture.version += 1;
+    fixture.now.steady += Duration::from_secs(1);
+    assert!(!still_wanted(&mut fixture), "it has had a second");
 }
 
 /// A preempted task may hang: what waits for its room is placed elsewhere in the end.
 #[test]
 fn a_release_does_not_wait_for_preempted_tasks_for_ever() {
-    let mut desktop = Desktop::new(1);
-    desktop.job(
+    let mut fixture = Fixture::new(1);
+    fixture.job(
         1,
         Job {
             team: "red".into(),
@@ -511,25 +518,25 @@
             ..job(100, 4.0)
         },
     );
-    let work = desktop.plan().1;
-    desktop.place(&work[0]);
-    desktop.status(1, work[0].number, &[]);
-    desktop.job(
+    let work = fixture.plan().1;
+    fixture.place(&work[0]);
+    fixture.status(1, work[0].number, &[]);
+    fixture.job(
         2,
         Job {
             team: "blue".into(),
             ..job(1, 16.0)
         },
     );
-    let (_, work) = desktop.plan();
+    let (_, work) = fixture.plan();
     let number = work[0].want[0].attempt.number;
-    let withdrawn = |desktop: &mut Desktop, after: u64| {
-        desktop.now.steady += Duration::from_secs(after);
-        desktop.version += 1;
-        desktop.status(1, work[0].number, &[number]);
-        desktop.plan();
-        desktop.queues.desks[&BlockId::from("a.0")].releases[&number].withdrawn
+    let withdrawn = |fixture: &mut Fixture, after: u64| {
+        fixture.now.steady += Duration::from_secs(after);
+        fixture.version += 1;
+        fixture.status(1, work[0].number, &[number]);
+        fixture.plan();
+        fixture.queues.block_states[&BlockId::from("a.0")].releases[&number].withdrawn
     };
-    assert!(!withdrawn(&mut desktop, 29));
-    assert!(withdrawn(&mut desktop, 2));
+    assert!(!withdrawn(&mut fixture, 29));
+    assert!(withdrawn(&mut fixture, 2));
 }
--- a/tests/simulation/machine.rs
+++ b/tests/simulation/machine.rs
@@ -53,7 +53,7 @@
 
 /// What a machine's doings mean to the rules.
 #[derive(Debug, PartialEq)]
-pub enum Happened {
+pub enum MachineEvent {
     Started(TaskId),
     Ended(TaskId, bool),
 }
@@ -127,7 +127,7 @@
         jobs: &BTreeMap<JobId, Job>,
         results: &BTreeSet<TaskId>,
         run_for: impl Fn(TaskId) -> Duration,
-    ) -> Vec<Happened> {
+    ) -> Vec<MachineEvent> {
         let mut happened = Vec::new();
         for order in orders {
             match order {
@@ -175,7 +175,7 @@
                         && t.state != TaskState::Exited
                     {
                         if t.state == TaskState::Running {
-                            happened.push(Happened::Ended(*task, false));
+                            happened.push(MachineEvent::Ended(*task, false));
                         }
                         t.state = TaskState::Exited;
                         t.cause = Some(Cause::Stopped);
@@ -198,7 +198,7 @@
         task: TaskId,
         results: &BTreeSet<TaskId>,
         run_for: &impl Fn(TaskId) -> Duration,
-    ) -> Vec<Happened> {
+    ) -> Vec<MachineEvent> {
         self.changed = true;
         let Some(t) = self.tasks.get_mut(&task) else {
             return Vec::new();
@@ -210,7 +210,7 @@
         }
         t.state = TaskState::Running;
         t.left = run_for(task);
-        vec![Happened::Started(task)]
+        vec![MachineEvent::Started(task)]
     }
 
     /// Time passes for the tasks.
@@ -220,7 +220,7 @@
         jobs: &BTreeMap<JobId, Job>,
         results: &BTreeSet<TaskId>,
         run_for: impl Fn(TaskId) -> Duration,
-    ) -> Vec<Happened> {
+    ) -> Vec<MachineEvent> {
         let mut happened = Vec::new();
         let due: Vec<TaskId> = self
             .tasks
@@ -246,14 +246,14 @@
                 let failed = self.faulty || broken;
                 t.cause = Some(if failed { Cause::Error } else { Cause::Done });
                 self.changed = true;
-                happened.push(Happened::Ended(task, !failed));
+                happened.push(MachineEvent::Ended(task, !failed));
             }
         }
         happened
     }
 
     /// Kills everything if the lease is over.
-    pub fn check_lease(&mut self, now: Duration, lease: Duration) -> Vec<Happened> {
+    pub fn check_lease(&mut self, now: Duration, lease: Duration) -> Vec<MachineEvent> {
         if now <= self.lease_from + lease {
             return Vec::new();
         }
@@ -261,7 +261,7 @@
     }
 
     /// Off and on again: its tasks are gone and it goes on with the next session.
-    pub fn restart(&mut self, now: Duration) -> Vec<Happened> {
+    pub fn restart(&mut self, now: Duration) -> Vec<MachineEvent> {
         self.session += 1;
         self.lease_from = now;
         self.report = None;
@@ -270,12 +270,12 @@
     }
 
     /// All tasks are gone.
-    pub fn gone(&mut self) -> Vec<Happened> {
+    pub fn gone(&mut self) -> Vec<MachineEvent> {
         let tasks = std::mem::take(&mut self.tasks);
         tasks
             .into_iter()
             .filter(|(_, t)| t.state == TaskState::Running)
-            .map(|(task, _)| Happened::Ended(task, false))
+            .map(|(task, _)| MachineEvent::Ended(task, false))
             .collect()
     }
 }
--- a/tests/simulation/rules.rs
+++ b/tests/simulation/rules.rs
@@ -21,7 +21,7 @@
 }
 
 #[derive(Debug)]
-struct Known {
+struct JobHistory {
     job: Job,
     told: Option<Told>,
     cancel_asked: bool,
@@ -52,7 +52,7 @@
 
 #[derive(Debug)]
 pub struct Rules {
-    jobs: BTreeMap<JobId, Known>,
+    jobs: BTreeMap<JobId, JobHistory>,
     limits: BTreeMap<Team, f64>,
     cancel_within: Duration,
     /// From here on there are no troubles, and every question must get an answer soon.
@@ -81,7 +81,7 @@
     }
 
     pub fn submitted(&mut self, id: JobId, job: Job) {
-        self.jobs.entry(id).or_insert(Known {
+        self.jobs.entry(id).or_insert(JobHistory {
             job,
             told: None,
             cancel_asked: false,
@@ -196,7 +196,7 @@
     /// was accepted for long is left out.
     pub fn unserved(&self) -> Vec<String> {
         let mut groups: BTreeMap<String, (usize, usize)> = BTreeMap::new();
-        let mut classes: BTreeMap<&str, Vec<&Known>> = BTreeMap::new();
+        let mut classes: BTreeMap<&str, Vec<&JobHistory>> = BTreeMap::new();
         for known in self.jobs.values().filter(|known| known.accepted.is_some()) {
             let early = |told: Duration| known.accepted.is_some_and(|at| told < at + BEGIN_WITHIN);
             let cancelled = known.began.is_none() && known.cancel_told.is_some_and(early);
@@ -219,7 +219,7 @@
         for (class, mut jobs) in classes {
             jobs.sort_by(|a, b| size(&b.job).total_cmp(&size(&a.job)));
             jobs.truncate(jobs.len().div_ceil(10));
-            let in_time = |known: &&&Known| match (known.accepted, known.began) {
+            let in_time = |known: &&&JobHistory| match (known.accepted, known.began) {
                 (Some(accepted), Some(began)) => began <= accepted + BEGIN_WITHIN,
                 _ => false,
             };
@@ -236,7 +236,7 @@
     /// Called after each step.
     pub fn check(&mut self, now: Duration) {
         let calm = self.calm;
-        let silent = |known: &Known| {
+        let silent = |known: &JobHistory| {
             known
                 .unanswered
                 .is_some_and(|at| now > at.max(calm) + ANSWER_WITHIN)
@@ -333,7 +333,7 @@
 
     /// Accepted jobs with tasks to do.
     pub fn waiting(&self) -> Vec<JobId> {
-        let waits = |known: &Known| known.told == Some(Told::Accepted) && !known.cancel_asked;
+        let waits = |known: &JobHistory| known.told == Some(Told::Accepted) && !known.cancel_asked;
         self.jobs
             .iter()
             .filter(|(_, known)| waits(known))
@@ -397,7 +397,7 @@
     }
 
     pub fn unfinished(&self) -> Vec<JobId> {
-        let open = |known: &&Known| matches!(known.told, Some(Told::Accepted));
+        let open = |known: &&JobHistory| matches!(known.told, Some(Told::Accepted));
         self.jobs
             .iter()
             .filter(|(_, known)| open(known))
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -23,7 +23,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::machine::{BROKEN, Happened, Machine};
+use super::machine::{BROKEN, Machine, MachineEvent};
 use super::rules::{Place, Rules, Told};
 use super::state::StateService;
 
@@ -116,7 +116,7 @@
     }
 }
 
-enum Ev {
+enum WorldEvent {
     Tick {
         node: usize,
         boot: u64,
@@ -320,7 +320,7 @@
     wall: SystemTime,
     order: u64,
     queue: BinaryHeap<Reverse<(Duration, u64, usize)>>,
-    events: HashMap<usize, Ev>,
+    events: HashMap<usize, WorldEvent>,
     rng: SmallRng,
     faults: Faults,
     /// Faults stop here; what follows is for the service to recover.
@@ -467,9 +467,9 @@
         };
         for node in 0..NODES {
             let at = Duration::from_millis(world.rng.random_range(0..500));
-            world.at(at, Ev::Restart { node });
+            world.at(at, WorldEvent::Restart { node });
         }
-        world.at(STEP, Ev::Step);
+        world.at(STEP, WorldEvent::Step);
         for (fault, mean) in [
             (Fault::Crash, faults.crash),
             (Fault::CrashAll, faults.crash_all),
@@ -496,7 +496,7 @@
                     if Duration::from_secs_f64(at) >= calm_from {
                         break;
                     }
-                    world.at(Duration::from_secs_f64(at), Ev::Fault(fault));
+                    world.at(Duration::from_secs_f64(at), WorldEvent::Fault(fault));
                 }
             }
         }
@@ -567,14 +567,14 @@
         });
     }
 
-    fn at(&mut self, at: Duration, event: Ev) {
+    fn at(&mut self, at: Duration, event: WorldEvent) {
         self.order += 1;
         let key = self.order as usize;
         self.events.insert(key, event);
         self.queue.push(Reverse((at, self.order, key)));
     }
 
-    fn soon(&mut self, event: Ev) {
+    fn soon(&mut self, event: WorldEvent) {
         let at = self.now + self.transit();
         self.at(at, event);
     }
@@ -631,7 +631,7 @@
             let boot = self.slots[node].boot;
             self.at(
                 frozen,
-                Ev::Deliver {
+                WorldEvent::Deliver {
                     node,
                     boot,
                     event: Box::new(event),
@@ -691,7 +691,7 @@
                     let after = Duration::from_millis(1500);
                     self.at(
                         self.now + after,
-                        Ev::Deliver {
+                        WorldEvent::Deliver {
                             node,
                             boot,
                             event: Box::new(unknown),
@@ -703,7 +703,7 @@
                 {
                     self.at(
                         late,
-                        Ev::Store {
+                        WorldEvent::Store {
                             node,
                             boot,
                             tag: tag.clone(),
@@ -715,7 +715,7 @@
                 }
                 self.at(
                     at,
-                    Ev::Store {
+                    WorldEvent::Store {
                         node,
                         boot,
                         tag,
@@ -738,7 +738,7 @@
                 if let Some(late) = self.copied() {
                     self.at(
                         late,
-                        Ev::Command {
+                        WorldEvent::Command {
                             node,
                             boot,
                             command: command.clone(),
@@ -748,7 +748,7 @@
                 }
                 self.at(
                     at,
-                    Ev::Command {
+                    WorldEvent::Command {
                         node,
                         boot,
                         command,
@@ -762,7 +762,7 @@
                         tag,
                         outcome: CallOutcome::Unknown,
                     };
-                    return self.soon(Ev::Deliver {
+                    return self.soon(WorldEvent::Deliver {
                         node,
                         boot,
                         event: Box::new(event),
@@ -776,7 +776,7 @@
                     };
                     self.at(
                         self.now + Duration::from_secs(5),
-                        Ev::Deliver {
+                        WorldEvent::Deliver {
                             node,
                             boot,
                             event: Box::new(event),
@@ -787,7 +787,7 @@
                 if let Some(late) = self.copied() {
                     self.at(
                         late,
-                        Ev::Call {
+                        WorldEvent::Call {
                             node,
                             boot,
                             tag: tag.clone(),
@@ -798,7 +798,7 @@
                 }
                 self.at(
                     at,
-                    Ev::Call {
+                    WorldEvent::Call {
                         node,
                         boot,
                         tag,
@@ -818,7 +818,7 @@
                     if let Some(late) = self.copied() {
                         self.at(
                             late,
-                            Ev::Peer {
+                            WorldEvent::Peer {
                                 node: target,
                                 message: message.clone(),
                             },
@@ -826,7 +826,7 @@
                     }
                     self.at(
                         at,
-                        Ev::Peer {
+                        WorldEvent::Peer {
                             node: target,
                             message,
                         },
@@ -861,7 +861,7 @@
                         let answer = Some(answer);
                         self.at(
                             at,
-                            Ev::Answered {
+                            WorldEvent::Answered {
                                 machine,
                                 session,
                                 seq,
@@ -886,7 +886,7 @@
         };
         self.at(
             self.now + Duration::from_secs(3),
-            Ev::Deliver {
+            WorldEvent::Deliver {
                 node,
                 boot,
                 event: Box::new(event),
@@ -894,25 +894,25 @@
         );
     }
 
-    fn take(&mut self, event: Ev) {
+    fn take(&mut self, event: WorldEvent) {
         match event {
-            Ev::Tick { node, boot } => {
+            WorldEvent::Tick { node, boot } => {
                 if self.alive(node, boot) {
                     let frozen = self.slots[node].frozen_until;
                     if self.now < frozen {
-                        self.at(frozen, Ev::Tick { node, boot });
+                        self.at(frozen, WorldEvent::Tick { node, boot });
                         return;
                     }
                     self.handle(node, Event::Tick);
-                    self.at(self.now + TICK, Ev::Tick { node, boot });
+                    self.at(self.now + TICK, WorldEvent::Tick { node, boot });
                 }
             }
-            Ev::Restart { node } => self.start(node),
-            Ev::Step => {
+            WorldEvent::Restart { node } => self.start(node),
+            WorldEvent::Step => {
                 self.step();
-                self.at(self.now + STEP, Ev::Step);
+                self.at(self.now + STEP, WorldEvent::Step);
             }
-            Ev::Store {
+            WorldEvent::Store {
                 node,
                 boot,
                 tag,
@@ -920,13 +920,13 @@
                 op,
                 answer,
             } => self.store(node, boot, tag, sent, op, answer),
-            Ev::Watch { id } => self.watch_over(id),
-            Ev::Deliver { node, boot, event } => {
+            WorldEvent::Watch { id } => self.watch_over(id),
+            WorldEvent::Deliver { node, boot, event } => {
                 if self.alive(node, boot) {
                     self.handle(node, *event);
                 }
             }
-            Ev::Peer { node, message } => {
+            WorldEvent::Peer { node, message } => {
                 let from = match &message {
                     Message::Status(status) => Some(status.node.clone()),
                     Message::Alive(alive) => Some(alive.node.clone()),
@@ -936,19 +936,19 @@
                     from.and_then(|name| name.0.trim_start_matches("node-").parse::<usize>().ok());
                 let zone = from.map(|from| Zone::from(ZONES[from]));
                 if let Some(until) = zone.and_then(|zone| self.cut(node, Some(&zone))) {
-                    self.at(until, Ev::Peer { node, message });
+                    self.at(until, WorldEvent::Peer { node, message });
                     return;
                 }
                 // Held messages reach whichever process is there by then.
                 self.handle(node, Event::Peer(message));
             }
-            Ev::Command {
+            WorldEvent::Command {
                 node,
                 boot,
                 command,
                 answer,
             } => self.command(node, boot, command, answer),
-            Ev::Call {
+            WorldEvent::Call {
                 node,
                 boot,
                 tag,
@@ -958,16 +958,16 @@
                 let outcome = self.cloud(&call);
                 if answer {
                     let event = Box::new(Event::Called { tag, outcome });
-                    self.soon(Ev::Deliver { node, boot, event });
+                    self.soon(WorldEvent::Deliver { node, boot, event });
                 }
             }
-            Ev::Report { node, report } => {
+            WorldEvent::Report { node, report } => {
                 let Some(machine) = self.machines.get(&*report.machine.0) else {
                     return;
                 };
                 let sent = machine.report.map_or(self.now, |(_, sent)| sent);
                 if let Some(until) = self.cut(node, Some(&machine.zone)) {
-                    self.at(until, Ev::Report { node, report });
+                    self.at(until, WorldEvent::Report { node, report });
                     return;
                 }
                 let slot = &mut self.slots[node];
@@ -991,7 +991,7 @@
                     },
                 );
             }
-            Ev::Copy { node, report } => {
+            WorldEvent::Copy { node, report } => {
                 let slot = &mut self.slots[node];
                 slot.next_request += 1;
                 let id = slot.next_request;
@@ -1003,7 +1003,7 @@
                     },
                 );
             }
-            Ev::Answered {
+            WorldEvent::Answered {
                 machine,
                 session,
                 seq,
@@ -1013,8 +1013,8 @@
             } => {
                 self.answered(&machine, session, seq, sent, node, answer);
             }
-            Ev::Repeat { node, event } => self.handle(node, *event),
-            Ev::Resume {
+            WorldEvent::Repeat { node, event } => self.handle(node, *event),
+            WorldEvent::Resume {
                 node,
                 boot,
                 effects,
@@ -1025,8 +1025,8 @@
                     }
                 }
             }
-            Ev::Fault(fault) => self.fault(fault),
-            Ev::Planned(act) => act(self),
+            WorldEvent::Fault(fault) => self.fault(fault),
+            WorldEvent::Planned(act) => act(self),
         }
     }
 
@@ -1057,7 +1057,7 @@
         slot.waiting.clear();
         slot.node = Some(Node::new(config, policy, seed, now));
         let boot = slot.boot;
-        self.soon(Ev::Tick { node, boot });
+        self.soon(WorldEvent::Tick { node, boot });
     }
 
     fn crash(&mut self, node: usize) {
@@ -1098,7 +1098,7 @@
                 let after = Duration::from_millis(1500);
                 self.at(
                     self.now + after,
-                    Ev::Deliver {
+                    WorldEvent::Deliver {
                         node,
                         boot,
                         event: Box::new(unknown),
@@ -1108,7 +1108,7 @@
             let late = until + Duration::from_millis(self.rng.random_range(1..50));
             self.at(
                 late,
-                Ev::Store {
+                WorldEvent::Store {
                     node,
                     boot,
                     tag,
@@ -1142,7 +1142,7 @@
                 until,
             };
             self.watchers.insert(id, watcher);
-            self.at(until, Ev::Watch { id });
+            self.at(until, WorldEvent::Watch { id });
             self.wake_watchers();
             return;
         }
@@ -1156,7 +1156,7 @@
         }
         if answer {
             let event = Box::new(Event::Store { tag, sent, outcome });
-            self.soon(Ev::Deliver { node, boot, event });
+            self.soon(WorldEvent::Deliver { node, boot, event });
         }
     }
 
@@ -1188,13 +1188,13 @@
                     sent: watcher.sent,
                     outcome: Outcome::Unknown,
                 };
-                self.soon(Ev::Deliver {
+                self.soon(WorldEvent::Deliver {
                     node: watcher.node,
                     boot: watcher.boot,
                     event: Box::new(event),
                 });
             } else {
-                self.at(later, Ev::Watch { id });
+                self.at(later, WorldEvent::Watch { id });
             }
             return;
         }
@@ -1209,17 +1209,17 @@
             sent: watcher.sent,
             outcome,
         });
-        self.soon(Ev::Deliver {
+        self.soon(WorldEvent::Deliver {
             node: watcher.node,
             boot: watcher.boot,
             event,
         });
     }
 
-    fn happened(&mut self, id: &str, happened: Vec<Happened>) {
+    fn happened(&mut self, id: &str, happened: Vec<MachineEvent>) {
         for what in happened {
             match what {
-                Happened::Started(task) => {
+                MachineEvent::Started(task) => {
                     let machine = &self.machines[id];
                     tracing::debug!(at = self.now.as_secs_f64(), %task, machine = id, "starts");
                     let place = Place {
@@ -1230,7 +1230,7 @@
                     };
                     self.rules.starts(self.now, task, place);
                 }
-                Happened::Ended(task, done) => {
+                MachineEvent::Ended(task, done) => {
                     if done {
                         self.results.insert(task);
                     }
@@ -1264,7 +1264,7 @@
             let late = until + Duration::from_millis(self.rng.random_range(1..50));
             self.at(
                 late,
-                Ev::Command {
+                WorldEvent::Command {
                     node,
                     boot,
                     command,
@@ -1311,7 +1311,7 @@
                 body: command.body,
                 outcome,
             };
-            self.soon(Ev::Deliver {
+            self.soon(WorldEvent::Deliver {
                 node,
                 boot,
                 event: Box::new(event),
@@ -1400,7 +1400,7 @@
                     if let Some(mut machine) = self.machines.remove(&*name.0) {
                         self.deleted_up += usize::from(machine.runs(self.now));
                         for what in machine.gone() {
-                            if let Happened::Ended(task, done) = what {
+                            if let MachineEvent::Ended(task, done) = what {
                                 self.rules.ends(task, &name.0, done);
                             }
                         }
@@ -1517,7 +1517,7 @@
         if machine.notice.is_some_and(|taken| now >= taken) {
             let mut machine = self.machines.remove(id).expect("just found");
             for what in machine.gone() {
-                if let Happened::Ended(task, done) = what {
+                if let MachineEvent::Ended(task, done) = what {
                     self.rules.ends(task, id, done);
                 }
             }
@@ -1570,7 +1570,7 @@
                 let node = self.rng.random_range(0..NODES);
                 self.at(
                     late,
-                    Ev::Copy {
+                    WorldEvent::Copy {
                         node,
                         report: Box::new(report.clone()),
                     },
@@ -1581,7 +1581,7 @@
                 let held = self.reports_held_until;
                 self.plan(held, move |world| {
                     if let Some(node) = world.leader() {
-                        world.take(Ev::Copy {
+                        world.take(WorldEvent::Copy {
                             node,
                             report: Box::new(report),
                         });
@@ -1591,13 +1591,13 @@
                 let (at, _) = self.fate();
                 self.at(
                     at,
-                    Ev::Report {
+                    WorldEvent::Report {
                         node,
                         report: Box::new(report),
                     },
                 );
             } else {
-                self.soon(Ev::Answered {
+                self.soon(WorldEvent::Answered {
                     machine: id.to_owned(),
                     session,
                     seq,
@@ -1757,14 +1757,14 @@
             if let Some(event) = again {
                 self.at(
                     late,
-                    Ev::Repeat {
+                    WorldEvent::Repeat {
                         node,
                         event: Box::new(event),
                     },
                 );
             }
         }
-        self.soon(Ev::Deliver {
+        self.soon(WorldEvent::Deliver {
             node,
             boot,
             event: Box::new(event),
@@ -1827,7 +1827,7 @@
         let id = slot.next_request;
         slot.waiting.insert(id, Asker::Odd { expected });
         let boot = slot.boot;
-        self.soon(Ev::Deliver {
+        self.soon(WorldEvent::Deliver {
             node,
             boot,
             event: Box::new(Event::Submit { id, body }),
@@ -1920,7 +1920,7 @@
 
     /// Does something at a set time, for meetings that random faults would seldom bring about.
     pub fn plan(&mut self, at: Duration, act: impl FnOnce(&mut World) + 'static) {
-        self.at(at, Ev::Planned(Box::new(act)));
+        self.at(at, WorldEvent::Planned(Box::new(act)));
     }
 
     /// The controller that the state service has as the leader.
@@ -1950,7 +1950,7 @@
     pub fn end_controller(&mut self, node: usize, back_after: Duration) {
         self.slots[node].node = None;
         self.slots[node].waiting.clear();
-        self.at(self.now + back_after, Ev::Restart { node });
+        self.at(self.now + back_after, WorldEvent::Restart { node });
     }
 
     pub fn freeze(&mut self, node: usize, how_long: Duration) {
@@ -1964,7 +1964,7 @@
         let boot = self.slots[node].boot;
         self.at(
             until,
-            Ev::Resume {
+            WorldEvent::Resume {
                 node,
                 boot,
                 effects,
