--- /dev/null
+++ b/src/queueing/demand.rs
@@ -0,0 +1,145 @@
+//! Demand in machines: what runs at present, and what waits.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use super::Queues;
+use super::opportunistic::{Reach, is_opportunistic};
+use super::stock::Stock;
+use super::usage::Usage;
+use super::waiting::{Shape, Waiting};
+use crate::domain::{Job, Team, Zone};
+use crate::leadership::Lead;
+use crate::provisioning::{Demand, Pool};
+use crate::store::view::OpenJob;
+use crate::store::{Machine, View};
+
+/// Steps in which the waiting tasks of one job are counted.
+const COUNTING_STEPS: u64 = 64;
+
+/// What is placed or released at present.
+#[derive(Default)]
+pub(super) struct Present {
+    pub(super) usage: Usage,
+    /// The demand of all work that is not opportunistic, in machines.
+    pub(super) guaranteed: BTreeMap<Pool, f64>,
+    pub(super) demand: Demand,
+}
+
+/// A task on an ordinary machine that could be on a spot machine, and its share of that machine.
+struct Misplaced<'v> {
+    open: &'v OpenJob,
+    pool: Pool,
+    share: f64,
+}
+
+impl Present {
+    /// Counts a task. What could run on spot machines is no reason to have ordinary ones: it is returned.
+    fn count<'v>(
+        &mut self,
+        lead: &Lead<'_>,
+        machine: &Machine,
+        open: &'v OpenJob,
+    ) -> Option<Misplaced<'v>> {
+        self.usage.add(&open.job);
+        let flavor = lead.flavors.get(&machine.type_name)?;
+        let share = 1.0 / f64::from(flavor.room().count_of(&open.job.need).max(1));
+        let pool = (machine.type_name.clone(), machine.tenure);
+        if !is_opportunistic(lead.config, &open.job) {
+            *self.guaranteed.entry(pool.clone()).or_default() += share;
+        }
+        if open.job.spot && !machine.tenure.is_spot() {
+            return Some(Misplaced { open, pool, share });
+        }
+        *self.demand.machines.entry(pool).or_default() += share;
+        None
+    }
+}
+
+impl Queues {
+    /// Counts all that is placed or released.
+    pub(super) fn present(&self, stock: &Stock<'_>, view: &View) -> Present {
+        let mut present = Present::default();
+        present.demand.runs = self.runs.clone();
+        let mut misplaced = Vec::new();
+        for live in view.live_places() {
+            present.demand.occupied.insert(live.id.clone());
+            for open in live
+                .attempts()
+                .filter_map(|attempt| view.open.get(&attempt.task.job))
+            {
+                misplaced.extend(present.count(stock.lead, live.machine, open));
+            }
+        }
+        for release in self
+            .block_states
+            .values()
+            .flat_map(|block_state| block_state.releases.values())
+        {
+            present.demand.occupied.insert(release.machine.clone());
+            let Some(open) = view.open.get(&release.attempt.task.job) else {
+                continue;
+            };
+            match view.machines.get(&release.machine) {
+                Some(machine) => misplaced.extend(present.count(stock.lead, machine, open)),
+                // Its machine is gone, but its holder may still choose another.
+                None => present.usage.add(&open.job),
+            }
+        }
+        for Misplaced { open, pool, share } in misplaced {
+            let cheapest = stock.cheapest(&open.job, &present.demand, None, f64::INFINITY);
+            let (pool, share) = cheapest.unwrap_or((pool, share));
+            *present.demand.machines.entry(pool).or_default() += share;
+        }
+        present
+    }
+}
+
+/// Adds the waiting tasks that their team's limit allows, each in the cheapest type that can be had.
+pub(super) fn count_waiting(
+    stock: &Stock<'_>,
+    queue: &[Waiting<'_>],
+    usage: &mut Usage,
+    demand: &mut Demand,
+) {
+    // Jobs that ask for the same are counted as one, where the first of them stands.
+    let mut groups: Vec<(&Job, Option<Zone>, f64, u64)> = Vec::new();
+    let mut known: HashMap<(Shape, &Team, Option<Zone>), usize> = HashMap::new();
+    for waiting in queue {
+        let job = &waiting.open.job;
+        let pinned = stock.pinned(waiting);
+        let limit = waiting.price_limit(stock.lead);
+        let reach = if limit.is_finite() {
+            Reach::CheapAndUnreserved
+        } else {
+            Reach::All
+        };
+        let shape = Shape::of(job, &BTreeSet::new(), |_| true, reach);
+        let index = *known
+            .entry((shape, &job.team, pinned.clone()))
+            .or_insert_with(|| {
+                groups.push((job, pinned, limit, 0));
+                groups.len() - 1
+            });
+        groups[index].3 += waiting.left;
+    }
+    for (job, pinned, limit, left) in groups {
+        let mut left = left.min(usage.room_within_limit(stock.lead.config, job));
+        // A few tasks at a time, but no more than so many steps: jobs have up to 100,000 tasks.
+        let step = left.div_ceil(COUNTING_STEPS).max(1);
+        while left > 0 {
+            let count = step.min(left);
+            left -= count;
+            let Some((pool, share)) = stock.cheapest(job, demand, pinned.as_ref(), limit) else {
+                break;
+            };
+            usage.add_tasks(job, count as f64);
+            if let Some(zone) = &pinned {
+                *demand
+                    .pinned
+                    .entry((pool.clone(), zone.clone()))
+                    .or_default() += share * count as f64;
+            }
+            *demand.machines.entry(pool).or_default() += share * count as f64;
+        }
+    }
+}
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -4,6 +4,7 @@
 //! A released task counts as placed until its holder has said that it never will be: see `settle`.
 
 mod block_state;
+mod demand;
 mod failures;
 mod folding;
 mod holders;
@@ -12,6 +13,7 @@
 mod stock;
 mod turns;
 mod usage;
+mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -20,33 +22,29 @@
 
 use crate::config::Config;
 use crate::domain::{
-    Attempt, BlockId, Final, Image, Job, JobId, MachineId, NodeName, Now, Priority, Room, TaskId,
-    Team, TypeName, Zone, since,
+    Attempt, BlockId, Final, Image, JobId, MachineId, NodeName, Now, Priority, Room, TaskId, Team,
+    Zone, since,
 };
 use crate::leadership::Lead;
 use crate::peer::{BlockStatus, MachineStatus};
 use crate::placement::{Candidate, Ranking};
 use crate::provisioning::{Demand, Flavors, Health, Pool, Provisioner, Runs};
 use crate::store::records::{JobRecord, LEADER, job_key, progress_key};
-use crate::store::view::OpenJob;
-use crate::store::{Machine, Op, Outcome, Txn, View, Writer};
+use crate::store::{Op, Outcome, Txn, View, Writer};
 use block_state::{BlockState, Release};
+use demand::Present;
 use failures::Failures;
-use opportunistic::{Opportunities, RESTRICTED_FOR, Reach, is_opportunistic, price_limit};
+use opportunistic::{Opportunities, Reach};
 use preemption::Victims;
 use stock::Stock;
 use turns::Turns;
 use usage::Usage;
+use waiting::{Shape, smallest, zone_open};
 
 /// A holder's word on its machines is believed this long.
 const STATUS_LIFE: Duration = Duration::from_secs(5);
 /// Releases decided in one go, so that a large job can't hold up everything else.
 const RELEASES: usize = 150;
-/// A job that has waited this long gets a first task before older jobs of its team and priority get more: when there is
-/// far too much work, large jobs would else not begin for many minutes.
-const BEGIN_WITHIN: Duration = Duration::from_secs(90);
-/// Steps in which the waiting tasks of one job are counted.
-const COUNTING_STEPS: u64 = 64;
 /// What one attempt takes of its block's value, at the most.
 const ATTEMPT_BYTES: usize = 64;
 
@@ -77,31 +75,6 @@
     pub waiting: BTreeMap<Team, u64>,
 }
 
-/// What decides where a task may go: tasks of one shape can go to the same places.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Shape {
-    need: [u64; 3],
-    types: Option<Vec<TypeName>>,
-    zone: Option<Zone>,
-    spot: bool,
-    /// The zones that the job's other tasks leave open.
-    zones: Vec<Zone>,
-    reach: Reach,
-}
-
-impl Shape {
-    fn of(job: &Job, zones: &BTreeSet<Zone>, open: impl Fn(&Zone) -> bool, reach: Reach) -> Self {
-        Shape {
-            need: [job.need.cpus, job.need.gpus, job.need.memory_gb].map(f64::to_bits),
-            types: job.types.clone(),
-            zone: job.zone.clone(),
-            spot: job.spot,
-            zones: zones.iter().filter(|zone| open(zone)).cloned().collect(),
-            reach,
-        }
-    }
-}
-
 /// What was found not to go while planning, so that it is not tried for each of a thousand jobs alike.
 #[derive(Debug, Default)]
 struct Exhausted {
@@ -109,40 +82,6 @@
     no_way: HashSet<(Shape, Team, Priority)>,
 }
 
-/// What a task may have and what it takes, in the order in which it is served.
-struct Waiting<'v> {
-    id: JobId,
-    open: &'v OpenJob,
-    /// Tasks that are neither done, placed nor released.
-    left: u64,
-    taken: crate::store::records::Ranges,
-    zones: BTreeMap<Zone, u32>,
-    /// None of its tasks has got anywhere for so long that one goes before its team's other work.
-    overdue: bool,
-    /// How long ago it was accepted.
-    waited: Duration,
-    blocked: bool,
-}
-
-impl Waiting<'_> {
-    /// Where its next task may go. A job that has waited for its first task for long gets it wherever there is room.
-    fn reach(&self, lead: &Lead<'_>) -> Reach {
-        let begins_late = self.taken.is_empty() && self.waited > RESTRICTED_FOR;
-        if !is_opportunistic(lead.config, &self.open.job) || begins_late {
-            Reach::All
-        } else if self.price_limit(lead).is_finite() {
-            Reach::CheapAndUnreserved
-        } else {
-            Reach::Unreserved
-        }
-    }
-
-    /// The most that its tasks may cost.
-    fn price_limit(&self, lead: &Lead<'_>) -> f64 {
-        price_limit(lead, &self.open.job, self.waited, self.taken.len())
-    }
-}
-
 impl Queues {
     pub fn new(now: Now, term: u64) -> Self {
         Queues {
@@ -417,6 +356,33 @@
         candidates
     }
 
+    /// How many more tasks each block's value holds: what does not fit it can't be placed there.
+    fn spaces(&self, config: &Config, view: &View) -> BTreeMap<BlockId, usize> {
+        let space = |(block, block_state): (&BlockId, &BlockState)| {
+            let places = view.places.get(block);
+            let size = places.map_or(0, |places| places.value.worst());
+            let space = config.state_limits.value_bytes.saturating_sub(size) / ATTEMPT_BYTES;
+            (
+                block.clone(),
+                space.saturating_sub(block_state.releases.len()),
+            )
+        };
+        self.block_states.iter().map(space).collect()
+    }
+
+    /// What each team will use once the tasks that are being stopped are gone.
+    fn usage_after_stops(&self, usage: &Usage, view: &View) -> Usage {
+        let mut kept = usage.clone();
+        let stops = self
+            .block_states
+            .values()
+            .flat_map(|block_state| block_state.stops.keys());
+        for open in stops.filter_map(|attempt| view.open.get(&attempt.task.job)) {
+            kept.remove(&open.job);
+        }
+        kept
+    }
+
     /// Releases what may run and has room. Returns the demand that provisioning has to meet.
     pub fn plan<'v>(
         &mut self,
@@ -429,71 +395,17 @@
             config, flavors, ..
         } = *lead;
         self.settle(now, view);
-        let mut usage = Usage::default();
-        let mut guaranteed: BTreeMap<Pool, f64> = BTreeMap::new();
-        let mut demand = Demand {
-            runs: self.runs.clone(),
-            ..Demand::default()
-        };
-        let mut elsewhere: Vec<(&OpenJob, (Pool, f64))> = Vec::new();
-        let mut usage_elsewhere: Vec<&OpenJob> = Vec::new();
-        let mut count = |demand: &mut Demand, machine: &Machine, open: &'v OpenJob| {
-            usage.add(&open.job);
-            if let Some(flavor) = flavors.get(&machine.type_name) {
-                let each = f64::from(flavor.room().count_of(&open.job.need).max(1));
-                let here = ((machine.type_name.clone(), machine.tenure), 1.0 / each);
-                if !is_opportunistic(config, &open.job) {
-                    *guaranteed.entry(here.0.clone()).or_default() += here.1;
-                }
-                // What could run on spot machines is no reason to have ordinary ones.
-                let misplaced = open.job.spot && !machine.tenure.is_spot();
-                if misplaced {
-                    elsewhere.push((open, here));
-                } else {
-                    *demand.machines.entry(here.0).or_default() += here.1;
-                }
-            }
-        };
-        for live in view.live_places() {
-            demand.occupied.insert(live.id.clone());
-            for open in live
-                .attempts()
-                .filter_map(|attempt| view.open.get(&attempt.task.job))
-            {
-                count(&mut demand, live.machine, open);
-            }
-        }
-        for release in self
-            .block_states
-            .values()
-            .flat_map(|block_state| block_state.releases.values())
-        {
-            demand.occupied.insert(release.machine.clone());
-            if let (Some(open), Some(machine)) = (
-                view.open.get(&release.attempt.task.job),
-                view.machines.get(&release.machine),
-            ) {
-                count(&mut demand, machine, open);
-            } else if let Some(open) = view.open.get(&release.attempt.task.job) {
-                usage_elsewhere.push(open);
-            }
-        }
-        for open in usage_elsewhere {
-            // Its machine is gone, but its holder may still choose another.
-            usage.add(&open.job);
-        }
         let stock = Stock {
             now,
             lead,
             provisioner,
             machines: provisioner.machines(view),
         };
-        for (open, here) in elsewhere {
-            let (pool, share) = stock
-                .cheapest(&open.job, &demand, None, f64::INFINITY)
-                .unwrap_or(here);
-            *demand.machines.entry(pool).or_default() += share;
-        }
+        let Present {
+            mut usage,
+            guaranteed,
+            mut demand,
+        } = self.present(&stock, view);
         let mut queue = self.queue(now, view);
         self.waiting.clear();
         for waiting in &queue {
@@ -511,30 +423,8 @@
         let mut candidates = self.candidates(now, view, flavors, provisioner);
         let opportunities =
             Opportunities::new(lead, provisioner, &self.runs, &guaranteed, &candidates);
-        // A block's tasks are one value: what does not fit it can't be placed there.
-        let mut spaces: BTreeMap<BlockId, usize> = BTreeMap::new();
-        for (block, block_state) in &self.block_states {
-            let size = view
-                .places
-                .get(block)
-                .map_or(0, |places| places.value.worst());
-            let space = config.state_limits.value_bytes.saturating_sub(size) / ATTEMPT_BYTES;
-            spaces.insert(
-                block.clone(),
-                space.saturating_sub(block_state.releases.len()),
-            );
-        }
-        // What each team will have once the tasks that are being stopped are gone.
-        let mut kept = usage.clone();
-        for attempt in self
-            .block_states
-            .values()
-            .flat_map(|block_state| block_state.stops.keys())
-        {
-            if let Some(open) = view.open.get(&attempt.task.job) {
-                kept.remove(&open.job);
-            }
-        }
+        let mut spaces = self.spaces(config, view);
+        let mut kept = self.usage_after_stops(&usage, view);
         // Releases only where all that is placed is known: every block under a grant of this term.
         let complete = !view.grants.is_empty()
             && view
@@ -667,137 +557,10 @@
                 .or_default() += 1.0 / each;
             demand.occupied.insert(chosen.machine);
         }
-        Self::count_waiting(config, &stock, &queue, &mut usage, &mut demand);
+        demand::count_waiting(&stock, &queue, &mut usage, &mut demand);
         demand
     }
 
-    /// Adds the waiting tasks that their team's limit allows, each in the cheapest type that can be had.
-    fn count_waiting(
-        config: &Config,
-        stock: &Stock<'_>,
-        queue: &[Waiting<'_>],
-        usage: &mut Usage,
-        demand: &mut Demand,
-    ) {
-        // Jobs that ask for the same are counted as one, where the first of them stands.
-        let mut groups: Vec<(&Job, Option<Zone>, f64, u64)> = Vec::new();
-        let mut known: HashMap<(Shape, &Team, Option<Zone>), usize> = HashMap::new();
-        for waiting in queue {
-            let job = &waiting.open.job;
-            let pinned = stock.pinned(waiting);
-            let limit = waiting.price_limit(stock.lead);
-            let reach = if limit.is_finite() {
-                Reach::CheapAndUnreserved
-            } else {
-                Reach::All
-            };
-            let shape = Shape::of(job, &BTreeSet::new(), |_| true, reach);
-            let index = *known
-                .entry((shape, &job.team, pinned.clone()))
-                .or_insert_with(|| {
-                    groups.push((job, pinned, limit, 0));
-                    groups.len() - 1
-                });
-            groups[index].3 += waiting.left;
-        }
-        for (job, pinned, limit, left) in groups {
-            let mut left = left.min(usage.room_within_limit(config, job));
-            // A few tasks at a time, but no more than so many steps: jobs have up to 100,000 tasks.
-            let step = left.div_ceil(COUNTING_STEPS).max(1);
-            while left > 0 {
-                let count = step.min(left);
-                left -= count;
-                let Some((pool, share)) = stock.cheapest(job, demand, pinned.as_ref(), limit)
-                else {
-                    break;
-                };
-                usage.add_tasks(job, count as f64);
-                if let Some(zone) = &pinned {
-                    *demand
-                        .pinned
-                        .entry((pool.clone(), zone.clone()))
-                        .or_default() += share * count as f64;
-                }
-                *demand.machines.entry(pool).or_default() += share * count as f64;
-            }
-        }
-    }
-
-    fn queue<'v>(&self, now: Now, view: &'v View) -> Vec<Waiting<'v>> {
-        let mut released: HashMap<JobId, Vec<(u32, Zone)>> = HashMap::new();
-        for (block, block_state) in &self.block_states {
-            // A block is of one zone, so this holds even when the machine meant is gone: its holder may choose
-            // another one.
-            let Some(zone) = view.grants.get(block).map(|grant| &grant.value.zone) else {
-                continue;
-            };
-            for release in block_state.releases.values() {
-                let task = release.attempt.task;
-                released
-                    .entry(task.job)
-                    .or_default()
-                    .push((task.index, zone.clone()));
-            }
-        }
-        let mut live: HashMap<JobId, u64> = HashMap::new();
-        for attempt in view.live_places().flat_map(|live| live.attempts()) {
-            *live.entry(attempt.task.job).or_default() += 1;
-        }
-        let mut queue = Vec::new();
-        for (id, open) in &view.open {
-            if open.cancelled || self.failures.backs_off(now, *id) {
-                continue;
-            }
-            // Most jobs have all their tasks somewhere: they need no closer look.
-            let somewhere = open.done.len() + live.get(id).copied().unwrap_or(0);
-            if !released.contains_key(id) && somewhere >= u64::from(open.job.tasks) {
-                continue;
-            }
-            let mut taken = open.done.clone();
-            let mut zones: BTreeMap<Zone, u32> = BTreeMap::new();
-            for ((index, _), place) in view.placed(*id) {
-                // Places on a machine whose record is gone are void.
-                if let Some(machine) = view.machines.get(&place.machine) {
-                    taken.insert(*index);
-                    *zones.entry(machine.zone.clone()).or_default() += 1;
-                }
-            }
-            for (index, zone) in released.remove(id).unwrap_or_default() {
-                taken.insert(index);
-                *zones.entry(zone).or_default() += 1;
-            }
-            let mut left = u64::from(open.job.tasks).saturating_sub(taken.len());
-            if self.failures.keeps_failing(*id) {
-                let under_way = taken.len().saturating_sub(open.done.len());
-                left = left.min(1u64.saturating_sub(under_way));
-            }
-            if left > 0 {
-                let waited =
-                    Duration::from_millis(now.unix_ms().saturating_sub(open.job.accepted_ms));
-                let overdue = taken.is_empty() && waited > BEGIN_WITHIN;
-                queue.push(Waiting {
-                    id: *id,
-                    open,
-                    left,
-                    taken,
-                    zones,
-                    overdue,
-                    waited,
-                    blocked: false,
-                });
-            }
-        }
-        queue.sort_by_key(|waiting| {
-            (
-                waiting.open.job.priority,
-                !waiting.overdue,
-                waiting.open.job.accepted_ms,
-                waiting.id,
-            )
-        });
-        queue
-    }
-
     /// The next write: jobs that are over, and progress to be folded.
     pub fn write(&mut self, now: Now, lead: &Lead<'_>, view: &mut View) -> Option<Op> {
         let (config, leader_version, most) = (lead.config, lead.version, lead.batch);
@@ -858,24 +621,5 @@
     }
 }
 
-/// Whether one more task of the job may go to a zone, given where its others are.
-fn zone_open(job: &Job, zones: &BTreeMap<Zone, u32>, zone: &Zone) -> bool {
-    let others_elsewhere = zones
-        .iter()
-        .any(|(other, count)| other != zone && *count > 0);
-    let here = zones.get(zone).copied().unwrap_or(0);
-    !(job.one_zone && others_elsewhere) && here < job.zone_limit()
-}
-
-/// The least that any waiting task takes, each resource for itself.
-fn smallest(queue: &[Waiting<'_>]) -> Option<Room> {
-    let needs = queue.iter().map(|waiting| waiting.open.job.need);
-    needs.reduce(|a, b| Room {
-        cpus: a.cpus.min(b.cpus),
-        gpus: a.gpus.min(b.gpus),
-        memory_gb: a.memory_gb.min(b.memory_gb),
-    })
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/queueing/stock.rs
+++ b/src/queueing/stock.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Waiting, zone_open};
+use super::waiting::{Waiting, zone_open};
 use crate::domain::{Job, Now, Tenure, Zone};
 use crate::leadership::Lead;
 use crate::provisioning::{Demand, Pool, Provisioner};
--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -1,8 +1,9 @@
 //! The leader's queues, as holders and the records show them.
 
+use super::waiting::BEGIN_WITHIN;
 use super::*;
 use crate::config::tests::SETTINGS;
-use crate::domain::{Kind, Tenure};
+use crate::domain::{Job, Kind, Tenure};
 use crate::peer::Work;
 use crate::placement::tests::job;
 use crate::policy::Policy;
--- a/src/queueing/turns.rs
+++ b/src/queueing/turns.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::Waiting;
 use super::usage::Usage;
+use super::waiting::Waiting;
 use crate::domain::{Job, Kind, Priority, Team};
 use crate::leadership::Lead;
 
--- /dev/null
+++ b/src/queueing/waiting.rs
@@ -0,0 +1,177 @@
+//! Jobs with tasks that wait.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::Queues;
+use super::opportunistic::{RESTRICTED_FOR, Reach, is_opportunistic, price_limit};
+use crate::domain::{Job, JobId, Now, Room, TypeName, Zone};
+use crate::leadership::Lead;
+use crate::store::View;
+use crate::store::records::Ranges;
+use crate::store::view::OpenJob;
+
+/// A job that has waited this long gets a first task before older jobs of its team and priority get more: when there is
+/// far too much work, large jobs would else not begin for many minutes.
+pub(super) const BEGIN_WITHIN: Duration = Duration::from_secs(90);
+
+/// What decides where a task may go: tasks of one shape can go to the same places.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct Shape {
+    need: [u64; 3],
+    types: Option<Vec<TypeName>>,
+    zone: Option<Zone>,
+    spot: bool,
+    /// The zones that the job's other tasks leave open.
+    zones: Vec<Zone>,
+    reach: Reach,
+}
+
+impl Shape {
+    pub(super) fn of(
+        job: &Job,
+        zones: &BTreeSet<Zone>,
+        open: impl Fn(&Zone) -> bool,
+        reach: Reach,
+    ) -> Self {
+        Shape {
+            need: [job.need.cpus, job.need.gpus, job.need.memory_gb].map(f64::to_bits),
+            types: job.types.clone(),
+            zone: job.zone.clone(),
+            spot: job.spot,
+            zones: zones.iter().filter(|zone| open(zone)).cloned().collect(),
+            reach,
+        }
+    }
+}
+
+/// What a task may have and what it takes, in the order in which it is served.
+pub(super) struct Waiting<'v> {
+    pub(super) id: JobId,
+    pub(super) open: &'v OpenJob,
+    /// Tasks that are neither done, placed nor released.
+    pub(super) left: u64,
+    pub(super) taken: Ranges,
+    pub(super) zones: BTreeMap<Zone, u32>,
+    /// None of its tasks has got anywhere for so long that one goes before its team's other work.
+    pub(super) overdue: bool,
+    /// How long ago it was accepted.
+    pub(super) waited: Duration,
+    pub(super) blocked: bool,
+}
+
+impl Waiting<'_> {
+    /// Where its next task may go. A job that has waited for its first task for long gets it wherever there is room.
+    pub(super) fn reach(&self, lead: &Lead<'_>) -> Reach {
+        let begins_late = self.taken.is_empty() && self.waited > RESTRICTED_FOR;
+        if !is_opportunistic(lead.config, &self.open.job) || begins_late {
+            Reach::All
+        } else if self.price_limit(lead).is_finite() {
+            Reach::CheapAndUnreserved
+        } else {
+            Reach::Unreserved
+        }
+    }
+
+    /// The most that its tasks may cost.
+    pub(super) fn price_limit(&self, lead: &Lead<'_>) -> f64 {
+        price_limit(lead, &self.open.job, self.waited, self.taken.len())
+    }
+}
+
+impl Queues {
+    /// The jobs with tasks that wait, in the order in which they are served within a line.
+    pub(super) fn queue<'v>(&self, now: Now, view: &'v View) -> Vec<Waiting<'v>> {
+        let mut released: HashMap<JobId, Vec<(u32, Zone)>> = HashMap::new();
+        for (block, block_state) in &self.block_states {
+            // A block is of one zone, so this holds even when the machine meant is gone: its holder may choose
+            // another one.
+            let Some(zone) = view.grants.get(block).map(|grant| &grant.value.zone) else {
+                continue;
+            };
+            for release in block_state.releases.values() {
+                let task = release.attempt.task;
+                released
+                    .entry(task.job)
+                    .or_default()
+                    .push((task.index, zone.clone()));
+            }
+        }
+        let mut live: HashMap<JobId, u64> = HashMap::new();
+        for attempt in view.live_places().flat_map(|live| live.attempts()) {
+            *live.entry(attempt.task.job).or_default() += 1;
+        }
+        let mut queue = Vec::new();
+        for (id, open) in &view.open {
+            if open.cancelled || self.failures.backs_off(now, *id) {
+                continue;
+            }
+            // Most jobs have all their tasks somewhere: they need no closer look.
+            let somewhere = open.done.len() + live.get(id).copied().unwrap_or(0);
+            if !released.contains_key(id) && somewhere >= u64::from(open.job.tasks) {
+                continue;
+            }
+            let mut taken = open.done.clone();
+            let mut zones: BTreeMap<Zone, u32> = BTreeMap::new();
+            for ((index, _), place) in view.placed(*id) {
+                // Places on a machine whose record is gone are void.
+                if let Some(machine) = view.machines.get(&place.machine) {
+                    taken.insert(*index);
+                    *zones.entry(machine.zone.clone()).or_default() += 1;
+                }
+            }
+            for (index, zone) in released.remove(id).unwrap_or_default() {
+                taken.insert(index);
+                *zones.entry(zone).or_default() += 1;
+            }
+            let mut left = u64::from(open.job.tasks).saturating_sub(taken.len());
+            if self.failures.keeps_failing(*id) {
+                let under_way = taken.len().saturating_sub(open.done.len());
+                left = left.min(1u64.saturating_sub(under_way));
+            }
+            if left > 0 {
+                let waited =
+                    Duration::from_millis(now.unix_ms().saturating_sub(open.job.accepted_ms));
+                let overdue = taken.is_empty() && waited > BEGIN_WITHIN;
+                queue.push(Waiting {
+                    id: *id,
+                    open,
+                    left,
+                    taken,
+                    zones,
+                    overdue,
+                    waited,
+                    blocked: false,
+                });
+            }
+        }
+        queue.sort_by_key(|waiting| {
+            (
+                waiting.open.job.priority,
+                !waiting.overdue,
+                waiting.open.job.accepted_ms,
+                waiting.id,
+            )
+        });
+        queue
+    }
+}
+
+/// Whether one more task of the job may go to a zone, given where its others are.
+pub(super) fn zone_open(job: &Job, zones: &BTreeMap<Zone, u32>, zone: &Zone) -> bool {
+    let others_elsewhere = zones
+        .iter()
+        .any(|(other, count)| other != zone && *count > 0);
+    let here = zones.get(zone).copied().unwrap_or(0);
+    !(job.one_zone && others_elsewhere) && here < job.zone_limit()
+}
+
+/// The least that any waiting task takes, each resource for itself.
+pub(super) fn smallest(queue: &[Waiting<'_>]) -> Option<Room> {
+    let needs = queue.iter().map(|waiting| waiting.open.job.need);
+    needs.reduce(|a, b| Room {
+        cpus: a.cpus.min(b.cpus),
+        gpus: a.gpus.min(b.gpus),
+        memory_gb: a.memory_gb.min(b.memory_gb),
+    })
+}
