A guests' job of which nothing runs gets one task wherever there is room, though some are done

Seen as possible from incident inc-0db7 (one job left waiting beside room in one run of it): only jobs of which nothing was done were let out of the restriction.

--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -541,3 +541,65 @@
     assert!(!withdrawn(&mut fixture, 29));
     assert!(withdrawn(&mut fixture, 2));
 }
+
+/// Found in an incident: guests' jobs of which some tasks were done waited beside room that they might not have, with nothing
+/// of them running. One task at a time gets it.
+#[test]
+fn a_job_without_a_guarantee_of_which_nothing_runs_gets_one_task_wherever_there_is_room() {
+    let reach = |done: u32, placed: bool, waited: Duration| {
+        let mut fixture = Fixture::new(1);
+        let guests = Team::from("guests");
+        let limits = crate::config::TeamLimits {
+            name: guests.clone(),
+            cpus: 0.0,
+            cpus_max: f64::INFINITY,
+            gpus: 0.0,
+            gpus_max: f64::INFINITY,
+        };
+        fixture.config.teams.push(limits);
+        let low = Job {
+            team: guests,
+            priority: Priority::Low,
+            spot: true,
+            ..job(10, 1.0)
+        };
+        fixture.job(1, low);
+        let mut places = Places::default();
+        for index in 0..done {
+            places.done.entry(JobId(1)).or_default().insert(index);
+        }
+        if placed {
+            let task = TaskId {
+                job: JobId(1),
+                index: done,
+            };
+            places.add(&name(0), Attempt { task, number: 1 });
+        }
+        fixture.put(places_key(&"a.0".into()), encode(&places));
+        fixture.now.wall += waited;
+        let Fixture {
+            config,
+            policy,
+            flavors,
+            view,
+            now,
+            queues,
+            ..
+        } = &fixture;
+        let lead = Lead {
+            config,
+            policy,
+            flavors,
+            term: TERM,
+            version: 1,
+            batch: 16,
+            spare: true,
+        };
+        queues.queue(*now, view)[0].reach(&lead)
+    };
+    let late = opportunistic::RESTRICTED_FOR + Duration::from_secs(1);
+    assert_eq!(reach(0, false, Duration::ZERO), Reach::CheapAndUnreserved);
+    assert_eq!(reach(0, false, late), Reach::All);
+    assert_eq!(reach(6, false, late), Reach::All, "some done, nothing runs");
+    assert_eq!(reach(6, true, late), Reach::CheapAndUnreserved);
+}
--- a/src/queueing/waiting.rs
+++ b/src/queueing/waiting.rs
@@ -61,9 +61,11 @@
 }
 
 impl Waiting<'_> {
-    /// Where its next task may go. A job that has waited for its first task for long gets it wherever there is room.
+    /// Where its next task may go. A job that has waited for long, and of which nothing is under way, gets one task
+    /// wherever there is room.
     pub(super) fn reach(&self, lead: &Lead<'_>) -> Reach {
-        let begins_late = self.taken.is_empty() && self.waited > RESTRICTED_FOR;
+        let under_way = self.taken.len() > self.open.done.len();
+        let begins_late = !under_way && self.waited > RESTRICTED_FOR;
         if !is_opportunistic(lead.config, &self.open.job) || begins_late {
             Reach::All
         } else if self.price_limit(lead).is_finite() {
