--- a/tests/simulation/rules.rs
+++ b/tests/simulation/rules.rs
@@ -460,28 +460,14 @@
 fn every_rule_can_be_broken() {
     use dappleshore::domain::Priority;
     let job = |tasks, cpus| Job {
-        class: "class".into(),
-        team: "red".into(),
-        kind: Kind::Array,
-        priority: Priority::Standard,
         tasks,
         need: Room {
             cpus,
             gpus: 0.0,
             memory_gb: 1.0,
         },
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
         spot: false,
-        image: "img".into(),
-        image_gb: 1.0,
-        estimate_s: 1.0,
-        checkpoint_every_s: 0.0,
-        checkpoint_s: 0.0,
-        deadline_s: None,
-        accepted_ms: 0,
+        ..super::world::array("class", "red", Priority::Standard)
     };
     let place = |zone: &str, tenure| Place {
         machine: zone.into(),
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -6,9 +6,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use dappleshore::config::{Config, TeamLimits};
-use dappleshore::domain::{
-    Amount, Job, JobId, Kind, Now, Priority, Room, TaskId, Team, Tenure, Zone,
-};
+use dappleshore::domain::{Amount, Job, JobId, Kind, Now, Priority, Room, TaskId, Tenure, Zone};
 use dappleshore::fleet::wire::{Orders, Report, TaskState};
 use dappleshore::fleet::{Answer, Command, CommandOutcome};
 use dappleshore::intake::Response;
@@ -511,15 +509,14 @@
         let rng = &mut self.rng;
         let service = rng.random_bool(0.3);
         let zone = ZONES[rng.random_range(0..NODES)];
+        let team = if rng.random_bool(0.5) { "red" } else { "blue" };
+        let (class, priority) = if service {
+            ("service", Priority::Production)
+        } else {
+            ("array", Priority::Standard)
+        };
         let job = Job {
-            class: (if service { "service" } else { "array" }).into(),
-            team: Team::from(if rng.random_bool(0.5) { "red" } else { "blue" }),
             kind: if service { Kind::Service } else { Kind::Array },
-            priority: if service {
-                Priority::Production
-            } else {
-                Priority::Standard
-            },
             tasks: if service {
                 rng.random_range(1..4)
             } else {
@@ -536,12 +533,7 @@
             spread: service,
             spot: !service,
             image: format!("img-{}", rng.random_range(0..3)).as_str().into(),
-            image_gb: 1.0,
-            estimate_s: 5.0,
-            checkpoint_every_s: 0.0,
-            checkpoint_s: 0.0,
-            deadline_s: None,
-            accepted_ms: 0,
+            ..array(class, team, priority)
         };
         let mut job = job;
         if job.spread {
@@ -2028,7 +2020,7 @@
                 gpus: 0.0,
                 memory_gb: 1.0,
             },
-            ..array(GUESTS, Priority::Low)
+            ..array(GUESTS, GUESTS, Priority::Low)
         };
         self.add_job(job, None)
     }
@@ -2037,8 +2029,7 @@
     pub fn add_broken_job(&mut self, tasks: u32, cancel_after: Duration) -> JobId {
         let job = Job {
             tasks,
-            class: BROKEN.into(),
-            ..array("red", Priority::Standard)
+            ..array(BROKEN, "red", Priority::Standard)
         };
         self.add_job(job, Some(self.now + cancel_after))
     }
@@ -2267,9 +2258,9 @@
 }
 
 /// An array that may go anywhere.
-fn array(team: &str, priority: Priority) -> Job {
+pub fn array(class: &str, team: &str, priority: Priority) -> Job {
     Job {
-        class: if team == GUESTS { GUESTS } else { "array" }.into(),
+        class: class.into(),
         team: team.into(),
         kind: Kind::Array,
         priority,
