--- a/src/blocks/tests.rs
+++ b/src/blocks/tests.rs
@@ -26,7 +26,7 @@
         let change = Change {
             key: member_key(node),
             version,
-            value: Some(encode(&Member { boot: 1 })),
+            value: Some(encode(&Member { boot: 1, format: 0 })),
         };
         view.apply(change);
     }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -39,7 +39,12 @@
     pub report_every: Duration,
     pub lease: Duration,
     pub cancel_within: Duration,
+    /// What the state service takes, as far as this process reckons with it: see [`Config::adopt_next_limits`].
     pub state_limits: StateLimits,
+    /// What the state service will take from some unannounced moment on.
+    pub next_state_limits: Option<StateLimits>,
+    /// How much a block's tasks may measure together. More than one value holds, once a block may have several.
+    pub block_bytes: usize,
     pub cloud_rps: f64,
     pub list_lag: Duration,
     pub max_sockets: usize,
@@ -68,14 +73,31 @@
     if stated > 0.0 { stated } else { f64::INFINITY }
 }
 
-#[derive(Debug, Clone, Copy)]
+/// What the state service takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StateLimits {
+    /// Requests a second.
     pub rps: f64,
+    /// Puts and deletes a second.
     pub write_rps: f64,
+    /// The size of a value.
     pub value_bytes: usize,
+    /// Puts and deletes in one transaction.
     pub txn_ops: usize,
 }
 
+impl StateLimits {
+    /// The smaller of both, each limit for itself.
+    pub fn min(&self, other: &StateLimits) -> StateLimits {
+        StateLimits {
+            rps: self.rps.min(other.rps),
+            write_rps: self.write_rps.min(other.write_rps),
+            value_bytes: self.value_bytes.min(other.value_bytes),
+            txn_ops: self.txn_ops.min(other.txn_ops),
+        }
+    }
+}
+
 // What the file says, before it is checked. Every field is asked for by name so that a missing one is named.
 #[derive(Deserialize)]
 struct File {
@@ -138,6 +160,16 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: i64,
+    next: Option<FileNextState>,
+}
+
+/// Limits to come. What is not named stays as it is.
+#[derive(Deserialize)]
+struct FileNextState {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<i64>,
 }
 
 #[derive(Deserialize)]
@@ -156,6 +188,7 @@
 const LEAST_TXN_OPS: i64 = 4;
 /// A block's placements must fit a value.
 const LEAST_VALUE_KB: f64 = 2.0;
+const MOST_VALUE_KB: f64 = 65_536.0;
 
 impl Config {
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
@@ -221,18 +254,12 @@
             return Err(check.wrong("params.workers.cancel_s", "must exceed `lease_s`"));
         }
         let state = &file.params.state;
-        if state.txn_ops < LEAST_TXN_OPS {
-            return Err(check.wrong(
-                "params.state.txn_ops",
-                &format!("must be at least {LEAST_TXN_OPS}"),
-            ));
-        }
-        if !(state.value_kb >= LEAST_VALUE_KB && state.value_kb <= 65_536.0) {
-            return Err(check.wrong(
-                "params.state.value_kb",
-                &format!("must be from {LEAST_VALUE_KB} to 65536"),
-            ));
-        }
+        let state_limits = check.state_limits("params.state", state)?;
+        let next_state_limits = state
+            .next
+            .as_ref()
+            .map(|next| check.state_limits("params.state.next", &next.over(state)))
+            .transpose()?;
         if file.params.quota.sockets < 50 {
             return Err(check.wrong("params.quota.sockets", "must be at least 50"));
         }
@@ -254,12 +281,9 @@
             report_every: check.duration("params.workers.report_s", workers.report_s)?,
             lease,
             cancel_within,
-            state_limits: StateLimits {
-                rps: check.rate("params.state.rps", state.rps)?,
-                write_rps: check.rate("params.state.write_rps", state.write_rps)?,
-                value_bytes: (state.value_kb * 1024.0) as usize,
-                txn_ops: state.txn_ops.clamp(1, 10_000) as usize,
-            },
+            block_bytes: state_limits.value_bytes,
+            state_limits,
+            next_state_limits,
             cloud_rps: check.rate("params.cloud.rps", file.params.cloud.rps)?,
             list_lag: check.duration("params.cloud.list_lag_s", file.params.cloud.list_lag_s)?,
             max_sockets: file.params.quota.sockets.clamp(50, 1_000_000) as usize,
@@ -270,12 +294,31 @@
         self.teams.iter().find(|team| team.name == *name)
     }
 
+    /// From now on reckons with the limits to come as well as with the present ones.
+    pub fn adopt_next_limits(&mut self) {
+        if let Some(next) = &self.next_state_limits {
+            self.state_limits = self.state_limits.min(next);
+        }
+    }
+
     /// How many controllers there are, this one included.
     pub fn controllers(&self) -> usize {
         self.peers.len() + 1
     }
 }
 
+impl FileNextState {
+    fn over(&self, present: &FileState) -> FileState {
+        FileState {
+            rps: self.rps.unwrap_or(present.rps),
+            write_rps: self.write_rps.unwrap_or(present.write_rps),
+            value_kb: self.value_kb.unwrap_or(present.value_kb),
+            txn_ops: self.txn_ops.unwrap_or(present.txn_ops),
+            next: None,
+        }
+    }
+}
+
 struct Check<'a> {
     path: &'a str,
 }
@@ -320,6 +363,24 @@
         }
     }
 
+    fn state_limits(&self, table: &str, state: &FileState) -> Result<StateLimits, ConfigError> {
+        let field = |name: &str| format!("{table}.{name}");
+        if state.txn_ops < LEAST_TXN_OPS {
+            let problem = format!("must be at least {LEAST_TXN_OPS}");
+            return Err(self.wrong(&field("txn_ops"), &problem));
+        }
+        if !(state.value_kb >= LEAST_VALUE_KB && state.value_kb <= MOST_VALUE_KB) {
+            let problem = format!("must be from {LEAST_VALUE_KB} to {MOST_VALUE_KB}");
+            return Err(self.wrong(&field("value_kb"), &problem));
+        }
+        Ok(StateLimits {
+            rps: self.rate(&field("rps"), state.rps)?,
+            write_rps: self.rate(&field("write_rps"), state.write_rps)?,
+            value_bytes: (state.value_kb * 1024.0) as usize,
+            txn_ops: state.txn_ops.clamp(1, 10_000) as usize,
+        })
+    }
+
     fn rate(&self, field: &str, value: f64) -> Result<f64, ConfigError> {
         if value.is_finite() && value >= 1.0 {
             Ok(value)
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -39,6 +39,21 @@
             "txn_ops = 0",
             "s.toml: `params.state.txn_ops` must be at least 4",
         ),
+        (
+            "txn_ops = 16",
+            "txn_ops = 16\n[params.state.next]\nvalue_kb = 0.5",
+            "s.toml: `params.state.next.value_kb` must be from 2 to 65536",
+        ),
+        (
+            "txn_ops = 16",
+            "txn_ops = 16\n[params.state.next]\ntxn_ops = 1",
+            "s.toml: `params.state.next.txn_ops` must be at least 4",
+        ),
+        (
+            "txn_ops = 16",
+            "txn_ops = 16\n[params.state.next]\nwrite_rps = \"few\"",
+            "s.toml: TOML parse error at line 50, column 13: invalid type: string \"few\", expected f64",
+        ),
         (
             "domain = \"a\"",
             "",
@@ -74,3 +89,23 @@
     let policy = crate::policy::Policy::defaults(&config);
     assert_eq!(policy.team_shares[&"guests".into()], 1.0);
 }
+
+#[test]
+fn limits_to_come_are_reckoned_with_once_they_are_adopted() {
+    let mut config = Config::parse("s.toml", SETTINGS).expect("valid");
+    let today = config.state_limits;
+    config.adopt_next_limits();
+    assert_eq!(config.state_limits, today, "none are to come");
+    let next = "txn_ops = 16\n[params.state.next]\nvalue_kb = 2.0\nwrite_rps = 15.0\nrps = 900.0";
+    let text = SETTINGS.replacen("txn_ops = 16", next, 1);
+    let mut config = Config::parse("s.toml", &text).expect("valid");
+    assert_eq!(config.state_limits, today, "not yet");
+    config.adopt_next_limits();
+    let expected = StateLimits {
+        value_bytes: 2048,
+        write_rps: 15.0,
+        ..today
+    };
+    assert_eq!(config.state_limits, expected, "the smaller of both");
+    assert_eq!(config.block_bytes, today.value_bytes);
+}
--- a/src/fleet/block.rs
+++ b/src/fleet/block.rs
@@ -6,17 +6,17 @@
 use tracing::{debug, info};
 
 use super::CommandOutcome;
+use super::parts::{PartLimits, PartsDraft, merged};
 use super::wire::{Cause, Order, Orders, Report, TaskState};
 use super::worker::{Launch, QUIET, Seen, Worker};
 use crate::config::Config;
-use crate::domain::{Attempt, BlockId, JobId, MachineId, Now, Room, TaskId, since};
+use crate::domain::{Attempt, BlockId, JobId, Kind, MachineId, Now, Room, TaskId, since};
 use crate::peer::{BlockStatus, MachineStatus, Wanted};
 use crate::placement::{self, Candidate};
 use crate::policy::Policy;
 use crate::provisioning::Flavors;
-use crate::store::records::{
-    Grant, Places, done_entry, grant_key, job_key, places_key, roster_key,
-};
+use crate::store::records::{FORMAT, Grant, Part, Places, grant_key, job_key, roster_part_key};
+use crate::store::view::Parts;
 use crate::store::{Op, Outcome, Txn, Versioned, View, Writer};
 
 /// A lost launch is repeated after this long.
@@ -29,10 +29,8 @@
 /// A block that found nothing to write looks again after this long.
 pub(super) const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
-/// The protocol's limit for the conditions of a transaction, by that for its changes; and those on the grant, the places
-/// and the roster.
+/// The protocol's limit for the conditions of a transaction, by that for its changes.
 const CONDITIONS_PER_CHANGE: usize = 4;
-const OWN_CONDITIONS: usize = 3;
 
 /// How a worker came to say something. Only a report that reached us can renew its lease: a worker that answers commands
 /// and reaches no controller loses its tasks again and again, so that its answers are no sign of its being well.
@@ -54,8 +52,10 @@
     pub(super) id: BlockId,
     pub(super) token: u64,
     pub(super) grant_version: u64,
+    /// All parts together, and the version of the last change to any of them.
     pub(super) places: Places,
     pub(super) places_version: u64,
+    pub(super) parts: Parts<Places>,
     pub(super) writer: Writer,
     pub(super) workers: BTreeMap<MachineId, Worker>,
     pub(super) last_work: u64,
@@ -66,10 +66,15 @@
     pub(super) refused: Vec<u64>,
     /// Attempts of the transaction that is under way or whose outcome is not known.
     pub(super) unsure: Vec<u64>,
+    /// The parts that it changes.
+    pub(super) unsure_parts: BTreeSet<Part>,
+    /// Both as they were before the transaction that is under way. If that is not executed, an earlier one of unknown
+    /// outcome still may be.
+    pub(super) unsure_before: (Vec<u64>, BTreeSet<Part>),
     pub(super) stops: HashSet<Attempt>,
     /// What is proven and not yet recorded.
     pub(super) ended: BTreeMap<(MachineId, Attempt), End>,
-    pub(super) draft: Option<Places>,
+    pub(super) draft: Option<PartsDraft>,
     pub(super) blocked_since: Option<Instant>,
     /// A task waits for a machine of ours that must not forget an earlier attempt of it yet.
     pub(super) fenced: bool,
@@ -90,18 +95,14 @@
 }
 
 impl Block {
-    pub(super) fn new(
-        id: BlockId,
-        grant: &Versioned<Grant>,
-        places: Places,
-        places_version: u64,
-    ) -> Self {
+    pub(super) fn new(id: BlockId, grant: &Versioned<Grant>, recorded: Recorded) -> Self {
         Block {
             id,
             token: grant.value.token,
             grant_version: grant.version,
-            places,
-            places_version,
+            places: recorded.places,
+            places_version: recorded.version,
+            parts: recorded.parts,
             writer: Writer::Idle,
             workers: BTreeMap::new(),
             last_work: 0,
@@ -109,6 +110,8 @@
             handled: HashSet::new(),
             refused: Vec::new(),
             unsure: Vec::new(),
+            unsure_parts: BTreeSet::new(),
+            unsure_before: Default::default(),
             stops: HashSet::new(),
             ended: BTreeMap::new(),
             draft: None,
@@ -268,7 +271,7 @@
                 (
                     task.task,
                     Seen {
-                        number: task.number,
+                        number: Attempt::from_wire(task.task, task.number).number,
                         state: task.state,
                         cause: task.cause,
                     },
@@ -300,9 +303,11 @@
             worker.due = true;
         }
         for (task, seen) in &worker.tasks {
-            if matches!(seen.state, TaskState::Running | TaskState::Saving)
-                && let Some(open) = view.open.get(&task.job)
-            {
+            let has_image = matches!(
+                seen.state,
+                TaskState::Running | TaskState::Saving | TaskState::Waiting
+            );
+            if has_image && let Some(open) = view.open.get(&task.job) {
                 worker.images.insert(open.job.image.clone());
             }
         }
@@ -396,7 +401,7 @@
                     TaskState::Exited if !recorded && worker.may_forget(&attempt, seen.cause) => {
                         orders.push(Order::Reap {
                             task: *task,
-                            number: seen.number,
+                            number: attempt.wire_number(),
                         });
                     }
                     TaskState::Exited => {}
@@ -408,11 +413,13 @@
                             .filter(|open| !open.cancelled)
                             .map(|open| &open.job);
                         let grace_s = job
+                            // What is left of a gang that has lost a task can't save any more.
+                            .filter(|job| job.kind != Kind::Gang)
                             .filter(|job| job.checkpoint_every_s > 0.0 && recorded)
                             .map_or(0.0, |job| job.checkpoint_s);
                         orders.push(Order::Stop {
                             task: *task,
-                            number: seen.number,
+                            number: attempt.wire_number(),
                             grace_s,
                         });
                     }
@@ -445,7 +452,7 @@
                         worker.launched.insert(attempt);
                         orders.push(Order::Launch {
                             task: *task,
-                            number: *number,
+                            number: attempt.wire_number(),
                         });
                     }
                 }
@@ -474,10 +481,7 @@
             self.due.insert(machine.clone());
         }
         let launched = body.orders.iter().filter_map(|order| match order {
-            Order::Launch { task, number } => Some(Attempt {
-                task: *task,
-                number: *number,
-            }),
+            Order::Launch { task, number } => Some(Attempt::from_wire(*task, *number)),
             _ => None,
         });
         let current = body.session == Some(worker.session) && body.token == self.token;
@@ -564,56 +568,114 @@
         }
         self.looked = Some(now.steady);
         if unsure {
-            // Nothing of ours is under way that our copy does not show, but for a late repeat of the last
-            // transaction, which fails once another one has been committed.
-            let (places, version) = recorded(view, &self.id);
-            if version > self.places_version {
-                self.unsure.clear();
+            self.take_recorded(view);
+        }
+        let limits = PartLimits::new(&config.state_limits, view.format() >= FORMAT);
+        let mut txn = Txn::default().when(grant_key(&self.id), self.grant_version);
+        let mut placed = Placed::default();
+        let dividing = PartsDraft::dividing(&self.parts, limits, &self.unsure_parts);
+        let draft = match dividing {
+            Some(draft) => {
+                info!(block = %self.id, changes = draft.changed().len(), "a value is too large: divided");
+                draft
             }
-            self.places = places;
-            self.places_version = version;
-            for (machine, attempt) in self.places.attempts() {
-                if self
-                    .pending
-                    .iter()
-                    .any(|wanted| wanted.attempt.number == attempt.number)
-                {
-                    self.handled.insert(attempt.number);
-                    if let Some(worker) = self.workers.get_mut(machine) {
-                        worker.due = true;
-                        self.due.insert(machine.clone());
-                    }
-                }
+            None => {
+                let mut draft = self.draft_ends(view, limits);
+                placed = self.place(now, config, view, flavors, &mut draft);
+                draft
             }
-            self.pending
-                .retain(|wanted| !self.handled.contains(&wanted.attempt.number));
-        }
-        let mut draft = self.places.clone();
-        for ((machine, attempt), end) in &self.ended {
-            if draft.remove(machine, *attempt)
-                && *end == End::Done
-                && view.open.contains_key(&attempt.task.job)
+        };
+        // A write of unknown outcome is made sure of by the next one, needed or not.
+        if !draft.any() {
+            self.ended
+                .retain(|(machine, attempt), _| still_there(&self.places, machine, attempt));
+            return None;
+        }
+        for part in placed.roster_parts {
+            // Nothing is placed on a machine that the leader has begun to drain or has deleted meanwhile.
+            let version = view
+                .roster_parts(&self.id)
+                .and_then(|parts| parts.get(&part));
+            let version = version.map_or(0, |part| part.version);
+            txn = txn.when(roster_part_key(&self.id, part), version);
+        }
+        for (job, version) in placed.jobs {
+            txn = txn.when(job_key(job), version);
+        }
+        txn = draft.apply(&self.id, &self.parts, txn);
+        self.unsure_before = (self.unsure.clone(), self.unsure_parts.clone());
+        self.unsure.extend(placed.attempts);
+        self.unsure_parts = draft.changed().clone();
+        self.draft = Some(draft);
+        self.writer.sent();
+        Some(Op::Commit(txn))
+    }
+
+    /// After a write that failed or whose outcome is unknown: goes by what our copy of the records shows.
+    fn take_recorded(&mut self, view: &View) {
+        // Nothing of ours is under way that our copy does not show, but for a late repeat of the last
+        // transaction, which fails once another one has been committed.
+        let recorded = recorded(view, &self.id);
+        if recorded.version > self.places_version {
+            self.unsure.clear();
+            self.unsure_parts.clear();
+        }
+        self.places = recorded.places;
+        self.places_version = recorded.version;
+        self.parts = recorded.parts;
+        for (machine, attempt) in self.places.attempts() {
+            if self
+                .pending
+                .iter()
+                .any(|wanted| wanted.attempt.number == attempt.number)
             {
-                draft
-                    .done
-                    .entry(attempt.task.job)
-                    .or_default()
-                    .insert(attempt.task.index);
+                self.handled.insert(attempt.number);
+                if let Some(worker) = self.workers.get_mut(machine) {
+                    worker.due = true;
+                    self.due.insert(machine.clone());
+                }
             }
         }
-        view.forget_recorded_ends(&mut draft);
-        let mut size = draft.worst();
-        let mut named: HashSet<JobId> = HashSet::new();
+        self.pending
+            .retain(|wanted| !self.handled.contains(&wanted.attempt.number));
+    }
+
+    /// What has ended and what can be forgotten.
+    fn draft_ends(&self, view: &View, limits: PartLimits) -> PartsDraft {
+        let mut draft = PartsDraft::new(&self.parts, limits, &self.unsure_parts);
+        // First where room is wanted: what is to be placed there does not fit before.
+        let wanted: HashSet<&MachineId> =
+            self.pending.iter().map(|wanted| &wanted.machine).collect();
+        let (first, rest): (Vec<_>, Vec<_>) = self
+            .ended
+            .iter()
+            .partition(|((machine, _), _)| wanted.contains(machine));
+        for ((machine, attempt), end) in first.into_iter().chain(rest) {
+            let done = *end == End::Done && view.open.contains_key(&attempt.task.job);
+            draft.end(machine, *attempt, done);
+        }
+        draft.prune(view);
+        draft
+    }
+
+    /// Adds what the leader wants placed, as far as machines, values and the transaction have room for it.
+    fn place(
+        &mut self,
+        now: Now,
+        config: &Config,
+        view: &View,
+        flavors: &Flavors,
+        draft: &mut PartsDraft,
+    ) -> Placed {
         self.refused.clear();
+        let mut placed = Placed::default();
         let mut fenced = false;
-        let mut unsure = Vec::new();
-        // A task is placed only if its job was not cancelled before: our copy may not show that yet.
-        let mut conditions: BTreeMap<JobId, u64> = BTreeMap::new();
-        let most_jobs = (CONDITIONS_PER_CHANGE * config.state_limits.txn_ops)
-            .saturating_sub(OWN_CONDITIONS)
-            .max(1);
+        // Those on the grant and on the parts apart.
+        let most_conditions = (CONDITIONS_PER_CHANGE * config.state_limits.txn_ops)
+            .saturating_sub(1 + draft.most_changes())
+            .max(2);
         if !self.pending.is_empty() {
-            let mut candidates = self.candidates(now, view, flavors, &draft);
+            let mut candidates = self.candidates(now, view, flavors, &draft.merged());
             for wanted in &self.pending {
                 let Some(open) = view
                     .open
@@ -622,20 +684,12 @@
                 else {
                     continue;
                 };
-                if open.done.contains(wanted.attempt.task.index)
-                    || size + 64 > config.state_limits.value_bytes
-                {
-                    continue;
-                }
-                if conditions.len() >= most_jobs
-                    && !conditions.contains_key(&wanted.attempt.task.job)
-                {
-                    // Left to the next write.
+                let task = wanted.attempt.task;
+                if open.done.contains(task.index) {
                     continue;
                 }
                 // Where a launch of an earlier attempt, or a copy of one, may still be on its way, a new attempt
                 // would make the worker forget that one, and it could start beside the new one.
-                let task = wanted.attempt.task;
                 let clear = |c: &&Candidate| {
                     self.workers
                         .get(&c.machine)
@@ -659,44 +713,27 @@
                     self.refused.push(wanted.attempt.number);
                     continue;
                 };
+                let Some(roster_part) = roster_part_of(view, &self.id, &machine) else {
+                    continue;
+                };
+                if placed.conditions_with(task.job, roster_part) > most_conditions {
+                    // Left to the next write.
+                    continue;
+                }
+                if !draft.add(&machine, wanted.attempt) {
+                    continue;
+                }
                 if let Some(candidate) = candidates.iter_mut().find(|c| c.machine == machine) {
                     candidate.free.take(&open.job.need);
                 }
-                size += draft.add(&machine, wanted.attempt);
-                conditions.insert(wanted.attempt.task.job, open.version);
-                if named.insert(wanted.attempt.task.job) {
-                    size += done_entry(wanted.attempt.task.job);
-                }
-                unsure.push(wanted.attempt.number);
+                // A task is placed only if its job was not cancelled before: our copy may not show that yet.
+                placed.jobs.insert(task.job, open.version);
+                placed.roster_parts.insert(roster_part);
+                placed.attempts.push(wanted.attempt.number);
             }
         }
         self.fenced = fenced;
-        // A write of unknown outcome is made sure of by the next one, needed or not.
-        if draft == self.places && self.unsure.is_empty() {
-            self.ended
-                .retain(|(machine, attempt), _| still_there(&self.places, machine, attempt));
-            return None;
-        }
-        let mut txn = Txn::default()
-            .when(grant_key(&self.id), self.grant_version)
-            .when(places_key(&self.id), self.places_version);
-        if !unsure.is_empty() {
-            // Nothing is placed on a machine that the leader has begun to drain or has deleted meanwhile.
-            txn = txn.when(
-                roster_key(&self.id),
-                view.rosters
-                    .get(&self.id)
-                    .map_or(0, |roster| roster.version),
-            );
-        }
-        for (job, version) in conditions {
-            txn = txn.when(job_key(job), version);
-        }
-        txn = txn.put(places_key(&self.id), &draft);
-        self.unsure.extend(unsure);
-        self.draft = Some(draft);
-        self.writer.sent();
-        Some(Op::Commit(txn))
+        placed
     }
 
     pub(super) fn written(&mut self, now: Now, grant_version: u64, outcome: &Outcome) {
@@ -714,16 +751,19 @@
                     .attempts()
                     .map(|(_, attempt)| attempt.number)
                     .collect();
-                let started: Vec<(MachineId, Attempt)> = draft
+                self.parts = draft.committed(*revision);
+                self.places = merged(&self.parts);
+                self.places_version = *revision;
+                let started: Vec<(MachineId, Attempt)> = self
+                    .places
                     .attempts()
                     .filter(|(_, attempt)| !old.contains(&attempt.number))
                     .map(|(machine, attempt)| (machine.clone(), attempt))
                     .collect();
-                self.places = draft;
-                self.places_version = *revision;
                 // We know our own places; only others' records are waited for.
                 self.writer = Writer::Idle;
                 self.unsure.clear();
+                self.unsure_parts.clear();
                 self.ended
                     .retain(|(machine, attempt), _| still_there(&self.places, machine, attempt));
                 for (machine, attempt) in started {
@@ -736,7 +776,7 @@
             }
             (Outcome::Unknown, _) => {}
             // Not executed.
-            _ => self.unsure.clear(),
+            _ => (self.unsure, self.unsure_parts) = std::mem::take(&mut self.unsure_before),
         }
     }
 
@@ -851,17 +891,54 @@
     }
 }
 
+/// What a transaction places, and what it is conditioned on for that.
+#[derive(Debug, Default)]
+struct Placed {
+    attempts: Vec<u64>,
+    jobs: BTreeMap<JobId, u64>,
+    roster_parts: BTreeSet<Part>,
+}
+
+impl Placed {
+    /// The conditions that it comes to with one more task.
+    fn conditions_with(&self, job: JobId, roster_part: Part) -> usize {
+        self.jobs.len()
+            + self.roster_parts.len()
+            + usize::from(!self.jobs.contains_key(&job))
+            + usize::from(!self.roster_parts.contains(&roster_part))
+    }
+}
+
+/// The part of the block's roster that a machine is in: the last one, if it is being moved.
+fn roster_part_of(view: &View, block: &BlockId, machine: &MachineId) -> Option<Part> {
+    let parts = view.roster_parts(block)?;
+    let holding = parts
+        .iter()
+        .filter(|(_, part)| part.value.on.contains_key(machine));
+    holding.map(|(part, _)| *part).next_back()
+}
+
 /// Whether a job's tasks should run at all.
 pub(super) fn wanted_alive(view: &View, job: JobId) -> bool {
     view.open.get(&job).is_some_and(|open| !open.cancelled)
 }
 
-pub(super) fn recorded(view: &View, block: &BlockId) -> (Places, u64) {
-    view.places
-        .get(block)
-        .map_or((Places::default(), 0), |places| {
-            (places.value.clone(), places.version)
-        })
+/// What the records say of a block's tasks.
+pub(super) struct Recorded {
+    pub(super) places: Places,
+    pub(super) version: u64,
+    pub(super) parts: Parts<Places>,
+}
+
+pub(super) fn recorded(view: &View, block: &BlockId) -> Recorded {
+    let places = view.places.get(block);
+    Recorded {
+        places: places
+            .map(|places| places.value.clone())
+            .unwrap_or_default(),
+        version: places.map_or(0, |places| places.version),
+        parts: view.places_parts(block).cloned().unwrap_or_default(),
+    }
 }
 
 pub(super) fn still_there(places: &Places, machine: &MachineId, attempt: &Attempt) -> bool {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! does only after the cloud has deleted it.
 
 mod block;
+mod parts;
 pub mod wire;
 mod worker;
 
@@ -114,7 +115,7 @@
             if ours(id).is_none() {
                 continue;
             }
-            let (places, places_version) = recorded(view, id);
+            let recorded = recorded(view, id);
             match self.blocks.get_mut(id) {
                 Some(block) if block.grant_version >= grant.version => {}
                 Some(block) => {
@@ -122,8 +123,10 @@
                     // be committed any more, so our copy holds all that were.
                     block.grant_version = grant.version;
                     block.raise(grant.value.token);
-                    block.places = places;
-                    block.places_version = places_version;
+                    block.places = recorded.places;
+                    block.places_version = recorded.version;
+                    block.parts = recorded.parts;
+                    block.unsure_parts.clear();
                     block.last_work = 0;
                     block.pending.clear();
                     block.handled.clear();
@@ -136,8 +139,8 @@
                     }
                 }
                 None => {
-                    info!(block = %id, token = grant.value.token, tasks = places.attempts().count(), "block taken up");
-                    let mut block = Block::new(id.clone(), grant, places, places_version);
+                    info!(block = %id, token = grant.value.token, tasks = recorded.places.attempts().count(), "block taken up");
+                    let mut block = Block::new(id.clone(), grant, recorded);
                     block.sync_machines(now, view);
                     self.blocks.insert(id.clone(), block);
                 }
--- /dev/null
+++ b/src/fleet/parts.rs
@@ -0,0 +1,333 @@
+//! The values that a block's tasks are kept in, and changes to them that fit one transaction.
+//!
+//! An attempt is recorded in one part only, whichever has room, so that what starts together is one change. A value that
+//! is too large for the limits in force can't be written again: what it holds is copied to other parts, and it is deleted
+//! once they hold everything.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::config::StateLimits;
+use crate::domain::{Attempt, BlockId, JobId, MachineId};
+use crate::store::records::{
+    FIRST_PART, Part, PlacedText, Places, Ranges, done_entry, places_part_key,
+};
+use crate::store::view::Parts;
+use crate::store::{Txn, Versioned, View};
+
+/// How full a part is made when a large value is divided. The rest is for tasks that end there.
+const DIVIDED_FULL: f64 = 0.7;
+/// Finished tasks that are recorded elsewhere are removed when their part is written anyway, or when it is this full:
+/// until then they do no harm, and each part costs a change.
+const PRUNED_FULL: f64 = 0.6;
+/// Added to the sizes worked out here, for what they leave out.
+const RESERVE_BYTES: usize = 64;
+
+/// What one value and one transaction may hold.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PartLimits {
+    pub(super) value_bytes: usize,
+    /// The most parts that one transaction changes.
+    pub(super) changes: usize,
+    /// Whether there may be other parts than the first.
+    pub(super) divided: bool,
+}
+
+impl PartLimits {
+    pub(super) fn new(limits: &StateLimits, divided: bool) -> Self {
+        PartLimits {
+            value_bytes: limits.value_bytes,
+            changes: if divided { limits.txn_ops } else { 1 },
+            divided,
+        }
+    }
+}
+
+/// All parts together.
+pub(super) fn merged(parts: &Parts<Places>) -> Places {
+    let mut merged = Places::default();
+    parts.values().for_each(|part| merged.merge(&part.value));
+    merged
+}
+
+/// A block's parts as the next transaction is to leave them.
+#[derive(Debug, Clone)]
+pub(super) struct PartsDraft {
+    limits: PartLimits,
+    parts: Parts<Places>,
+    changed: BTreeSet<Part>,
+    deleted: BTreeSet<Part>,
+}
+
+impl PartsDraft {
+    /// `settle`: parts of a transaction of unknown outcome. Writing them once more decides it: either of the two fails.
+    pub(super) fn new(parts: &Parts<Places>, limits: PartLimits, settle: &BTreeSet<Part>) -> Self {
+        let mut draft = PartsDraft {
+            limits,
+            parts: parts.clone(),
+            changed: settle.clone(),
+            deleted: BTreeSet::new(),
+        };
+        for part in settle {
+            draft.parts.entry(*part).or_insert_with(empty_part);
+        }
+        draft
+    }
+
+    pub(super) fn any(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    pub(super) fn changed(&self) -> &BTreeSet<Part> {
+        &self.changed
+    }
+
+    pub(super) fn merged(&self) -> Places {
+        merged(&self.parts)
+    }
+
+    pub(super) fn most_changes(&self) -> usize {
+        self.limits.changes
+    }
+
+    fn may_change(&self, part: Part) -> bool {
+        self.changed.contains(&part) || self.changed.len() < self.limits.changes
+    }
+
+    /// Removes an attempt that is gone, and notes its task as done if it is. False: there is no such attempt, or no more
+    /// parts can be changed.
+    pub(super) fn end(&mut self, machine: &MachineId, attempt: Attempt, done: bool) -> bool {
+        let holding: Vec<Part> = self
+            .parts
+            .iter()
+            .filter(|(_, part)| holds(&part.value, machine, attempt))
+            .map(|(part, _)| *part)
+            .collect();
+        if holding.is_empty() || !holding.iter().all(|part| self.may_change(*part)) {
+            return false;
+        }
+        for index in holding {
+            let Some(part) = self.parts.get_mut(&index) else {
+                continue;
+            };
+            part.value.remove(machine, attempt);
+            if done {
+                let task = attempt.task;
+                part.value
+                    .done
+                    .entry(task.job)
+                    .or_default()
+                    .insert(task.index);
+            }
+            self.changed.insert(index);
+        }
+        true
+    }
+
+    /// Removes finished tasks that are recorded elsewhere.
+    pub(super) fn prune(&mut self, view: &View) {
+        let full = self.limits.value_bytes as f64 * PRUNED_FULL;
+        let indexes: Vec<Part> = self.parts.keys().copied().collect();
+        for index in indexes {
+            let may_change = self.may_change(index);
+            let Some(part) = self.parts.get_mut(&index) else {
+                continue;
+            };
+            let due = !self.limits.divided
+                || self.changed.contains(&index)
+                || part.value.worst() as f64 > full;
+            if part.value.done.is_empty() || !due || !may_change {
+                continue;
+            }
+            let mut pruned = part.value.clone();
+            view.forget_recorded_ends(&mut pruned);
+            if pruned != part.value {
+                part.value = pruned;
+                self.changed.insert(index);
+            }
+        }
+    }
+
+    /// Records an attempt in a part with room: one that is changed anyway, else the emptiest, else a new one. False: there
+    /// is no room for it in this transaction.
+    pub(super) fn add(&mut self, machine: &MachineId, attempt: Attempt) -> bool {
+        let Some(index) = self.part_for(machine, attempt) else {
+            return false;
+        };
+        let part = self.parts.entry(index).or_insert_with(empty_part);
+        part.value.add(machine, attempt);
+        self.changed.insert(index);
+        true
+    }
+
+    fn part_for(&self, machine: &MachineId, attempt: Attempt) -> Option<Part> {
+        let mut fitting: Vec<(bool, usize, Part)> = Vec::new();
+        for (index, part) in self
+            .parts
+            .iter()
+            .filter(|(index, _)| self.may_change(**index))
+        {
+            let size = part.value.worst();
+            if size + growth(&part.value, machine, attempt) <= self.limits.value_bytes {
+                fitting.push((!self.changed.contains(index), size, *index));
+            }
+        }
+        let emptiest = fitting.into_iter().min().map(|(_, _, index)| index);
+        emptiest.or_else(|| {
+            let next = self
+                .parts
+                .last_key_value()
+                .map_or(FIRST_PART, |(last, _)| last + 1);
+            let allowed = next == FIRST_PART || self.limits.divided;
+            (allowed && self.may_change(next)).then_some(next)
+        })
+    }
+
+    /// A draft that only brings a value which is too large into others, if there is one.
+    pub(super) fn dividing(
+        parts: &Parts<Places>,
+        limits: PartLimits,
+        settle: &BTreeSet<Part>,
+    ) -> Option<Self> {
+        let (large, _) = parts.iter().find(|(_, part)| {
+            limits.divided && part.value.size().max(part.value.worst()) > limits.value_bytes
+        })?;
+        let mut draft = PartsDraft::new(parts, limits, settle);
+        draft.divide(*large);
+        Some(draft)
+    }
+
+    fn divide(&mut self, large: Part) {
+        let mut left = self
+            .parts
+            .get(&large)
+            .map(|part| part.value.clone())
+            .unwrap_or_default();
+        for (_, part) in self.parts.iter().filter(|(index, _)| **index != large) {
+            subtract(&mut left, &part.value);
+        }
+        // One change is left for the deletion.
+        let most = self.limits.changes.saturating_sub(1).max(1);
+        let full = (self.limits.value_bytes as f64 * DIVIDED_FULL) as usize;
+        while !left.is_empty() && self.changed.iter().filter(|part| **part != large).count() < most
+        {
+            let copied = take_up_to(&mut left, full);
+            let next = self
+                .parts
+                .last_key_value()
+                .map_or(FIRST_PART, |(last, _)| last + 1);
+            let mut part = empty_part();
+            part.value = copied;
+            self.parts.insert(next, part);
+            self.changed.insert(next);
+        }
+        if left.is_empty() {
+            self.parts.remove(&large);
+            self.changed.insert(large);
+            self.deleted.insert(large);
+        }
+    }
+
+    /// Adds the conditions and changes to a transaction.
+    pub(super) fn apply(&self, block: &BlockId, old: &Parts<Places>, mut txn: Txn) -> Txn {
+        for index in &self.changed {
+            let key = places_part_key(block, *index);
+            txn = txn.when(key.clone(), old.get(index).map_or(0, |part| part.version));
+            txn = match self.parts.get(index) {
+                Some(part) => txn.put(key, &part.value),
+                None => txn.delete(key),
+            };
+        }
+        txn
+    }
+
+    /// The parts once the transaction is committed.
+    pub(super) fn committed(mut self, revision: u64) -> Parts<Places> {
+        for index in &self.changed {
+            if let Some(part) = self.parts.get_mut(index) {
+                part.version = revision;
+            }
+        }
+        self.parts
+    }
+}
+
+fn empty_part() -> Versioned<Places> {
+    Versioned {
+        value: Places::default(),
+        version: 0,
+    }
+}
+
+fn holds(places: &Places, machine: &MachineId, attempt: Attempt) -> bool {
+    places
+        .on
+        .get(machine)
+        .is_some_and(|list| list.contains(&PlacedText(attempt)))
+}
+
+/// By how much a part may grow with one more attempt, until that has ended.
+fn growth(places: &Places, machine: &MachineId, attempt: Attempt) -> usize {
+    let entry = if places.on.contains_key(machine) {
+        0
+    } else {
+        machine.0.len() + 8
+    };
+    entry + PlacedText(attempt).size() + done_entry(attempt.task.job) + RESERVE_BYTES
+}
+
+/// Removes what the other part holds too.
+fn subtract(places: &mut Places, other: &Places) {
+    for (machine, list) in &other.on {
+        for placed in list {
+            places.remove(machine, placed.0);
+        }
+    }
+    places.done.retain(|job, done| {
+        if let Some(known) = other.done.get(job) {
+            known
+                .0
+                .iter()
+                .for_each(|range| done.0.remove(range.clone()));
+        }
+        !done.is_empty()
+    });
+}
+
+/// Takes out what makes a part of this size.
+fn take_up_to(places: &mut Places, bytes: usize) -> Places {
+    let mut taken = Places::default();
+    while let Some((machine, list)) = places.on.pop_first() {
+        let mut rest = list;
+        while let Some(placed) = rest.pop() {
+            if taken.worst() + growth(&taken, &machine, placed.0) > bytes && !taken.is_empty() {
+                rest.push(placed);
+                places.on.insert(machine, rest);
+                return taken;
+            }
+            taken.add(&machine, placed.0);
+        }
+    }
+    take_done(places, &mut taken, bytes);
+    taken
+}
+
+fn take_done(places: &mut Places, taken: &mut Places, bytes: usize) {
+    let jobs: BTreeMap<JobId, Ranges> = std::mem::take(&mut places.done);
+    let mut size = taken.worst();
+    for (job, done) in jobs {
+        size += done_entry(job);
+        for range in done.0.iter() {
+            let one = Ranges([range.clone()].into_iter().collect());
+            size += one.size();
+            let target = if size + RESERVE_BYTES > bytes && !taken.is_empty() {
+                &mut places.done
+            } else {
+                &mut taken.done
+            };
+            target.entry(job).or_default().merge(&one);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/fleet/parts/tests.rs
@@ -0,0 +1,193 @@
+//! A block's values under limits on their size and on the changes of a transaction.
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use super::*;
+use crate::domain::TaskId;
+use crate::store::TxnChange;
+use crate::store::records::{encode, json_size};
+
+const LIMITS: PartLimits = PartLimits {
+    value_bytes: 2048,
+    changes: 5,
+    divided: true,
+};
+
+fn attempt(job: u64, index: u32) -> Attempt {
+    Attempt {
+        task: TaskId {
+            job: JobId(job),
+            index,
+        },
+        number: (9 << 20) + job * 1000 + u64::from(index),
+    }
+}
+
+fn machine(n: u64) -> MachineId {
+    format!("m-{n:06}").as_str().into()
+}
+
+/// What the state service holds after the draft's transaction; checks what it must keep to.
+fn commit(old: &Parts<Places>, draft: PartsDraft, revision: u64) -> Parts<Places> {
+    let txn = draft.apply(&"a.0".into(), old, Txn::default());
+    assert!(
+        txn.changes.len() <= LIMITS.changes,
+        "{} changes",
+        txn.changes.len()
+    );
+    for change in &txn.changes {
+        if let TxnChange::Put { key, value, .. } = change {
+            let size = json_size(value);
+            assert!(size <= LIMITS.value_bytes, "{key} is {size} bytes");
+        }
+    }
+    draft.committed(revision)
+}
+
+fn one_part(places: Places) -> Parts<Places> {
+    let part = Versioned {
+        value: places,
+        version: 1,
+    };
+    [(FIRST_PART, part)].into()
+}
+
+#[test]
+fn no_value_and_no_transaction_exceeds_its_limit_whatever_starts_and_ends() {
+    for seed in 0..3 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut parts: Parts<Places> = Parts::new();
+        let mut placed: Vec<(MachineId, Attempt)> = Vec::new();
+        let mut finished: BTreeMap<JobId, BTreeSet<u32>> = BTreeMap::new();
+        for step in 0..120u64 {
+            let mut draft = PartsDraft::new(&parts, LIMITS, &BTreeSet::new());
+            for _ in 0..rng.random_range(0..20) {
+                if let Some((on, ended)) = placed.choose(&mut rng).cloned()
+                    && draft.end(&on, ended, true)
+                {
+                    placed.retain(|(_, attempt)| *attempt != ended);
+                    finished
+                        .entry(ended.task.job)
+                        .or_default()
+                        .insert(ended.task.index);
+                }
+            }
+            for index in 0..rng.random_range(0..30) {
+                let (on, new) = (machine(rng.random_range(0..90)), attempt(step, index));
+                if placed.len() < 400 && draft.add(&on, new) {
+                    placed.push((on, new));
+                }
+            }
+            parts = commit(&parts, draft, step + 1);
+            let all = merged(&parts);
+            assert_eq!(
+                all.attempts().count(),
+                placed.len(),
+                "seed {seed}, step {step}"
+            );
+            assert!(
+                placed.iter().all(|(on, attempt)| holds(&all, on, *attempt)),
+                "seed {seed}, step {step}"
+            );
+            for (job, done) in &finished {
+                assert!(done.iter().all(|index| all.done[job].contains(*index)));
+            }
+        }
+        assert!(parts.len() > 5, "seed {seed}: {} parts", parts.len());
+    }
+}
+
+#[test]
+fn a_value_that_is_too_large_is_divided_step_by_step_and_loses_nothing() {
+    let mut large = Places::default();
+    for n in 0..500 {
+        large.add(&machine(n % 150), attempt(n, 0));
+    }
+    for n in 0..200 {
+        let done = large.done.entry(JobId(700 + n)).or_default();
+        (0..20).step_by(2).for_each(|index| done.insert(index));
+    }
+    assert!(json_size(&encode(&large)) > 10_000);
+    let mut parts = one_part(large.clone());
+    let mut steps = 0;
+    while let Some(draft) = PartsDraft::dividing(&parts, LIMITS, &BTreeSet::new()) {
+        steps += 1;
+        assert!(draft.any() && steps < 20, "step {steps}");
+        parts = commit(&parts, draft, steps + 1);
+        // In between, too, nothing is missing.
+        assert_same(&merged(&parts), &large);
+    }
+    assert!(steps > 1, "more than one transaction holds");
+    assert!(
+        !parts.contains_key(&FIRST_PART),
+        "deleted, for it can't be written"
+    );
+}
+
+fn assert_same(found: &Places, expected: &Places) {
+    assert_eq!(found.done, expected.done);
+    let sorted = |places: &Places| {
+        let mut all: Vec<(MachineId, Attempt)> = places
+            .attempts()
+            .map(|(machine, attempt)| (machine.clone(), attempt))
+            .collect();
+        all.sort();
+        all
+    };
+    assert_eq!(sorted(found), sorted(expected));
+}
+
+#[test]
+fn production_keeps_to_a_single_value() {
+    let limits = PartLimits {
+        changes: 1,
+        divided: false,
+        ..LIMITS
+    };
+    let mut large = Places::default();
+    (0..200).for_each(|n| {
+        large.add(&machine(n), attempt(n, 0));
+    });
+    let parts = one_part(large);
+    assert!(PartsDraft::dividing(&parts, limits, &BTreeSet::new()).is_none());
+    let mut draft = PartsDraft::new(&parts, limits, &BTreeSet::new());
+    assert!(
+        !draft.add(&machine(1), attempt(900, 0)),
+        "no room and no other part"
+    );
+    assert!(
+        draft.end(&machine(0), attempt(0, 0), true),
+        "what ends makes room"
+    );
+    assert_eq!(draft.changed().len(), 1);
+}
+
+/// Without it a late copy of the first transaction would be carried out after the second one.
+#[test]
+fn a_transaction_of_unknown_outcome_excludes_the_next_one_and_the_other_way_round() {
+    let parts: Parts<Places> = (0..3)
+        .map(|index| {
+            let mut places = Places::default();
+            places.add(&machine(u64::from(index)), attempt(u64::from(index), 0));
+            let part = Versioned {
+                value: places,
+                version: 4,
+            };
+            (index, part)
+        })
+        .collect();
+    let mut unknown = PartsDraft::new(&parts, LIMITS, &BTreeSet::new());
+    unknown.end(&machine(1), attempt(1, 0), true);
+    let settle = unknown.changed().clone();
+    let mut next = PartsDraft::new(&parts, LIMITS, &settle);
+    next.end(&machine(2), attempt(2, 0), true);
+    let keys = |draft: &PartsDraft| -> BTreeSet<(String, u64)> {
+        let txn = draft.apply(&"a.0".into(), &parts, Txn::default());
+        txn.conditions.into_iter().collect()
+    };
+    assert!(keys(&unknown).is_subset(&keys(&next)));
+    let written = |draft: &PartsDraft| draft.changed().clone();
+    assert!(written(&unknown).is_subset(&written(&next)));
+}
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -48,6 +48,9 @@
     Running,
     #[serde(rename = "flushing")]
     Saving,
+    /// A gang's task that waits for the others of its attempt.
+    #[serde(rename = "waiting")]
+    Waiting,
     #[serde(rename = "exited")]
     Exited,
     /// A state this version does not know: the task is there, that is all.
@@ -69,6 +72,12 @@
     Busy,
     #[serde(rename = "unknown")]
     Unknown,
+    /// Another task of the gang is gone.
+    #[serde(rename = "peers")]
+    PeerGone,
+    /// The gang was not complete in time.
+    #[serde(rename = "alone")]
+    Incomplete,
     #[serde(other)]
     Other,
 }
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -103,7 +103,8 @@
                 self.errors = 0;
                 self.failures.clear();
             }
-            None | Some(Cause::Stopped) => {}
+            // What another task of its gang ran into says nothing of this one.
+            None | Some(Cause::Stopped | Cause::PeerGone | Cause::Incomplete) => {}
             Some(cause) => {
                 self.errors += u32::from(cause == Cause::Error);
                 *self.failures.entry(job).or_default() += 1;
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -13,7 +13,7 @@
 use crate::peer::CancelledJob;
 use crate::provisioning::Flavors;
 use crate::store::budget::{Budget, Urgency};
-use crate::store::records::{JobRecord, job_key};
+use crate::store::records::{FORMAT, JobRecord, encode, job_key, json_size};
 use crate::store::{Op, Outcome, Txn, View};
 use wire::{JobState, Malformed};
 
@@ -124,9 +124,16 @@
         {
             return Some(refuse(422, problem));
         }
+        let record = JobRecord::Open(job.clone());
+        if !known && json_size(&encode(&record)) > cx.config.state_limits.value_bytes {
+            return Some(refuse(400, "its names are too long to be kept"));
+        }
         if let Some(response) = self.unable(now, cx) {
             return Some(response);
         }
+        if job.kind == Kind::Gang && cx.view.format() < FORMAT {
+            return Some(later(503, "not all controllers know this shape yet"));
+        }
         if known {
             return self.wait(now, id, Question::Submit(job_id), SUBMIT_WITHIN, cx);
         }
@@ -143,7 +150,6 @@
             });
         }
         let at_ms = job.accepted_ms;
-        let record = JobRecord::Open(job);
         let txn = Txn::default()
             .when(job_key(job_id), 0)
             .put(job_key(job_id), &record);
@@ -355,7 +361,8 @@
             };
             if matches!(pending.question, Question::Cancel(_)) && !open.cancelled {
                 let at_ms = now.unix_ms();
-                let record = JobRecord::Cancelled(open.job.clone(), at_ms);
+                let value_bytes = cx.config.state_limits.value_bytes;
+                let record = JobRecord::cancelled(&open.job, at_ms, value_bytes);
                 let txn = Txn::default()
                     .when(job_key(job), open.version)
                     .put(job_key(job), &record);
@@ -421,10 +428,9 @@
     if !flavors.fit(job) {
         return Some("a task fits no allowed machine type");
     }
-    let at_once = if job.kind == Kind::Service {
-        f64::from(job.tasks)
-    } else {
-        1.0
+    let at_once = match job.kind {
+        Kind::Service | Kind::Gang => f64::from(job.tasks),
+        Kind::Array => 1.0,
     };
     let Room { cpus, gpus, .. } = job.need;
     if cpus * at_once > limits.cpus_max + 1e-6 || gpus * at_once > limits.gpus_max + 1e-6 {
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -77,6 +77,7 @@
 pub struct Leadership {
     node: NodeName,
     boot: u64,
+    format: u32,
     member: Hold,
     leader: Hold,
     member_retry: Option<Instant>,
@@ -87,10 +88,12 @@
 }
 
 impl Leadership {
-    pub fn new(node: NodeName, boot: u64) -> Self {
+    /// `format`: the newest that this process knows.
+    pub fn new(node: NodeName, boot: u64, format: u32) -> Self {
         Leadership {
             node,
             boot,
+            format,
             member: Hold::None,
             leader: Hold::None,
             member_retry: None,
@@ -170,7 +173,10 @@
     /// Conditioned on the record that it replaces: an earlier process's hold may still last when a late copy of its
     /// request comes, and would put its record over ours.
     fn join(&self, hold: u64, view: &View) -> Op {
-        let record = Member { boot: self.boot };
+        let record = Member {
+            boot: self.boot,
+            format: self.format,
+        };
         let key = member_key(&self.node);
         let version = view.members.get(&self.node).map_or(0, |old| old.version);
         Op::Commit(
--- a/src/leadership/tests.rs
+++ b/src/leadership/tests.rs
@@ -10,7 +10,7 @@
         ..start
     };
     let view = View::following();
-    let mut leadership = Leadership::new("node-0".into(), 1);
+    let mut leadership = Leadership::new("node-0".into(), 1, 0);
     let answer = |leadership: &mut Leadership, now: Now, sent: Now, tag: Tag, outcome: Outcome| {
         leadership.handle(now, sent.steady, tag, &outcome, &view);
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod queueing;
 pub mod service;
 pub mod store;
+pub mod upgrade;
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,7 +22,9 @@
 use crate::provisioning::{self, Call, CallOutcome, Demand, Flavors, Provisioner};
 use crate::queueing::Queues;
 use crate::store::budget::{Budget, Urgency};
+use crate::store::records::FORMAT;
 use crate::store::{Op, Outcome, View, view};
+use crate::upgrade::Upgrade;
 
 /// Which slice a request to the state service belongs to.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,6 +33,7 @@
     Leadership(leadership::Tag),
     Intake(RequestId),
     Granting(u64),
+    Upgrade,
     Provisioning(u64),
     Queueing(u64),
     Block { block: BlockId, grant_version: u64 },
@@ -110,6 +113,10 @@
         id: RequestId,
         healthy: bool,
     },
+    /// The records are in a format newer than this program knows: it must not go on.
+    Unsupported {
+        format: u32,
+    },
 }
 
 struct Leading {
@@ -131,6 +138,9 @@
     budget: Budget<StoreTag>,
     leadership: Leadership,
     granting: Granting,
+    upgrade: Upgrade,
+    /// The format that this process has taken up.
+    format: u32,
     cancellations: Cancellations,
     flavors: Flavors,
     fleet: Fleet,
@@ -171,12 +181,19 @@
 const STATUS_SPACING: Duration = Duration::from_millis(100);
 
 impl Node {
+    /// A controller of this version.
     pub fn new(config: Config, policy: Policy, seed: u64, now: Now) -> Self {
+        Node::knowing(FORMAT, config, policy, seed, now)
+    }
+
+    /// A controller that tells the others that it knows records up to this format: 0 as the production version, which
+    /// does not say.
+    pub fn knowing(format: u32, config: Config, policy: Policy, seed: u64, now: Now) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let boot = rng.random::<u64>() >> 12;
         let budget = Budget::new(&config.state_limits, config.controllers(), now);
         Node {
-            leadership: Leadership::new(config.name.clone(), boot),
+            leadership: Leadership::new(config.name.clone(), boot, format),
             policy,
             boot,
             rng,
@@ -184,6 +201,8 @@
             config,
             budget,
             granting: Granting::new(),
+            upgrade: Upgrade::new(),
+            format: 0,
             cancellations: Cancellations::new(),
             flavors: Flavors::default(),
             fleet: Fleet::new(),
@@ -389,6 +408,7 @@
             StoreTag::View(_) | StoreTag::Leadership(_) => None,
             StoreTag::Intake(_) => Some("intake"),
             StoreTag::Granting(_) => Some("granting"),
+            StoreTag::Upgrade => Some("upgrade"),
             StoreTag::Provisioning(_) => Some("provisioning"),
             StoreTag::Queueing(_) => Some("queueing"),
             StoreTag::Block { .. } => Some("block"),
@@ -422,6 +442,7 @@
                     self.granting.answered(now, &outcome);
                 }
             }
+            StoreTag::Upgrade => self.upgrade.answered(now, &outcome),
             StoreTag::Provisioning(term) => {
                 if let Some(leading) = self
                     .leading
@@ -536,6 +557,12 @@
 
     /// Whatever follows from the present state.
     fn advance(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        if self.view.format() > FORMAT {
+            let format = self.view.format();
+            effects.push(Effect::Unsupported { format });
+            return;
+        }
+        self.take_up_format(now);
         if self.flavors.due(now) {
             effects.push(Effect::Call {
                 tag: provisioning::Tag::Flavors,
@@ -609,6 +636,18 @@
         }
     }
 
+    /// From the switch on, the limits to come count as well as the present ones.
+    fn take_up_format(&mut self, now: Now) {
+        if self.view.format() == self.format {
+            return;
+        }
+        self.format = self.view.format();
+        self.config.adopt_next_limits();
+        let limits = self.config.state_limits;
+        self.budget.limit(now, &limits, self.leading.is_some());
+        info!(format = self.format, ?limits, "new format of records");
+    }
+
     fn lead(&mut self, now: Now, effects: &mut Vec<Effect>) {
         let Some((term, version)) = self.leadership.leading(&self.view) else {
             if self.leading.take().is_some() {
@@ -651,6 +690,8 @@
             spare,
         };
         let mut ops = Vec::new();
+        let op = self.upgrade.poll(now, &lead, &mut self.view);
+        ops.extend(op.map(|op| (Urgency::Authority, StoreTag::Upgrade, op)));
         if self.flavors.known() {
             let op = self.granting.poll(now, &lead, &mut self.view);
             ops.extend(op.map(|op| (Urgency::Authority, StoreTag::Granting(term), op)));
--- a/src/provisioning/edits.rs
+++ b/src/provisioning/edits.rs
@@ -6,15 +6,17 @@
 use crate::blocks;
 use crate::domain::{BlockId, MachineId, TypeName, Zone};
 use crate::leadership::Lead;
-use crate::store::records::{Roster, Rostered, roster_key};
+use crate::store::records::{FIRST_PART, FORMAT, Part, Roster, Rostered, roster_part_key};
 use crate::store::{Txn, View};
 
-/// Changes to rosters, gathered so that each block's value is written once.
+/// Changes to rosters, gathered so that each value is written once.
 pub(super) struct Edits<'v> {
     pub(super) view: &'v View,
-    pub(super) rosters: BTreeMap<BlockId, Roster>,
-    /// Blocks that one transaction may change.
+    rosters: BTreeMap<(BlockId, Part), Roster>,
+    /// Values that one transaction may change.
     pub(super) most: usize,
+    /// What one of them may measure; None: blocks are not divided yet.
+    part_bytes: Option<usize>,
     /// The blocks of each zone, and how full each is for its value: by its machines, and by the tasks they may get.
     pub(super) blocks: BTreeMap<Zone, BTreeMap<BlockId, f64>>,
     pub(super) value_bytes: f64,
@@ -62,9 +64,10 @@
         let mut edits = Edits {
             view,
             rosters: BTreeMap::new(),
+            part_bytes: (view.format() >= FORMAT).then_some(config.state_limits.value_bytes),
             most: config.state_limits.txn_ops - 1,
             blocks: BTreeMap::new(),
-            value_bytes: config.state_limits.value_bytes as f64,
+            value_bytes: config.block_bytes as f64,
             tasks,
         };
         for (block, zone) in blocks::wanted(&flavors.zones(config), config, policy, view) {
@@ -104,69 +107,162 @@
         let share = self.share(id, &entry);
         let full = self.rosters.len() + reserved >= self.most;
         let of_zone = self.blocks.entry(zone.clone()).or_default();
-        let usable = of_zone
+        let fills: Vec<(BlockId, f64)> = of_zone
             .iter()
-            .filter(|(block, _)| !full || self.rosters.contains_key(*block));
-        let emptiest = usable
-            .min_by(|a, b| a.1.total_cmp(b.1))
-            .map(|(block, fill)| (block.clone(), *fill));
-        let block = match emptiest {
-            Some((block, fill)) if fill + share <= BLOCK_FULL => block,
-            _ if full => return false,
-            _ => blocks::name(zone, of_zone.len()),
-        };
-        *of_zone.entry(block.clone()).or_default() += share;
-        let fresh = || {
-            self.view
-                .rosters
-                .get(&block)
-                .map_or_else(|| Roster::new(zone.clone()), |r| r.value.clone())
+            .filter(|(_, fill)| **fill + share <= BLOCK_FULL)
+            .map(|(block, fill)| (block.clone(), *fill))
+            .collect();
+        let fresh = blocks::name(zone, of_zone.len());
+        let emptiest = fills
+            .into_iter()
+            .filter_map(|(block, fill)| {
+                let part = self.part_for(&block, id, &entry)?;
+                let open = !full || self.rosters.contains_key(&(block.clone(), part));
+                open.then_some((block, part, fill))
+            })
+            .min_by(|a, b| a.2.total_cmp(&b.2));
+        let (block, part) = match emptiest {
+            Some((block, part, _)) => (block, part),
+            None if full => return false,
+            None => (fresh, FIRST_PART),
         };
-        self.rosters
+        *self
+            .blocks
+            .entry(zone.clone())
+            .or_default()
             .entry(block.clone())
-            .or_insert_with(fresh)
+            .or_default() += share;
+        self.roster_mut(&block, part, zone)
             .on
             .insert(id.clone(), entry);
         true
     }
 
+    /// The part of a block that has room for a machine, or a new one: those that are changed anyway first. None: the
+    /// block has a single value, and is full.
+    fn part_for(&self, block: &BlockId, id: &MachineId, entry: &Rostered) -> Option<Part> {
+        let Some(most) = self.part_bytes else {
+            return Some(FIRST_PART);
+        };
+        let known = self.view.roster_parts(block);
+        let parts = known.into_iter().flat_map(|parts| parts.keys().copied());
+        let edited = self.rosters.keys().filter(|(of, _)| of == block);
+        let mut parts: Vec<Part> = edited.map(|(_, part)| *part).chain(parts).collect();
+        let next = parts.iter().max().map_or(FIRST_PART, |last| last + 1);
+        parts.push(next);
+        let needed = entry.size(id) + entry.type_name.0.len() + ROSTER_RESERVE_BYTES;
+        let fits = |part: &Part| {
+            let edited = self.rosters.get(&(block.clone(), *part));
+            let recorded = || Some(&known?.get(part)?.value);
+            let size = edited.or_else(recorded).map_or(0, Roster::size);
+            size + needed <= most
+        };
+        parts.into_iter().find(fits)
+    }
+
+    fn roster_mut(&mut self, block: &BlockId, part: Part, zone: &Zone) -> &mut Roster {
+        let view = self.view;
+        let recorded = || {
+            let recorded = view.roster_parts(block).and_then(|parts| parts.get(&part));
+            recorded.map_or_else(|| Roster::new(zone.clone()), |roster| roster.value.clone())
+        };
+        self.rosters
+            .entry((block.clone(), part))
+            .or_insert_with(recorded)
+    }
+
     /// Changes the roster that a machine is in. False: the transaction has no room, or there is no such machine.
     pub(super) fn change(&mut self, id: &MachineId, change: impl FnOnce(&mut Roster)) -> bool {
-        let Some(block) = self.view.machines.get(id).map(|machine| &machine.block) else {
+        let Some(machine) = self.view.machines.get(id) else {
             return false;
         };
-        if !self.rosters.contains_key(block) {
-            let Some(roster) = self
-                .view
-                .rosters
-                .get(block)
-                .filter(|_| self.rosters.len() < self.most)
-            else {
-                return false;
-            };
-            self.rosters.insert(block.clone(), roster.value.clone());
-        }
-        if let Some(roster) = self.rosters.get_mut(block) {
-            change(roster);
+        let (block, zone) = (machine.block.clone(), machine.zone.clone());
+        let parts = self.view.roster_parts(&block);
+        let holding = parts
+            .into_iter()
+            .flatten()
+            .filter(|(_, part)| part.value.on.contains_key(id));
+        let Some(part) = holding.map(|(part, _)| *part).next_back() else {
+            return false;
+        };
+        let open = self.rosters.contains_key(&(block.clone(), part));
+        if !open && self.rosters.len() >= self.most {
+            return false;
         }
+        change(self.roster_mut(&block, part, &zone));
         true
     }
 
+    /// Brings a value that is too large into parts that fit. Nothing else may be changed before that is done. None: there
+    /// is no such value.
+    pub(super) fn divide(&mut self) -> Option<Division> {
+        let most = self.part_bytes?;
+        let (block, large) = self.view.rosters.keys().find_map(|block| {
+            let mut parts = self.view.roster_parts(block)?.iter();
+            let large = parts.find(|(_, part)| part.value.size() > most)?;
+            Some((block.clone(), *large.0))
+        })?;
+        let parts = self.view.roster_parts(&block)?;
+        let whole = &parts.get(&large)?.value;
+        let elsewhere = |id: &MachineId| {
+            let mut others = parts.iter().filter(|(part, _)| **part != large);
+            others.any(|(_, part)| part.value.on.contains_key(id))
+        };
+        let mut left: Vec<(&MachineId, &Rostered)> =
+            whole.on.iter().filter(|(id, _)| !elsewhere(id)).collect();
+        left.reverse();
+        let zone = whole.zone.clone();
+        while let Some((id, entry)) = left.last() {
+            let Some(part) = self.part_for(&block, id, entry) else {
+                break;
+            };
+            // One change is left for the deletion.
+            let open = self.rosters.contains_key(&(block.clone(), part));
+            if !open && self.rosters.len() + 1 >= self.most {
+                return Some(Division {
+                    block,
+                    finished: None,
+                });
+            }
+            let (id, entry) = ((*id).clone(), (*entry).clone());
+            self.roster_mut(&block, part, &zone).on.insert(id, entry);
+            left.pop();
+        }
+        Some(Division {
+            block,
+            finished: Some(large),
+        })
+    }
+
     pub(super) fn any(&self) -> bool {
         !self.rosters.is_empty()
     }
 
     pub(super) fn apply(self, mut txn: Txn) -> Txn {
-        for (block, roster) in &self.rosters {
-            let version = self.view.rosters.get(block).map_or(0, |old| old.version);
+        for ((block, part), roster) in &self.rosters {
+            let old = self
+                .view
+                .roster_parts(block)
+                .and_then(|parts| parts.get(part));
+            let key = roster_part_key(block, *part);
             txn = txn
-                .when(roster_key(block), version)
-                .put(roster_key(block), roster);
+                .when(key.clone(), old.map_or(0, |old| old.version))
+                .put(key, roster);
         }
         txn
     }
 }
 
+/// A value that is being brought into parts.
+pub(super) struct Division {
+    pub(super) block: BlockId,
+    /// All that it holds is in other parts with this transaction, so that it can be deleted in it.
+    pub(super) finished: Option<Part>,
+}
+
+/// Room left in each part of a roster.
+const ROSTER_RESERVE_BYTES: usize = 64;
+
 /// What one placed task takes of its block's value, and the most of them that are reckoned with on one machine.
 pub(super) const TASK_BYTES: f64 = 22.0;
 pub(super) const MOST_TASKS: f64 = 32.0;
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -24,7 +24,7 @@
 use crate::fleet::wire::Report;
 use crate::leadership::Lead;
 use crate::policy::Policy;
-use crate::store::records::{LEADER, Order, Rostered, order_key};
+use crate::store::records::{LEADER, Order, Rostered, order_key, roster_part_key};
 use crate::store::{Op, Outcome, Txn, View, Writer};
 use boot_times::BootTimes;
 use edits::Edits;
@@ -618,8 +618,8 @@
             return None;
         }
         let txn = Txn::default().when(LEADER, lead.version);
-        let txn = self
-            .record_rented(now, lead, view, demand, &txn)
+        let txn = divide_roster(lead, view, demand, &txn)
+            .or_else(|| self.record_rented(now, lead, view, demand, &txn))
             .or_else(|| self.record_deleted(now, lead, view, demand, &txn))
             .or_else(|| self.record_unexpected(now, lead, view, demand, &txn))
             .or_else(|| {
@@ -805,5 +805,22 @@
     }
 }
 
+/// Brings the value of a roster that is too large for the limits in force into parts.
+fn divide_roster(lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
+    let mut edits = Edits::new(lead, view, demand);
+    let division = edits.divide()?;
+    info!(block = %division.block, "a value is too large: divided");
+    let mut txn = edits.apply(txn.clone());
+    if let Some(part) = division.finished {
+        let parts = view.roster_parts(&division.block);
+        let version = parts.and_then(|parts| parts.get(&part));
+        let key = roster_part_key(&division.block, part);
+        txn = txn
+            .when(key.clone(), version.map_or(0, |part| part.version))
+            .delete(key);
+    }
+    Some(txn)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/queueing/block_state.rs
+++ b/src/queueing/block_state.rs
@@ -75,6 +75,27 @@
 }
 
 impl BlockState {
+    /// Notes a task that its holder is to place.
+    pub(super) fn release(
+        &mut self,
+        now: Now,
+        attempt: Attempt,
+        machine: MachineId,
+        preempted: Vec<Attempt>,
+    ) {
+        let release = Release {
+            attempt,
+            machine,
+            since: now.steady,
+            withdrawn: false,
+            message: u64::MAX,
+            preempted,
+            placeable_since: now.steady,
+        };
+        self.releases.insert(attempt.number, release);
+        self.dirty = true;
+    }
+
     /// Notes machines that the holder could ask if it were told where they are.
     pub(super) fn note_addresses(
         &mut self,
--- a/src/queueing/folding.rs
+++ b/src/queueing/folding.rs
@@ -8,7 +8,7 @@
 
 use crate::config::Config;
 use crate::domain::JobId;
-use crate::store::records::{CHUNK, Places, Progress, Ranges, progress_key};
+use crate::store::records::{CHUNK, FORMAT, Places, Progress, Ranges, progress_key};
 use crate::store::{Txn, View};
 
 /// A block's finished tasks are folded when its value is this full of all that it may come to hold ...
@@ -16,18 +16,24 @@
 /// ... and they take this much of it. A block that is full of running tasks alone gains nothing: its every finished task
 /// would be folded by itself, which once left the leader no writes for anything else.
 const WORTH_FOLDING: f64 = 0.15;
+const WORTH_FOLDING_DIVIDED: f64 = 0.5;
 
 /// Adds to the transaction what should be folded, up to `most` changes.
 pub(super) fn fold(config: &Config, view: &View, mut txn: Txn, most: usize) -> Txn {
     let limit = config.state_limits.value_bytes as f64;
+    // Where a block may have more values, room for finished tasks is had more cheaply than by folding.
+    let worth = if view.format() >= FORMAT {
+        WORTH_FOLDING_DIVIDED
+    } else {
+        WORTH_FOLDING
+    };
     for places in view
-        .places
-        .values()
+        .all_places_parts()
         .filter(|places| places.value.worst() as f64 > limit * FULL)
     {
         let mut left = places.value.clone();
         view.forget_recorded_ends(&mut left);
-        if (left.done_size() as f64) < limit * WORTH_FOLDING {
+        if (left.done_size() as f64) < limit * worth {
             continue;
         }
         for (job, chunk) in chunks(&left) {
--- /dev/null
+++ b/src/queueing/gangs/tests.rs
@@ -0,0 +1,174 @@
+//! When gangs are released, taken back and over.
+
+use super::super::tests::{Fixture, name};
+use super::*;
+use crate::domain::Job;
+use crate::placement::tests::job;
+use crate::store::records::{JobRecord, Places, encode, job_key, places_key};
+
+fn gang(tasks: u32, cpus: f64) -> Job {
+    Job {
+        kind: Kind::Gang,
+        checkpoint_every_s: 20.0,
+        checkpoint_s: 2.0,
+        ..job(tasks, cpus)
+    }
+}
+
+fn count(tasks: u32) -> GangCount {
+    GangCount {
+        tasks,
+        ..GangCount::default()
+    }
+}
+
+#[test]
+fn a_gang_is_whole_or_has_to_go() {
+    assert_eq!(GangState::of(3, count(0)), GangState::Queued);
+    assert_eq!(GangState::of(3, count(3)), GangState::Whole);
+    assert_eq!(GangState::of(3, count(2)), GangState::Broken);
+    let mixed = GangCount {
+        mixed: true,
+        ..count(3)
+    };
+    assert_eq!(GangState::of(3, mixed), GangState::Broken);
+    for tasks in 0..=3 {
+        let done = GangCount {
+            any_done: true,
+            ..count(tasks)
+        };
+        assert_eq!(
+            GangState::of(3, done),
+            GangState::Ended,
+            "one done, all done"
+        );
+    }
+}
+
+#[test]
+fn all_tasks_are_released_at_once_under_one_number_or_none_is() {
+    let mut fixture = Fixture::new(2);
+    // Machines have 16 CPUs.
+    fixture.job(1, gang(5, 8.0));
+    let released = fixture.plan().1;
+    assert!(
+        released.iter().all(|work| work.want.is_empty()),
+        "room for four only"
+    );
+    fixture.job(2, gang(4, 8.0));
+    let (_, work) = fixture.plan();
+    let attempts: Vec<Attempt> = work[0].want.iter().map(|wanted| wanted.attempt).collect();
+    let indexes: BTreeSet<u32> = attempts.iter().map(|attempt| attempt.task.index).collect();
+    assert_eq!(indexes, (0..4).collect());
+    let numbers: BTreeSet<u64> = attempts.iter().map(Attempt::wire_number).collect();
+    assert_eq!(numbers.len(), 1, "{attempts:?}");
+}
+
+#[test]
+fn a_gang_needs_its_team_to_have_room_for_all_of_it() {
+    let mut fixture = Fixture::new(6);
+    // The team `red` may use 64 CPUs.
+    fixture.job(1, job(1, 16.0));
+    let (_, work) = fixture.plan();
+    fixture.place(&work[0]);
+    fixture.job(2, gang(4, 16.0));
+    fixture.status(6, work[0].number, &[]);
+    assert!(fixture.plan().1.iter().all(|work| work.want.is_empty()));
+    fixture.job(3, gang(3, 16.0));
+    let released: usize = fixture.plan().1.iter().map(|work| work.want.len()).sum();
+    assert_eq!(released, 3);
+}
+
+/// The rest would wait for a task that never comes, in room that others need.
+#[test]
+fn what_is_left_of_a_gang_that_lost_a_task_is_stopped_before_it_starts_anew() {
+    let mut fixture = Fixture::new(3);
+    fixture.job(1, gang(3, 16.0));
+    let (_, work) = fixture.plan();
+    let first = work[0].want[0].attempt.gang_start();
+    fixture.place(&work[0]);
+    fixture.status(3, work[0].number, &[]);
+    assert_eq!(
+        fixture
+            .plan()
+            .1
+            .iter()
+            .map(|work| work.stop.len())
+            .sum::<usize>(),
+        0
+    );
+    // One of them is gone.
+    let block: BlockId = "a.0".into();
+    let mut places = fixture.view.places[&block].value.clone();
+    let lost = work[0].want[1].clone();
+    assert!(places.remove(&lost.machine, lost.attempt));
+    fixture.put(places_key(&block), encode(&places));
+    fixture.status(3, work[0].number, &[]);
+    let (_, stopping) = fixture.plan();
+    let stopped: Vec<Attempt> = stopping.iter().flat_map(|work| work.stop.clone()).collect();
+    assert_eq!(stopped.len(), 2);
+    assert!(
+        stopping.iter().all(|work| work.want.is_empty()),
+        "not before they are gone"
+    );
+    fixture.put(places_key(&block), encode(&Places::default()));
+    fixture.status(3, stopping[0].number, &[]);
+    let (_, anew) = fixture.plan();
+    let want: Vec<_> = anew.iter().flat_map(|work| &work.want).collect();
+    assert_eq!(want.len(), 3);
+    assert!(
+        want.iter()
+            .all(|wanted| wanted.attempt.gang_start() > first)
+    );
+}
+
+#[test]
+fn one_task_done_ends_the_whole_gang() {
+    let mut fixture = Fixture::new(3);
+    fixture.job(1, gang(3, 16.0));
+    let (_, work) = fixture.plan();
+    fixture.place(&work[0]);
+    let block: BlockId = "a.0".into();
+    let mut places = fixture.view.places[&block].value.clone();
+    let done = work[0].want[1].clone();
+    places.remove(&done.machine, done.attempt);
+    places
+        .done
+        .entry(JobId(1))
+        .or_default()
+        .insert(done.attempt.task.index);
+    fixture.put(places_key(&block), encode(&places));
+    fixture.status(3, work[0].number, &[]);
+    let (_, messages) = fixture.plan();
+    assert!(
+        messages
+            .iter()
+            .all(|work| work.stop.is_empty() && work.want.is_empty())
+    );
+    let ended = fixture.ended_jobs();
+    assert_eq!(ended, [JobId(1)]);
+}
+
+/// Without it smaller jobs take each bit of room that gets free, and a gang never finds enough of it.
+#[test]
+fn a_gang_that_has_waited_keeps_the_room_that_there_is() {
+    let mut fixture = Fixture::new(2);
+    fixture.job(1, job(1, 16.0));
+    let (_, work) = fixture.plan();
+    fixture.place(&work[0]);
+    let waited = u64::try_from(KEEP_ROOM_AFTER.as_millis()).expect("short") + 1;
+    let accepted_ms = fixture.now.unix_ms() - waited;
+    fixture.job(
+        2,
+        Job {
+            accepted_ms,
+            ..gang(2, 16.0)
+        },
+    );
+    fixture.job(3, job(1, 4.0));
+    fixture.status(2, work[0].number, &[]);
+    assert!(fixture.plan().1.iter().all(|work| work.want.is_empty()));
+    let gone = JobRecord::Cancelled(gang(2, 16.0), 0);
+    fixture.put(job_key(JobId(2)), encode(&gone));
+    assert_eq!(fixture.plan().1[0].want.len(), 1, "{}", name(0));
+}
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -7,6 +7,7 @@
 mod demand;
 mod failures;
 mod folding;
+mod gangs;
 mod holders;
 mod opportunistic;
 mod preemption;
@@ -22,8 +23,8 @@
 
 use crate::config::Config;
 use crate::domain::{
-    Attempt, BlockId, Final, Image, JobId, MachineId, NodeName, Now, Priority, Room, TaskId, Team,
-    Zone, since,
+    Attempt, BlockId, Final, Image, Job, JobId, Kind, MachineId, NodeName, Now, Priority, Room,
+    TaskId, Team, Zone, since,
 };
 use crate::leadership::Lead;
 use crate::peer::{BlockStatus, MachineStatus};
@@ -31,7 +32,7 @@
 use crate::provisioning::{Demand, Flavors, Health, Pool, Provisioner, Runs};
 use crate::store::records::{JobRecord, LEADER, job_key, progress_key};
 use crate::store::{Op, Outcome, Txn, View, Writer};
-use block_state::{BlockState, Release};
+use block_state::BlockState;
 use demand::Present;
 use failures::Failures;
 use opportunistic::{Opportunities, Reach};
@@ -45,6 +46,12 @@
 const STATUS_LIFE: Duration = Duration::from_secs(5);
 /// Releases decided in one go, so that a large job can't hold up everything else.
 const RELEASES: usize = 150;
+/// The room of a machine whose block can't hold another task.
+const BLOCK_IS_FULL: Room = Room {
+    cpus: -1.0,
+    gpus: -1.0,
+    memory_gb: -1.0,
+};
 /// What one attempt takes of its block's value, at the most.
 const ATTEMPT_BYTES: usize = 64;
 
@@ -80,6 +87,39 @@
 struct Exhausted {
     no_room: HashSet<Shape>,
     no_way: HashSet<(Shape, Team, Priority)>,
+    /// Gangs, by their tasks' shape and image and their number of tasks.
+    gangs: HashSet<(Shape, Image, u32)>,
+}
+
+/// What is left to be given away, while a plan is made.
+struct Plan {
+    candidates: Vec<Candidate>,
+    /// How many more tasks each block holds.
+    spaces: BTreeMap<BlockId, usize>,
+    usage: Usage,
+    /// What each team will use once the tasks that are being stopped are gone.
+    kept: Usage,
+    demand: Demand,
+    exhausted: Exhausted,
+    /// A gang has the room kept that there is for it.
+    room_kept: bool,
+}
+
+impl Plan {
+    /// Takes what a released task needs of a machine.
+    fn take(&mut self, index: usize, block: &BlockId, job: &Job) {
+        let chosen = &mut self.candidates[index];
+        chosen.free.take(&job.need);
+        if let Some(space) = self.spaces.get_mut(block) {
+            *space = space.saturating_sub(1);
+        }
+        self.usage.add(job);
+        self.kept.add(job);
+        let each = f64::from(chosen.size.count_of(&job.need).max(1));
+        let pool = (chosen.type_name.clone(), chosen.tenure);
+        *self.demand.machines.entry(pool).or_default() += 1.0 / each;
+        self.demand.occupied.insert(chosen.machine.clone());
+    }
 }
 
 impl Queues {
@@ -238,7 +278,7 @@
             block_state
                 .addressed
                 .retain(|machine| view.machines.contains_key(machine));
-            let places = view.places.get(block).map_or(0, |places| places.version);
+            let places = view.places_known_to(block);
             let status = block_state.status.as_ref().map(|(status, _)| status);
             block_state.releases.retain(|number, release| {
                 if live.contains_key(number) {
@@ -361,7 +401,7 @@
         let space = |(block, block_state): (&BlockId, &BlockState)| {
             let places = view.places.get(block);
             let size = places.map_or(0, |places| places.value.worst());
-            let space = config.state_limits.value_bytes.saturating_sub(size) / ATTEMPT_BYTES;
+            let space = config.block_bytes.saturating_sub(size) / ATTEMPT_BYTES;
             (
                 block.clone(),
                 space.saturating_sub(block_state.releases.len()),
@@ -395,6 +435,7 @@
             config, flavors, ..
         } = *lead;
         self.settle(now, view);
+        self.take_back_broken_gangs(now, view);
         let stock = Stock {
             now,
             lead,
@@ -402,7 +443,7 @@
             machines: provisioner.machines(view),
         };
         let Present {
-            mut usage,
+            usage,
             guaranteed,
             mut demand,
         } = self.present(&stock, view);
@@ -420,11 +461,18 @@
             .values()
             .map(|grant| grant.value.zone.clone())
             .collect();
-        let mut candidates = self.candidates(now, view, flavors, provisioner);
+        let candidates = self.candidates(now, view, flavors, provisioner);
         let opportunities =
             Opportunities::new(lead, provisioner, &self.runs, &guaranteed, &candidates);
-        let mut spaces = self.spaces(config, view);
-        let mut kept = self.usage_after_stops(&usage, view);
+        let mut plan = Plan {
+            spaces: self.spaces(config, view),
+            kept: self.usage_after_stops(&usage, view),
+            candidates,
+            usage,
+            demand,
+            exhausted: Exhausted::default(),
+            room_kept: false,
+        };
         // Releases only where all that is placed is known: every block under a grant of this term.
         let complete = !view.grants.is_empty()
             && view
@@ -433,17 +481,27 @@
                 .all(|grant| grant.value.term == self.term);
         let mut released = 0;
         let mut turns = Turns::new(&queue);
-        let mut exhausted = Exhausted::default();
         let mut rankings: HashMap<(Shape, Image, Option<JobId>), Ranking> = HashMap::new();
         let mut victims: Option<Victims<'v>> = None;
         while complete && released < RELEASES {
-            let Some(next) = turns.next(&queue, &usage, lead) else {
+            let Some(next) = turns.next(&queue, &plan.usage, lead) else {
                 break;
             };
             let Some(waiting) = queue.get_mut(next) else {
                 break;
             };
-            let fits = usage.within_limit(config, &waiting.open.job);
+            if waiting.open.job.kind == Kind::Gang {
+                waiting.blocked = true;
+                let reach = waiting.reach(lead);
+                let limit = waiting.price_limit(lead);
+                let job = &waiting.open.job;
+                let allowed =
+                    |c: &Candidate| reach == Reach::All || opportunities.allow(job, limit, c);
+                let shape = Shape::of(job, &all_zones, |zone| job.allows_zone(zone), reach);
+                released += self.release_gang(now, lead, view, waiting, shape, allowed, &mut plan);
+                continue;
+            }
+            let fits = plan.usage.within_limit(config, &waiting.open.job);
             let zones = &waiting.zones;
             let job = &waiting.open.job;
             let open_zone = |zone: &Zone| zone_open(job, zones, zone);
@@ -452,7 +510,7 @@
             let shape = Shape::of(job, &all_zones, open_zone, reach);
             let mut chosen = None;
             let mut preempted = Vec::new();
-            if fits && !exhausted.no_room.contains(&shape) {
+            if fits && !plan.exhausted.no_room.contains(&shape) {
                 // A job that keeps failing goes to machines on which it has not failed yet: its own ranking.
                 let id = waiting.id;
                 let failing = self.failures.keeps_failing(id).then_some(id);
@@ -463,26 +521,34 @@
                     let open =
                         |c: &Candidate| reach == Reach::All || opportunities.allow(job, limit, c);
                     let allowed = |c: &Candidate| open_zone(&c.zone) && open(c);
-                    Ranking::new(&candidates, job, allowed, |c| {
+                    Ranking::new(&plan.candidates, job, allowed, |c| {
                         failing.is_some() && avoided(c)
                     })
                 });
-                chosen = ranking.best(&candidates, job).cloned();
+                chosen = ranking.best(&plan.candidates, job).cloned();
                 if chosen.is_none() {
-                    exhausted.no_room.insert(shape.clone());
+                    plan.exhausted.no_room.insert(shape.clone());
                 }
             }
             let urgency = (shape, job.team.clone(), job.priority);
             if fits
                 && reach == Reach::All
                 && chosen.is_none()
-                && !exhausted.no_way.contains(&urgency)
+                && !plan.exhausted.no_way.contains(&urgency)
             {
                 let victims = victims.get_or_insert_with(|| self.victims(now, view));
-                match self.make_room(now, lead, &candidates, &mut kept, victims, job, &open_zone) {
+                match self.make_room(
+                    now,
+                    lead,
+                    &plan.candidates,
+                    &mut plan.kept,
+                    victims,
+                    job,
+                    &open_zone,
+                ) {
                     Some(room) => (chosen, preempted) = (Some(room.machine), room.preempted),
                     None => {
-                        exhausted.no_way.insert(urgency);
+                        plan.exhausted.no_way.insert(urgency);
                     }
                 }
             }
@@ -498,23 +564,17 @@
                 waiting.blocked = true;
                 continue;
             };
-            let space = spaces.get_mut(&block).filter(|space| **space > 0);
-            let (Some(block_state), Some(space)) = (self.block_states.get_mut(&block), space)
-            else {
-                // Its block is full.
-                if let Some(candidate) = candidates
-                    .iter_mut()
-                    .find(|candidate| candidate.machine == chosen.machine)
-                {
-                    candidate.free = Room {
-                        cpus: -1.0,
-                        gpus: -1.0,
-                        memory_gb: -1.0,
-                    };
-                }
+            let index_of = |c: &Candidate| c.machine == chosen.machine;
+            let Some(candidate) = plan.candidates.iter().position(index_of) else {
+                waiting.blocked = true;
+                continue;
+            };
+            let space = plan.spaces.get(&block).copied().unwrap_or(0);
+            let block_state = self.block_states.get_mut(&block).filter(|_| space > 0);
+            let Some(block_state) = block_state else {
+                plan.candidates[candidate].free = BLOCK_IS_FULL;
                 continue;
             };
-            *space -= 1;
             let attempt = Attempt {
                 task: TaskId {
                     job: waiting.id,
@@ -525,40 +585,16 @@
             self.next_attempt += 1;
             released += 1;
             debug!(%attempt, machine = %chosen.machine, "released");
-            let release = Release {
-                attempt,
-                machine: chosen.machine.clone(),
-                since: now.steady,
-                withdrawn: false,
-                message: u64::MAX,
-                preempted,
-                placeable_since: now.steady,
-            };
-            block_state.releases.insert(attempt.number, release);
-            block_state.dirty = true;
-            if let Some(candidate) = candidates
-                .iter_mut()
-                .find(|candidate| candidate.machine == chosen.machine)
-            {
-                candidate.free.take(&job.need);
-            }
-            *waiting.zones.entry(chosen.zone.clone()).or_default() += 1;
+            block_state.release(now, attempt, chosen.machine, preempted);
+            plan.take(candidate, &block, &waiting.open.job);
+            *waiting.zones.entry(chosen.zone).or_default() += 1;
             waiting.taken.insert(index);
             waiting.left -= 1;
             // It has begun: the rest of it waits for its turn.
             waiting.blocked = waiting.overdue;
-            let open = waiting.open;
-            usage.add(&open.job);
-            kept.add(&open.job);
-            let each = f64::from(chosen.size.count_of(&open.job.need).max(1));
-            *demand
-                .machines
-                .entry((chosen.type_name, chosen.tenure))
-                .or_default() += 1.0 / each;
-            demand.occupied.insert(chosen.machine);
         }
-        demand::count_waiting(&stock, &queue, &mut usage, &mut demand);
-        demand
+        demand::count_waiting(&stock, &queue, &mut plan.usage, &mut plan.demand);
+        plan.demand
     }
 
     /// The next write: jobs that are over, and progress to be folded.
@@ -577,7 +613,13 @@
                 let clear = view.placed(*id).is_empty() && !self.released(*id);
                 clear.then_some(Final::Cancelled)
             } else {
-                (open.done.len() >= u64::from(tasks)).then_some(Final::Done)
+                // The tasks of a gang complete together: if one is done, all are.
+                let enough = if open.job.kind == Kind::Gang {
+                    1
+                } else {
+                    u64::from(tasks)
+                };
+                (open.done.len() >= enough).then_some(Final::Done)
             };
             let Some(end) = end else { continue };
             debug!(job = %id, ?end, tasks, "job over");
--- a/src/queueing/preemption.rs
+++ b/src/queueing/preemption.rs
@@ -125,7 +125,7 @@
     }
 
     /// Tasks that could be stopped, by machine, the least work first. Replicas are not among them: one that is
-    /// stopped is down, which no start is worth.
+    /// stopped is down, which no start is worth. Nor are tasks of gangs: stopping one would stop them all.
     pub(super) fn victims<'v>(&self, now: Now, view: &'v View) -> Victims<'v> {
         let mut victims: Victims<'v> = HashMap::new();
         for (live, attempt) in view
@@ -143,7 +143,7 @@
                 .block_states
                 .get(live.block)
                 .is_none_or(|block_state| block_state.stops.contains_key(&attempt));
-            if stopping || open.job.kind == Kind::Service {
+            if stopping || open.job.kind != Kind::Array {
                 continue;
             }
             let ran = self
--- a/src/queueing/stock.rs
+++ b/src/queueing/stock.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::gangs::keeps_room;
 use super::waiting::{Waiting, zone_open};
 use crate::domain::{Job, Now, Tenure, Zone};
 use crate::leadership::Lead;
@@ -32,7 +33,10 @@
             .collect();
         let open = |zone: &&Zone| job.allows_zone(zone) && zone_open(job, &waiting.zones, zone);
         let allowed: Vec<&Zone> = zones.iter().copied().filter(open).collect();
-        if allowed.len() == zones.len() {
+        // The rule counts machines of all zones alike: a gang that must be in one could wait for ever beside enough room
+        // in all of them together.
+        let settles_on_one = job.one_zone && keeps_room(waiting);
+        if allowed.len() == zones.len() && !settles_on_one {
             return None;
         }
         let obtainable = |zone: &&Zone| {
--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -14,12 +14,12 @@
     Grant, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key,
 };
 
-struct Fixture {
+pub(super) struct Fixture {
     config: Config,
     policy: Policy,
     flavors: Flavors,
-    view: View,
-    now: Now,
+    pub(super) view: View,
+    pub(super) now: Now,
     version: u64,
     queues: Queues,
     provisioner: Provisioner,
@@ -29,7 +29,7 @@
 
 impl Fixture {
     /// One block, `a.0`, with machines of 16 CPUs.
-    fn new(machines: u32) -> Self {
+    pub(super) fn new(machines: u32) -> Self {
         let config = Config::parse("s.toml", SETTINGS).expect("valid");
         let now = Now::read();
         let mut flavors = Flavors::default();
@@ -61,7 +61,7 @@
         fixture
     }
 
-    fn put(&mut self, key: String, value: ciborium::Value) -> u64 {
+    pub(super) fn put(&mut self, key: String, value: ciborium::Value) -> u64 {
         self.version += 1;
         self.view.apply(Change {
             key,
@@ -89,14 +89,14 @@
     }
 
     /// Accepted just now, unless it says when.
-    fn job(&mut self, id: u64, mut job: Job) {
+    pub(super) fn job(&mut self, id: u64, mut job: Job) {
         if job.accepted_ms == 0 {
             job.accepted_ms = self.now.unix_ms();
         }
         self.put(job_key(JobId(id)), encode(&JobRecord::Open(job)));
     }
 
-    fn status(&mut self, machines: u32, last_work: u64, pending: &[u64]) {
+    pub(super) fn status(&mut self, machines: u32, last_work: u64, pending: &[u64]) {
         let grant = &self.view.grants[&BlockId::from("a.0")];
         let status = BlockStatus {
             block: "a.0".into(),
@@ -131,7 +131,7 @@
         self.queues.status(self.now, status);
     }
 
-    fn plan(&mut self) -> (Demand, Vec<Work>) {
+    pub(super) fn plan(&mut self) -> (Demand, Vec<Work>) {
         let Fixture {
             config,
             policy,
@@ -155,8 +155,39 @@
         (demand, queues.messages(*now, view, provisioner.addresses()))
     }
 
+    /// The jobs that the next write ends.
+    pub(super) fn ended_jobs(&mut self) -> Vec<JobId> {
+        let Fixture {
+            config,
+            policy,
+            flavors,
+            view,
+            queues,
+            ..
+        } = self;
+        let lead = Lead {
+            config,
+            policy,
+            flavors,
+            term: TERM,
+            version: 1,
+            batch: 16,
+            spare: true,
+        };
+        queues.writer = Writer::Idle;
+        let Some(Op::Commit(txn)) = queues.write(self.now, &lead, view) else {
+            return Vec::new();
+        };
+        let keys = txn.conditions.iter().map(|(key, _)| key);
+        keys.filter_map(|key| match crate::store::Records::of(key) {
+            Some(crate::store::Records::Job(job)) => Some(job),
+            _ => None,
+        })
+        .collect()
+    }
+
     /// Everything that is wanted is placed where the leader meant it.
-    fn place(&mut self, work: &Work) {
+    pub(super) fn place(&mut self, work: &Work) {
         let mut places = self
             .view
             .places
@@ -169,7 +200,7 @@
     }
 }
 
-fn name(n: u32) -> MachineId {
+pub(super) fn name(n: u32) -> MachineId {
     format!("m-{n:06}").as_str().into()
 }
 
--- a/src/queueing/waiting.rs
+++ b/src/queueing/waiting.rs
@@ -5,7 +5,7 @@
 
 use super::Queues;
 use super::opportunistic::{RESTRICTED_FOR, Reach, is_opportunistic, price_limit};
-use crate::domain::{Job, JobId, Now, Room, TypeName, Zone};
+use crate::domain::{Job, JobId, Kind, Now, Room, TypeName, Zone};
 use crate::leadership::Lead;
 use crate::store::View;
 use crate::store::records::Ranges;
@@ -127,7 +127,12 @@
                 *zones.entry(zone).or_default() += 1;
             }
             let mut left = u64::from(open.job.tasks).saturating_sub(taken.len());
-            if self.failures.keeps_failing(*id) {
+            let is_gang = open.job.kind == Kind::Gang;
+            if is_gang && !taken.is_empty() {
+                // It is under way, or over, or has to go first.
+                continue;
+            }
+            if self.failures.keeps_failing(*id) && !is_gang {
                 let under_way = taken.len().saturating_sub(open.done.len());
                 left = left.min(1u64.saturating_sub(under_way));
             }
--- a/src/service.rs
+++ b/src/service.rs
@@ -16,6 +16,7 @@
 use crate::intake::{RequestId, Response};
 use crate::node::{Effect, Event, Node};
 use crate::policy::Policy;
+use crate::store::records::FORMAT;
 use crate::{provisioning, store};
 
 const TICK: Duration = Duration::from_millis(40);
@@ -95,9 +96,11 @@
     state: SocketAddr,
     cloud: SocketAddr,
     peers: HashMap<NodeName, SocketAddr>,
+    /// A format of the records that this program does not know.
+    unsupported: Option<u32>,
 }
 
-/// Runs until the process is killed, or a listener can't be opened.
+/// Runs until the process is killed, a listener can't be opened, or the records turn out to be of a newer version.
 pub async fn run(config: Config, policy: Policy) -> std::io::Result<()> {
     let (incoming, mut requests) = mpsc::channel(MOST_WAITING);
     let (results, mut answers) = mpsc::unbounded_channel();
@@ -127,6 +130,7 @@
             .iter()
             .map(|peer| (peer.name.clone(), peer.addr))
             .collect(),
+        unsupported: None,
         node: Node::new(config, policy, rand::random(), Now::read()),
     };
     tokio::pin!(public);
@@ -141,6 +145,11 @@
             Some(event) = answers.recv() => runner.handle(event),
             Some(request) = requests.recv() => runner.take(request),
         }
+        if let Some(format) = runner.unsupported {
+            return Err(std::io::Error::other(format!(
+                "the records are in format {format}, newer than this version's {FORMAT}: start a newer version"
+            )));
+        }
     }
 }
 
@@ -261,6 +270,7 @@
                     }
                 });
             }
+            Effect::Unsupported { format } => self.unsupported = Some(format),
             Effect::Peer { to, message } => {
                 let Some(addr) = self.peers.get(&to).copied() else {
                     return;
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -114,6 +114,15 @@
         }
     }
 
+    /// Keeps within other limits from now on.
+    pub fn limit(&mut self, now: Now, limits: &StateLimits, leading: bool) {
+        self.requests.fill(now);
+        self.requests.rate = share(limits.rps, self.nodes);
+        self.requests.burst = self.requests.rate;
+        self.write_limit = limits.write_rps;
+        self.lead(now, leading);
+    }
+
     /// Sets this node's share of the writes by whether it leads.
     pub fn lead(&mut self, now: Now, leading: bool) {
         self.writes.fill(now);
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
+use std::sync::Arc;
 
 use rangemap::RangeInclusiveSet;
 use serde::de::DeserializeOwned;
@@ -30,6 +31,34 @@
 pub fn roster_key(block: &BlockId) -> String {
     format!("{ROOT}machines/{block}")
 }
+
+/// One of the values that a block's record is kept in. Part 0 is the only one in the production format; the others came
+/// with [`FORMAT`], under prefixes that production ignores.
+pub type Part = u32;
+
+/// The first part: the only one that the production version knows.
+pub const FIRST_PART: Part = 0;
+
+/// All first parts come before all others in the order of keys, in which pages are read. What moves from a first part to
+/// another is therefore read at least once by whoever reads everything while it moves.
+pub fn places_part_key(block: &BlockId, part: Part) -> String {
+    match part {
+        FIRST_PART => places_key(block),
+        part => format!("{ROOT}places_part/{block}/{part:05}"),
+    }
+}
+pub fn roster_part_key(block: &BlockId, part: Part) -> String {
+    match part {
+        FIRST_PART => roster_key(block),
+        part => format!("{ROOT}machines_part/{block}/{part:05}"),
+    }
+}
+
+/// The version of the format in which this program writes, once it is switched on. Production has 0: blocks of one value
+/// each, no gangs.
+pub const FORMAT: u32 = 1;
+/// Says which format is switched on.
+pub const FORMAT_KEY: &str = "dappleshore/format";
 pub fn order_key(name: &TypeName) -> String {
     format!("{ROOT}order/{name}")
 }
@@ -48,6 +77,25 @@
     ciborium::Value::serialized(record).unwrap_or(ciborium::Value::Null)
 }
 
+/// What a value measures in the form that the state service counts: as JSON, with room for the longest way to write a
+/// number.
+pub fn json_size(value: &ciborium::Value) -> usize {
+    use ciborium::Value;
+    match value {
+        Value::Text(text) => {
+            text.len() + 2 + text.chars().filter(|c| matches!(c, '"' | '\\')).count()
+        }
+        Value::Array(list) => 2 + list.iter().map(|item| json_size(item) + 1).sum::<usize>(),
+        Value::Map(map) => {
+            let entries = map.iter().map(|(k, v)| json_size(k) + json_size(v) + 2);
+            2 + entries.sum::<usize>()
+        }
+        Value::Integer(number) => i128::from(*number).to_string().len(),
+        Value::Float(number) => number.to_string().len() + 2,
+        _ => 5,
+    }
+}
+
 /// Who leads, attached to a hold. `term` comes from the same rising counter as tokens.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Leader {
@@ -66,6 +114,19 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     pub boot: u64,
+    /// The newest format that it can read and write. The production version does not say.
+    #[serde(default, skip_serializing_if = "is_production")]
+    pub format: u32,
+}
+
+fn is_production(format: &u32) -> bool {
+    *format == 0
+}
+
+/// The format that is switched on: written once for all controllers, when all of them know it, and never taken back.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct FormatSwitch {
+    pub version: u32,
 }
 
 /// The lease of a block to a controller. Each new leader writes it again, which makes every write that an
@@ -176,6 +237,23 @@
     }
 }
 
+impl Roster {
+    /// The most that this value can measure in the form that the state service counts.
+    pub fn size(&self) -> usize {
+        let types: BTreeSet<&TypeName> = self.on.values().map(|entry| &entry.type_name).collect();
+        let types: usize = types.iter().map(|name| name.0.len() + 3).sum();
+        let machines: usize = self.on.iter().map(|(id, entry)| entry.size(id)).sum();
+        32 + self.zone.0.len() + types + machines
+    }
+
+    /// Takes in the machines of another part.
+    pub fn merge(&mut self, part: &Roster) {
+        let machines = part.on.iter();
+        self.on
+            .extend(machines.map(|(id, entry)| (id.clone(), entry.clone())));
+    }
+}
+
 impl Rostered {
     /// What a machine takes of its roster's value, in the form that the state service counts.
     pub fn size(&self, id: &MachineId) -> usize {
@@ -209,6 +287,25 @@
             .flat_map(|(machine, list)| list.iter().map(move |placed| (machine, placed.0)))
     }
 
+    /// Takes in another part. An attempt that both have counts once.
+    pub fn merge(&mut self, part: &Places) {
+        for (machine, list) in &part.on {
+            let known = self.on.entry(machine.clone()).or_default();
+            for placed in list {
+                if !known.contains(placed) {
+                    known.push(*placed);
+                }
+            }
+        }
+        for (job, done) in &part.done {
+            self.done.entry(*job).or_default().merge(done);
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.on.is_empty() && self.done.is_empty()
+    }
+
     /// Returns by how much the value may have grown.
     pub fn add(&mut self, machine: &MachineId, attempt: Attempt) -> usize {
         let placed = PlacedText(attempt);
@@ -276,13 +373,17 @@
     digits(job.0).max(6) + 8
 }
 
-/// An attempt as `412/3:17`.
+/// An attempt as `412/3:17`, or `412/3:g17` for a task of a gang that was started as the 17th.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlacedText(pub Attempt);
 
 impl PlacedText {
-    fn size(&self) -> usize {
-        digits(self.0.task.job.0) + digits(u64::from(self.0.task.index)) + digits(self.0.number) + 5
+    pub fn size(&self) -> usize {
+        let number = match self.0.gang_start() {
+            Some(start) => digits(start) + 1,
+            None => digits(self.0.number),
+        };
+        digits(self.0.task.job.0) + digits(u64::from(self.0.task.index)) + number + 5
     }
 }
 
@@ -292,10 +393,12 @@
 
 impl Serialize for PlacedText {
     fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.collect_str(&format_args!(
-            "{}/{}:{}",
-            self.0.task.job.0, self.0.task.index, self.0.number
-        ))
+        let Attempt { task, number } = self.0;
+        let TaskId { job, index } = task;
+        match self.0.gang_start() {
+            Some(start) => serializer.collect_str(&format_args!("{}/{index}:g{start}", job.0)),
+            None => serializer.collect_str(&format_args!("{}/{index}:{number}", job.0)),
+        }
     }
 }
 
@@ -313,10 +416,14 @@
         job: JobId(job.parse().ok()?),
         index: index.parse().ok()?,
     };
-    Some(PlacedText(Attempt {
-        task,
-        number: number.parse().ok()?,
-    }))
+    let attempt = match number.strip_prefix('g') {
+        Some(start) => Attempt::of_gang(task, start.parse().ok()?)?,
+        None => Attempt {
+            task,
+            number: number.parse().ok()?,
+        },
+    };
+    Some(PlacedText(attempt))
 }
 
 /// A set of task numbers, stored as `0-4,7`.
@@ -411,6 +518,25 @@
     Ended(Final, u32),
 }
 
+impl JobRecord {
+    /// The record of a cancelled job. What no longer matters of the job is left out where the whole would not fit: what
+    /// its tasks take, and of which team, is what it is still needed for.
+    pub fn cancelled(job: &Job, at_ms: u64, value_bytes: usize) -> JobRecord {
+        let whole = JobRecord::Cancelled(job.clone(), at_ms);
+        if json_size(&encode(&whole)) <= value_bytes {
+            return whole;
+        }
+        let rest = Job {
+            class: Arc::from(""),
+            types: None,
+            zone: None,
+            image: "".into(),
+            ..job.clone()
+        };
+        JobRecord::Cancelled(rest, at_ms)
+    }
+}
+
 /// The finished tasks of one chunk of a large job, so that no value grows with the job.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Progress {
@@ -425,7 +551,16 @@
     ($($name:ident),*) => { $(impl Record for $name {})* };
 }
 records!(
-    Leader, Token, Member, Grant, Roster, Order, Places, JobRecord, Progress
+    Leader,
+    Token,
+    Member,
+    FormatSwitch,
+    Grant,
+    Roster,
+    Order,
+    Places,
+    JobRecord,
+    Progress
 );
 
 /// A changed key.
@@ -444,8 +579,9 @@
     Token,
     Member(NodeName),
     Grant(BlockId),
-    Places(BlockId),
-    Roster(BlockId),
+    Format,
+    Places(BlockId, Part),
+    Roster(BlockId, Part),
     Order(TypeName),
     Job(JobId),
     Progress(JobId, u32),
@@ -457,11 +593,20 @@
         match name.split_once('/') {
             None if key == LEADER => Some(Records::Leader),
             None if key == TOKEN => Some(Records::Token),
+            None if key == FORMAT_KEY => Some(Records::Format),
             None => None,
             Some(("node", rest)) => Some(Records::Member(rest.into())),
             Some(("grant", rest)) => Some(Records::Grant(rest.into())),
-            Some(("places", rest)) => Some(Records::Places(rest.into())),
-            Some(("machines", rest)) => Some(Records::Roster(rest.into())),
+            Some(("places", rest)) => Some(Records::Places(rest.into(), FIRST_PART)),
+            Some(("machines", rest)) => Some(Records::Roster(rest.into(), FIRST_PART)),
+            Some(("places_part", rest)) => {
+                let (block, part) = rest.split_once('/')?;
+                Some(Records::Places(block.into(), part.parse().ok()?))
+            }
+            Some(("machines_part", rest)) => {
+                let (block, part) = rest.split_once('/')?;
+                Some(Records::Roster(block.into(), part.parse().ok()?))
+            }
             Some(("order", rest)) => Some(Records::Order(rest.into())),
             Some(("job", rest)) => rest.parse().ok().map(Records::Job),
             Some(("progress", rest)) => {
--- a/src/store/records/tests.rs
+++ b/src/store/records/tests.rs
@@ -1,3 +1,5 @@
+use ciborium::cbor;
+
 use super::*;
 
 #[test]
@@ -137,3 +139,132 @@
         _ => 20,
     }
 }
+
+/// Made by running the production version (commit 134d869): what it stores, by key, and what its controllers say to each
+/// other.
+const PRODUCTION: &[u8] = include_bytes!("../../../tests/data/production.cbor");
+
+fn production() -> Vec<(String, ciborium::Value)> {
+    ciborium::from_reader(PRODUCTION).expect("readable")
+}
+
+/// Read and written again as it was.
+fn comes_back<T: serde::Serialize + serde::de::DeserializeOwned>(value: &ciborium::Value) -> bool {
+    let read: T = value.deserialized().expect("readable");
+    ciborium::Value::serialized(&read).is_ok_and(|again| again == *value)
+}
+
+#[test]
+fn what_production_wrote_and_said_comes_back_as_it_was() {
+    let mut kinds = BTreeSet::new();
+    for (key, value) in production() {
+        let same = match Records::of(&key) {
+            Some(Records::Leader) => comes_back::<Leader>(&value),
+            Some(Records::Token) => comes_back::<Token>(&value),
+            Some(Records::Member(_)) => comes_back::<Member>(&value),
+            Some(Records::Grant(_)) => comes_back::<Grant>(&value),
+            Some(Records::Places(_, FIRST_PART)) => comes_back::<Places>(&value),
+            Some(Records::Roster(_, FIRST_PART)) => comes_back::<Roster>(&value),
+            Some(Records::Order(_)) => comes_back::<Order>(&value),
+            Some(Records::Job(_)) => comes_back::<JobRecord>(&value),
+            Some(Records::Progress(..)) => comes_back::<Progress>(&value),
+            Some(other) => panic!("production does not know {other:?}"),
+            None => comes_back::<crate::peer::Message>(&value),
+        };
+        assert!(same, "{key}");
+        kinds.insert(key.split(['/', ' ']).nth(1).unwrap_or_default().to_owned());
+    }
+    let expected = [
+        "alivetrue",
+        "cancelled",
+        "grant",
+        "job",
+        "leader",
+        "machines",
+    ];
+    assert!(
+        expected.iter().all(|kind| kinds.contains(*kind)),
+        "{kinds:?}"
+    );
+}
+
+#[test]
+fn a_member_of_production_says_no_format() {
+    let old: Member = cbor!({"boot" => 7})
+        .expect("valid")
+        .deserialized()
+        .expect("readable");
+    assert_eq!(old, Member { boot: 7, format: 0 });
+    let value = encode(&Member {
+        boot: 7,
+        format: FORMAT,
+    });
+    assert_eq!(value, cbor!({"boot" => 7, "format" => 1}).expect("valid"));
+}
+
+#[test]
+fn first_parts_come_before_all_others_in_the_order_of_keys() {
+    let block = BlockId::from("z.9");
+    assert!(places_part_key(&block, FIRST_PART) < places_part_key(&"a.0".into(), 1));
+    assert!(roster_part_key(&block, FIRST_PART) < roster_part_key(&"a.0".into(), 1));
+    assert_eq!(
+        Records::of(&places_part_key(&block, 12)),
+        Some(Records::Places(block.clone(), 12))
+    );
+    assert_eq!(
+        Records::of(&roster_part_key(&block, 0)),
+        Some(Records::Roster(block, 0))
+    );
+}
+
+/// The names of a job may be longer than the values that the state service will take: its cancellation must not be.
+#[test]
+fn a_job_that_is_too_large_can_be_cancelled_all_the_same() {
+    let types = (0..30).map(|n| format!("{n}-{}", "t".repeat(180)));
+    let job = Job {
+        types: Some(types.map(|name| name.as_str().into()).collect()),
+        ..crate::placement::tests::job(3, 1.0)
+    };
+    assert!(json_size(&encode(&JobRecord::Open(job.clone()))) > 2048);
+    let record = JobRecord::cancelled(&job, 17, 2048);
+    assert!(json_size(&encode(&record)) <= 2048);
+    let JobRecord::Cancelled(kept, 17) = record else {
+        panic!("{record:?}")
+    };
+    assert_eq!(
+        (kept.team, kept.need, kept.tasks, kept.kind),
+        (job.team.clone(), job.need, job.tasks, job.kind)
+    );
+    let whole = JobRecord::cancelled(&job, 17, 8192);
+    assert_eq!(whole, JobRecord::Cancelled(job, 17), "while it fits");
+}
+
+#[test]
+fn gangs_attempts_share_their_number_on_the_wire_only() {
+    let task = |index| TaskId {
+        job: JobId(412),
+        index,
+    };
+    let attempts =
+        [0, 3, 99_999].map(|index| Attempt::of_gang(task(index), 5 << 20).expect("fits"));
+    let wire = attempts.map(|attempt| attempt.wire_number());
+    assert!(wire.iter().all(|number| *number == wire[0]));
+    for (attempt, number) in attempts.into_iter().zip(wire) {
+        assert_eq!(Attempt::from_wire(attempt.task, number), attempt);
+        assert_eq!(attempt.gang_start(), Some(5 << 20));
+        let text = ciborium::Value::serialized(&PlacedText(attempt)).expect("text");
+        assert_eq!(
+            text.deserialized::<PlacedText>().expect("read"),
+            PlacedText(attempt)
+        );
+    }
+    assert_ne!(attempts[0].number, attempts[1].number);
+    let plain = Attempt {
+        task: task(3),
+        number: 17,
+    };
+    assert_eq!(Attempt::from_wire(task(3), plain.wire_number()), plain);
+    assert_eq!(plain.gang_start(), None);
+    let text = ciborium::Value::serialized(&PlacedText(attempts[1])).expect("text");
+    assert_eq!(text, ciborium::Value::from("412/3:g5242880"));
+}
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -6,8 +6,8 @@
 use tracing::{info, warn};
 
 use super::records::{
-    CHUNK, Change, Grant, JobRecord, Leader, Member, NOWHERE, Order, PlacedText, Places, Progress,
-    ROOT, Ranges, Record, Records, Roster, Token,
+    CHUNK, Change, FormatSwitch, Grant, JobRecord, Leader, Member, NOWHERE, Order, Part,
+    PlacedText, Places, Progress, ROOT, Ranges, Record, Records, Roster, Token,
 };
 use super::{Op, Outcome};
 use crate::config::StateLimits;
@@ -21,6 +21,9 @@
     pub version: u64,
 }
 
+/// The values that a block's record is kept in.
+pub type Parts<T> = BTreeMap<Part, Versioned<T>>;
+
 /// An open job with what is known of its tasks.
 #[derive(Debug)]
 pub struct OpenJob {
@@ -141,8 +144,14 @@
     pub token: Option<Versioned<Token>>,
     pub members: BTreeMap<NodeName, Versioned<Member>>,
     pub grants: BTreeMap<BlockId, Versioned<Grant>>,
+    format: Option<Versioned<FormatSwitch>>,
+    /// The tasks of each block, all parts together; the version is that of its last change.
     pub places: BTreeMap<BlockId, Versioned<Places>>,
+    /// The values that they are kept in.
+    places_parts: BTreeMap<BlockId, Parts<Places>>,
+    /// The machines of each block, all parts together.
     pub rosters: BTreeMap<BlockId, Versioned<Roster>>,
+    roster_parts: BTreeMap<BlockId, Parts<Roster>>,
     /// All machines of all rosters.
     pub machines: BTreeMap<MachineId, Machine>,
     pub orders: BTreeMap<TypeName, Versioned<Order>>,
@@ -221,8 +230,11 @@
             token: None,
             members: BTreeMap::new(),
             grants: BTreeMap::new(),
+            format: None,
             places: BTreeMap::new(),
+            places_parts: BTreeMap::new(),
             rosters: BTreeMap::new(),
+            roster_parts: BTreeMap::new(),
             machines: BTreeMap::new(),
             orders: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -573,14 +585,19 @@
         match which {
             Records::Leader => set(&mut self.leader, change),
             Records::Token => set(&mut self.token, change),
-            Records::Member(node) => set_in(&mut self.members, node, change),
+            Records::Member(node) => {
+                set_in(&mut self.members, node, change);
+            }
             Records::Grant(block) => {
                 self.touched.grants = true;
                 set_in(&mut self.grants, block, change);
             }
-            Records::Roster(block) => self.apply_roster(block, change),
-            Records::Order(name) => set_in(&mut self.orders, name, change),
-            Records::Places(block) => self.apply_places(block, change),
+            Records::Format => set(&mut self.format, change),
+            Records::Roster(block, part) => self.apply_roster(block, part, change),
+            Records::Order(name) => {
+                set_in(&mut self.orders, name, change);
+            }
+            Records::Places(block, part) => self.apply_places(block, part, change),
             Records::Job(job) => self.apply_job(job, version, change),
             Records::Progress(job, chunk) => {
                 set_in(&mut self.progress, (job, chunk), change);
@@ -593,16 +610,25 @@
         }
     }
 
-    fn apply_roster(&mut self, block: BlockId, change: Change) {
-        if self
-            .rosters
-            .get(&block)
-            .is_some_and(|old| old.version > change.version)
-        {
+    fn apply_roster(&mut self, block: BlockId, part: Part, change: Change) {
+        let version = change.version;
+        let parts = self.roster_parts.entry(block.clone()).or_default();
+        if !set_in(parts, part, change) {
             return;
         }
+        let mut merged: Option<Roster> = None;
+        for part in parts.values() {
+            match &mut merged {
+                Some(merged) => merged.merge(&part.value),
+                None => merged = Some(part.value.clone()),
+            }
+        }
         let old = self.rosters.remove(&block);
-        set_in(&mut self.rosters, block.clone(), change);
+        if let Some(value) = merged {
+            let version = old.as_ref().map_or(version, |old| old.version.max(version));
+            self.rosters
+                .insert(block.clone(), Versioned { value, version });
+        }
         let new = self.rosters.get(&block).map(|roster| &roster.value);
         for id in old.iter().flat_map(|old| old.value.on.keys()) {
             let kept = new.is_some_and(|new| new.on.contains_key(id));
@@ -634,20 +660,27 @@
         }
     }
 
-    fn apply_places(&mut self, block: BlockId, change: Change) {
-        if self
-            .places
-            .get(&block)
-            .is_some_and(|old| old.version > change.version)
-        {
+    fn apply_places(&mut self, block: BlockId, part: Part, change: Change) {
+        let version = change.version;
+        let parts = self.places_parts.entry(block.clone()).or_default();
+        if !set_in(parts, part, change) {
             return;
         }
-        let old = self
-            .places
-            .remove(&block)
-            .map(|old| old.value)
-            .unwrap_or_default();
-        set_in(&mut self.places, block.clone(), change);
+        let mut merged = Places::default();
+        parts.values().for_each(|part| merged.merge(&part.value));
+        let empty = parts.is_empty();
+        let old = self.places.remove(&block);
+        if !empty {
+            let version = old.as_ref().map_or(version, |old| old.version.max(version));
+            self.places.insert(
+                block.clone(),
+                Versioned {
+                    value: merged,
+                    version,
+                },
+            );
+        }
+        let old = old.map(|old| old.value).unwrap_or_default();
         let Some(new) = self.places.get(&block).map(|places| &places.value) else {
             for (_, attempt) in old.attempts() {
                 unplace(&mut self.placed, attempt);
@@ -748,6 +781,45 @@
         self.apply_cancellation(id);
     }
 
+    /// The format that is switched on; 0 is that of the production version.
+    pub fn format(&self) -> u32 {
+        self.format
+            .as_ref()
+            .map_or(0, |format| format.value.version)
+    }
+
+    /// The version of the record that says so, 0 if there is none.
+    pub fn format_version(&self) -> u64 {
+        self.format.as_ref().map_or(0, |format| format.version)
+    }
+
+    /// The values that a block's tasks are kept in.
+    pub fn places_parts(&self, block: &BlockId) -> Option<&Parts<Places>> {
+        self.places_parts.get(block)
+    }
+
+    /// The values that a block's machines are kept in.
+    pub fn roster_parts(&self, block: &BlockId) -> Option<&Parts<Roster>> {
+        self.roster_parts.get(block)
+    }
+
+    /// All values that tasks are kept in.
+    pub fn all_places_parts(&self) -> impl Iterator<Item = &Versioned<Places>> {
+        self.places_parts.values().flat_map(BTreeMap::values)
+    }
+
+    /// Up to which revision this copy holds all changes of a block's tasks. Parts that were read while the copy was being
+    /// loaded can be newer than others: until the copy has caught up, what they show is not all.
+    pub fn places_known_to(&self, block: &BlockId) -> u64 {
+        let version = self.places.get(block).map_or(0, |places| places.version);
+        let parts = self.places_parts.get(block).map_or(0, BTreeMap::len);
+        if parts > 1 {
+            version.min(self.revision)
+        } else {
+            version
+        }
+    }
+
     /// Where a job's attempts are, machines that are proven gone included.
     pub fn placed(&self, job: JobId) -> &Placed {
         self.placed.get(&job).unwrap_or(&NOTHING_PLACED)
@@ -851,12 +923,13 @@
         });
 }
 
-fn set_in<K: Ord, T: Record>(map: &mut BTreeMap<K, Versioned<T>>, key: K, change: Change) {
+/// False: the change is older than what is there.
+fn set_in<K: Ord, T: Record>(map: &mut BTreeMap<K, Versioned<T>>, key: K, change: Change) -> bool {
     if map
         .get(&key)
         .is_some_and(|old| old.version > change.version)
     {
-        return;
+        return false;
     }
     match change.value.as_ref().and_then(decode) {
         Some(value) => {
@@ -872,6 +945,7 @@
             map.remove(&key);
         }
     }
+    true
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/upgrade/tests.rs
@@ -0,0 +1,96 @@
+//! When the new format is switched on, and when not.
+
+use super::*;
+use crate::config::tests::SETTINGS;
+use crate::policy::Policy;
+use crate::provisioning::Flavors;
+use crate::store::Change;
+use crate::store::records::{Member, encode};
+
+struct Fixture {
+    config: Config,
+    view: View,
+    version: u64,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        Fixture {
+            config: Config::parse("s.toml", SETTINGS).expect("valid"),
+            view: View::following(),
+            version: 0,
+        }
+    }
+
+    fn member(&mut self, node: &str, format: u32) {
+        self.version += 1;
+        self.view.apply(Change {
+            key: member_key(&node.into()),
+            version: self.version,
+            value: Some(encode(&Member { boot: 1, format })),
+        });
+    }
+
+    fn poll(&mut self, upgrade: &mut Upgrade) -> Option<Txn> {
+        let policy = Policy::defaults(&self.config);
+        let lead = Lead {
+            config: &self.config,
+            policy: &policy,
+            flavors: &Flavors::default(),
+            term: 1,
+            version: 9,
+            batch: 16,
+            spare: true,
+        };
+        match upgrade.poll(Now::read(), &lead, &mut self.view)? {
+            Op::Commit(txn) => Some(txn),
+            op => panic!("{op:?}"),
+        }
+    }
+}
+
+#[test]
+fn the_format_is_switched_on_once_every_controller_knows_it() {
+    let mut fixture = Fixture::new();
+    let mut upgrade = Upgrade::new();
+    fixture.member("node-0", FORMAT);
+    fixture.member("node-1", FORMAT);
+    assert_eq!(fixture.poll(&mut upgrade), None, "one is not up");
+    fixture.member("node-2", 0);
+    assert_eq!(fixture.poll(&mut upgrade), None, "one is still production");
+    fixture.member("node-2", FORMAT);
+    let txn = fixture.poll(&mut upgrade).expect("all know it");
+    let conditions: Vec<(&str, u64)> = txn
+        .conditions
+        .iter()
+        .map(|(key, version)| (key.as_str(), *version))
+        .collect();
+    assert_eq!(
+        conditions,
+        [
+            ("dappleshore/leader", 9),
+            ("dappleshore/format", 0),
+            ("dappleshore/node/node-1", 2),
+            ("dappleshore/node/node-2", 4),
+            ("dappleshore/node/node-0", 1),
+        ]
+    );
+    assert_eq!(fixture.poll(&mut upgrade), None, "one at a time");
+}
+
+#[test]
+fn once_on_it_stays_on_and_is_not_written_again() {
+    let mut fixture = Fixture::new();
+    for node in ["node-0", "node-1", "node-2"] {
+        fixture.member(node, FORMAT);
+    }
+    fixture.version += 1;
+    fixture.view.apply(Change {
+        key: FORMAT_KEY.to_owned(),
+        version: fixture.version,
+        value: Some(encode(&FormatSwitch { version: FORMAT })),
+    });
+    fixture.member("node-2", 0);
+    assert_eq!(fixture.view.format(), FORMAT);
+    assert_eq!(fixture.poll(&mut Upgrade::new()), None);
+}
--- /dev/null
+++ b/tests/simulation/gangs.rs
@@ -0,0 +1,269 @@
+//! How workers bring the tasks of a gang together, by the published page: they wait for each other, run together, end
+//! together, and notice when one of them is gone.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use dappleshore::domain::{Job, JobId, Kind, Priority, Room, TaskId};
+use dappleshore::fleet::wire::{Cause, TaskState};
+
+use super::machine::{Machine, MachineEvent};
+use super::world::{CALM_FROM, Faults, Size, World, array};
+
+/// A waiting task gives up after this long.
+pub const GANG_WAIT: Duration = Duration::from_secs(30);
+/// Tasks of a running gang notice within this time that one is gone.
+const GANG_PEER: Duration = Duration::from_secs(5);
+
+/// One start of a gang.
+type Start = (JobId, u64);
+
+/// The gangs that have started and are not over, and those that have run.
+#[derive(Default)]
+pub struct Gangs {
+    running: BTreeMap<Start, Running>,
+    /// Gangs that have completed.
+    pub completed: BTreeSet<JobId>,
+    /// Starts in which all tasks ran together.
+    pub started: usize,
+}
+
+struct Running {
+    left: Duration,
+    /// Since when one of its tasks is gone.
+    broken: Option<Duration>,
+}
+
+/// A task of a gang on a machine.
+#[derive(Clone)]
+struct Member {
+    machine: String,
+    task: TaskId,
+    state: TaskState,
+    /// Its machine hangs.
+    stuck: bool,
+}
+
+impl Gangs {
+    /// Time passes. Returns what happened on which machines.
+    pub fn step(
+        &mut self,
+        now: Duration,
+        passed: Duration,
+        machines: &mut BTreeMap<String, Machine>,
+        jobs: &BTreeMap<JobId, Job>,
+        run_for: impl Fn(TaskId) -> Duration,
+    ) -> Vec<(String, MachineEvent)> {
+        let mut happened = Vec::new();
+        let members = members(now, machines, jobs);
+        for (start, members) in &members {
+            let size = jobs[&start.0].tasks as usize;
+            if self.running.contains_key(start) {
+                continue;
+            }
+            let ready = |member: &&Member| member.state == TaskState::Waiting && !member.stuck;
+            if members.iter().filter(ready).count() == size {
+                let first = TaskId {
+                    job: start.0,
+                    index: 0,
+                };
+                self.running.insert(
+                    *start,
+                    Running {
+                        left: run_for(first),
+                        broken: None,
+                    },
+                );
+                self.started += 1;
+                members
+                    .iter()
+                    .for_each(|member| set(machines, member, TaskState::Running, None));
+            } else {
+                happened.extend(give_up(passed, members, machines));
+            }
+        }
+        for (start, running) in &mut self.running {
+            let size = jobs[&start.0].tasks as usize;
+            let members = members.get(start).cloned().unwrap_or_default();
+            let whole = members.len() == size && members.iter().all(|member| !member.stuck);
+            if !whole || running.broken.is_some() {
+                let since = *running.broken.get_or_insert(now);
+                if now >= since + GANG_PEER {
+                    for member in members.iter().filter(|member| !member.stuck) {
+                        happened.push(exit(machines, member, Cause::PeerGone));
+                    }
+                }
+                continue;
+            }
+            running.left = running.left.saturating_sub(passed);
+            if running.left.is_zero() {
+                self.completed.insert(start.0);
+                for member in &members {
+                    happened.push(exit(machines, member, Cause::Done));
+                }
+            }
+        }
+        self.running
+            .retain(|start, _| members.contains_key(start) && !self.completed.contains(&start.0));
+        happened
+    }
+}
+
+/// The tasks of gangs that are on machines or on their way there, by start.
+fn members(
+    now: Duration,
+    machines: &BTreeMap<String, Machine>,
+    jobs: &BTreeMap<JobId, Job>,
+) -> BTreeMap<Start, Vec<Member>> {
+    let mut members: BTreeMap<Start, Vec<Member>> = BTreeMap::new();
+    for (id, machine) in machines {
+        for (task, t) in &machine.tasks {
+            let of_gang = jobs
+                .get(&task.job)
+                .is_some_and(|job| job.kind == Kind::Gang);
+            if !of_gang || t.state == TaskState::Exited {
+                continue;
+            }
+            members
+                .entry((task.job, t.number))
+                .or_default()
+                .push(Member {
+                    machine: id.clone(),
+                    task: *task,
+                    state: t.state,
+                    stuck: !machine.runs(now),
+                });
+        }
+    }
+    members
+}
+
+fn give_up(
+    passed: Duration,
+    members: &[Member],
+    machines: &mut BTreeMap<String, Machine>,
+) -> Vec<(String, MachineEvent)> {
+    let mut happened = Vec::new();
+    let waiting = members
+        .iter()
+        .filter(|member| member.state == TaskState::Waiting && !member.stuck);
+    for member in waiting {
+        let machine = machines.get_mut(&member.machine).expect("listed");
+        let task = machine.tasks.get_mut(&member.task).expect("listed");
+        task.left = task.left.saturating_sub(passed);
+        if task.left.is_zero() {
+            happened.push(exit(machines, member, Cause::Incomplete));
+        }
+    }
+    happened
+}
+
+fn set(
+    machines: &mut BTreeMap<String, Machine>,
+    member: &Member,
+    state: TaskState,
+    cause: Option<Cause>,
+) {
+    let machine = machines.get_mut(&member.machine).expect("listed");
+    machine.changed = true;
+    let task = machine.tasks.get_mut(&member.task).expect("listed");
+    task.state = state;
+    task.cause = cause;
+}
+
+fn exit(
+    machines: &mut BTreeMap<String, Machine>,
+    member: &Member,
+    cause: Cause,
+) -> (String, MachineEvent) {
+    set(machines, member, TaskState::Exited, Some(cause));
+    let event = MachineEvent::Ended(member.task, cause == Cause::Done);
+    (member.machine.clone(), event)
+}
+
+/// A gang of so many tasks, in one zone if it asks for that.
+pub fn gang(tasks: u32, cpus: f64, one_zone: bool) -> Job {
+    Job {
+        kind: Kind::Gang,
+        tasks,
+        need: Room {
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        },
+        one_zone,
+        checkpoint_every_s: 20.0,
+        checkpoint_s: 2.0,
+        ..array("gang", "blue", Priority::Standard)
+    }
+}
+
+/// Gangs are submitted all along.
+pub fn submit_gangs(world: &mut World, from_s: u64, count: u64) {
+    for n in 0..count {
+        world.plan(Duration::from_secs(from_s + n * 9), move |world| {
+            let tasks = [2, 3, 6, 4][n as usize % 4];
+            world.add_gang(gang(tasks, 1.0, n % 2 == 0));
+        });
+    }
+}
+
+fn check(seed: u64, faults: Faults) {
+    let mut world = World::new(seed, faults, CALM_FROM, Size::SMALL);
+    submit_gangs(&mut world, 15, 14);
+    world.run_until(Duration::from_secs(420));
+    world.check_end(seed);
+    let gangs = world.gangs();
+    assert_eq!(
+        gangs.completed.len(),
+        14,
+        "seed {seed}: every gang ran whole"
+    );
+    assert!(gangs.started >= 14, "seed {seed}");
+}
+
+#[test]
+fn gangs_run_whole_on_a_quiet_day() {
+    for seed in 600..=603 {
+        check(seed, Faults::default());
+    }
+}
+
+#[test]
+fn gangs_run_whole_while_controllers_crash() {
+    let faults = Faults {
+        crash: 10.0,
+        crash_all: 50.0,
+        held: 0.02,
+        lost: 0.02,
+        copies: 0.02,
+        ..Faults::default()
+    };
+    for seed in 610..=617 {
+        check(seed, faults);
+    }
+}
+
+#[test]
+fn gangs_run_whole_while_machines_die_and_hang() {
+    let faults = Faults {
+        machine_dies: 12.0,
+        machine_hangs: 10.0,
+        spot_taken: 12.0,
+        machine_restarts: 20.0,
+        machine_deaf: 30.0,
+        held: 0.01,
+        crash: 40.0,
+        ..Faults::default()
+    };
+    for seed in 620..=627 {
+        check(seed, faults);
+    }
+}
+
+#[test]
+fn gangs_run_whole_under_all_troubles() {
+    for seed in 630..=635 {
+        check(seed, Faults::all());
+    }
+}
--- /dev/null
+++ b/tests/simulation/rollout.rs
@@ -0,0 +1,140 @@
+//! The production version and this one serve together while an upgrade rolls through, then the state service lowers its
+//! limits. A controller that does not say in which format it can write stands for the production version.
+
+use std::time::Duration;
+
+use dappleshore::config::StateLimits;
+use dappleshore::store::records::FORMAT;
+
+use super::gangs::submit_gangs;
+use super::world::{CALM_FROM, Faults, NODES, Size, World};
+
+/// The limits that the state service has after the upgrade.
+const NEXT: StateLimits = StateLimits {
+    rps: 100.0,
+    write_rps: 25.0,
+    value_bytes: 2048,
+    txn_ops: 5,
+};
+const END: Duration = Duration::from_secs(420);
+
+/// How an upgrade goes.
+struct Rollout {
+    /// When the controllers come back with the new version, in this order.
+    order: [usize; NODES],
+    at_s: [u64; NODES],
+    /// How long each is away.
+    away: Duration,
+    fall_at_s: u64,
+}
+
+fn world(seed: u64, faults: Faults, size: Size, rollout: &Rollout) -> World {
+    let mut world = World::upgrading(seed, faults, CALM_FROM, size, NEXT);
+    for (node, at) in rollout.order.into_iter().zip(rollout.at_s) {
+        let away = rollout.away;
+        world.plan(Duration::from_secs(at), move |world| {
+            world.upgrade(node, away)
+        });
+    }
+    world.plan(Duration::from_secs(rollout.fall_at_s), |world| {
+        assert_eq!(world.format(), FORMAT, "switched on before the limits fall");
+        world.lower_state_limits(NEXT);
+    });
+    world
+}
+
+fn check(seed: u64, faults: Faults, rollout: &Rollout) {
+    let mut world = world(seed, faults, Size::SMALL, rollout);
+    submit_gangs(&mut world, rollout.at_s[NODES - 1] + 25, 6);
+    world.run_until(END);
+    world.check_end(seed);
+    assert_eq!(world.gangs().completed.len(), 6, "seed {seed}: gangs");
+    assert_eq!(world.state().too_large, 0, "seed {seed}: above the limits");
+}
+
+const ORDERS: [[usize; NODES]; 3] = [[0, 1, 2], [2, 0, 1], [1, 2, 0]];
+
+#[test]
+fn an_upgrade_rolls_through_on_a_quiet_day() {
+    for (seed, order) in (700..).zip(ORDERS) {
+        let rollout = Rollout {
+            order,
+            at_s: [30, 45, 60],
+            away: Duration::from_secs(5),
+            fall_at_s: 90,
+        };
+        check(seed, Faults::default(), &rollout);
+    }
+}
+
+#[test]
+fn an_upgrade_rolls_through_while_controllers_crash() {
+    let faults = Faults {
+        crash: 15.0,
+        held: 0.02,
+        lost: 0.02,
+        copies: 0.02,
+        late_writes: 0.02,
+        machine_dies: 40.0,
+        machine_hangs: 40.0,
+        ..Faults::default()
+    };
+    for (seed, order) in (710..).zip(ORDERS.into_iter().chain(ORDERS)) {
+        let rollout = Rollout {
+            order,
+            at_s: [30, 33, 36],
+            away: Duration::from_millis(100),
+            fall_at_s: 130,
+        };
+        check(seed, faults, &rollout);
+    }
+}
+
+#[test]
+fn the_format_stays_off_while_one_controller_is_still_production() {
+    let rollout = Rollout {
+        order: ORDERS[0],
+        at_s: [30, 40, 400],
+        away: Duration::from_secs(5),
+        fall_at_s: 1000,
+    };
+    let mut world = world(720, Faults::default(), Size::SMALL, &rollout);
+    world.run_until(Duration::from_secs(399));
+    assert_eq!(world.format(), 0);
+    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+    world.run_until(END);
+    assert_eq!(world.format(), FORMAT);
+    world.check_end(720);
+}
+
+/// Large values are divided before and after the limits fall, also in an outage and while blocks change hands.
+#[test]
+fn a_large_fleet_goes_on_under_smaller_limits() {
+    for (seed, fall_at_s) in [(730, 64), (731, 66), (732, 90)] {
+        let rollout = Rollout {
+            order: ORDERS[seed as usize % 3],
+            at_s: [40, 50, 60],
+            away: Duration::from_secs(2),
+            fall_at_s,
+        };
+        let mut world = world(seed, Faults::default(), Size::GROWN, &rollout);
+        world.plan(Duration::from_secs(fall_at_s + 2), |world| {
+            world.state_outage(Duration::from_secs(4));
+        });
+        world.plan(Duration::from_secs(fall_at_s + 8), |world| {
+            if let Some(leader) = world.leader() {
+                world.end_controller(leader, Duration::from_secs(5));
+            }
+        });
+        world.run_until(Duration::from_secs(400));
+        assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+        assert_eq!(world.rules.unfinished(), [], "seed {seed}");
+        assert_eq!(world.rules.unserved(), [] as [&str; 0], "seed {seed}");
+        assert_eq!(world.state().too_large, 0, "seed {seed}: above the limits");
+        let values = world.state().divided_values();
+        assert!(
+            values >= 2,
+            "seed {seed}: {values} parts, or the day shows nothing"
+        );
+    }
+}
--- a/tests/simulation/state.rs
+++ b/tests/simulation/state.rs
@@ -5,9 +5,11 @@
 
 use ciborium::Value;
 use dappleshore::config::StateLimits;
-use dappleshore::store::records::{LEADER, Leader, TOKEN, Token};
+use dappleshore::store::records::{FORMAT_KEY, FormatSwitch, LEADER, Leader, TOKEN, Token};
 use dappleshore::store::{Change, Op, Outcome, Txn};
 
+use super::production;
+
 struct Key {
     value: Value,
     version: u64,
@@ -24,6 +26,10 @@
     requests: (f64, Duration),
     writes: (f64, Duration),
     pub refused: usize,
+    /// The limits were lowered: what is above them is refused, not a mistake of the test's.
+    lowered: bool,
+    /// Transactions refused as too large.
+    pub too_large: usize,
     pub largest: usize,
     pub changes: usize,
     /// Requests that only read.
@@ -52,6 +58,8 @@
             writes: (limits.write_rps, Duration::ZERO),
             limits,
             refused: 0,
+            lowered: false,
+            too_large: 0,
             largest: 0,
             changes: 0,
             reads: 0,
@@ -60,6 +68,13 @@
 
     fn change(&mut self, key: &str, value: Option<Value>, hold: Option<u64>) {
         let version = self.revision;
+        let readable = value
+            .as_ref()
+            .is_none_or(|value| production::reads_record(key, value));
+        assert!(
+            readable || self.format() > 0,
+            "production can't read {key}: {value:?}"
+        );
         match value.clone() {
             Some(value) => {
                 self.keys.insert(
@@ -86,6 +101,34 @@
         self.keys.get(LEADER)?.value.deserialized().ok()
     }
 
+    /// What is stored stays readable, whatever its size.
+    pub fn lower_limits(&mut self, limits: StateLimits) {
+        self.limits = limits;
+        self.lowered = true;
+    }
+
+    pub fn format(&self) -> u32 {
+        let record = self.keys.get(FORMAT_KEY);
+        let switch = record.and_then(|key| key.value.deserialized::<FormatSwitch>().ok());
+        switch.map_or(0, |switch| switch.version)
+    }
+
+    /// Values that are not the first part of their record.
+    pub fn divided_values(&self) -> usize {
+        self.keys
+            .keys()
+            .filter(|key| key.contains("_part/"))
+            .count()
+    }
+
+    fn above_limits(&self, txn: &Txn) -> bool {
+        use dappleshore::store::TxnChange::Put;
+        let large = |change: &dappleshore::store::TxnChange| matches!(change, Put { value, .. } if json_size(value) > self.limits.value_bytes);
+        txn.changes.len() > self.limits.txn_ops
+            || txn.conditions.len() > 4 * self.limits.txn_ops
+            || txn.changes.iter().any(large)
+    }
+
     pub fn last_token(&self) -> u64 {
         let token = self
             .keys
@@ -191,6 +234,10 @@
     fn commit(&mut self, now: Duration, txn: &Txn) -> Outcome {
         use dappleshore::store::TxnChange::{Delete, Put};
         let cost = txn.changes.len();
+        if self.lowered && self.above_limits(txn) {
+            self.too_large += 1;
+            return Outcome::Invalid;
+        }
         assert!(
             cost <= self.limits.txn_ops,
             "too many changes in a transaction: {cost}"
