--- a/src/provisioning/tests.rs
+++ b/src/provisioning/tests.rs
@@ -5,6 +5,7 @@
 use crate::config::tests::SETTINGS;
 use crate::domain::{Attempt, JobId, TaskId};
 use crate::placement::tests::job;
+use crate::policy::Policy;
 use crate::provisioning::wire::tests::flavor;
 use crate::store::Change;
 use crate::store::records::Order;
@@ -273,3 +274,73 @@
     assert_eq!(ordered(false), Some(Tenure::Spot));
     assert_eq!(ordered(true), Some(Tenure::Ordinary));
 }
+
+/// A roster that is larger than the state service will take can't be written again, so it could not even be drained.
+#[test]
+fn a_roster_that_is_too_large_is_divided_step_by_step_and_loses_no_machine() {
+    use crate::store::TxnChange;
+    use crate::store::records::{FORMAT, FORMAT_KEY, FormatSwitch, encode, json_size};
+    let mut config = Config::parse("s.toml", SETTINGS).expect("valid");
+    (config.state_limits.value_bytes, config.state_limits.txn_ops) = (2048, 5);
+    let policy = Policy::defaults(&config);
+    let mut flavors = Flavors::default();
+    flavors.answered(Some(FlavorList {
+        types: vec![flavor()],
+    }));
+    let lead = Lead {
+        config: &config,
+        policy: &policy,
+        flavors: &flavors,
+        term: 1,
+        version: 1,
+        batch: 5,
+        spare: true,
+    };
+    let mut view = View::following();
+    let block = blocks::name(&"a".into(), 0);
+    let entry = || Rostered {
+        type_name: "large".into(),
+        tenure: Tenure::Spot,
+        draining: false,
+        rented_s: 1_800_000_000,
+    };
+    let on = (0..600).map(|n| (format!("m-{n:06}").as_str().into(), entry()));
+    let roster = Roster {
+        zone: "a".into(),
+        on: on.collect(),
+    };
+    let mut version = 0;
+    let mut put = |view: &mut View, key: String, value| {
+        version += 1;
+        view.apply(Change {
+            key,
+            version,
+            value,
+        });
+    };
+    put(&mut view, roster_key(&block), Some(encode(&roster)));
+    let next = |view: &View| divide_roster(&lead, view, &Demand::default(), &Txn::default());
+    assert_eq!(next(&view), None, "not before the format is on");
+    let switch = FormatSwitch { version: FORMAT };
+    put(&mut view, FORMAT_KEY.to_owned(), Some(encode(&switch)));
+    let mut steps = 0;
+    while let Some(txn) = next(&view) {
+        steps += 1;
+        assert!(steps < 20 && txn.changes.len() <= 5, "step {steps}");
+        for change in txn.changes {
+            match change {
+                TxnChange::Put { key, value, .. } => {
+                    let size = json_size(&value);
+                    assert!(size <= 2048, "{key} is {size} bytes");
+                    put(&mut view, key, Some(value));
+                }
+                TxnChange::Delete { key } => put(&mut view, key, None),
+            }
+            assert_eq!(view.rosters[&block].value, roster, "step {steps}");
+            assert_eq!(view.machines.len(), 600);
+        }
+    }
+    assert!(steps > 1, "more than one transaction holds");
+    let parts = view.roster_parts(&block).expect("known");
+    assert!(!parts.contains_key(&0), "deleted, for it can't be written");
+}
--- a/tests/simulation/rollout.rs
+++ b/tests/simulation/rollout.rs
@@ -140,6 +140,7 @@
             fall_at_s,
         };
         let mut world = world(seed, Faults::default(), Size::GROWN, &rollout);
+        world.longer = Duration::from_secs(20);
         world.plan(Duration::from_secs(fall_at_s + 2), |world| {
             world.state_outage(Duration::from_secs(4));
         });
@@ -153,6 +154,11 @@
         assert_eq!(world.rules.unfinished(), [], "seed {seed}");
         assert_eq!(world.rules.unserved(), [] as [&str; 0], "seed {seed}");
         assert_eq!(world.state().too_large, 0, "seed {seed}: above the limits");
+        let largest = world.state().largest;
+        assert!(
+            largest > NEXT.value_bytes,
+            "seed {seed}: {largest} bytes at most, so that nothing had to be divided"
+        );
         let values = world.state().divided_values();
         assert!(
             values >= 2,
