--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -142,15 +142,7 @@
             provisioner,
             ..
         } = self;
-        let lead = Lead {
-            config,
-            policy,
-            flavors,
-            term: TERM,
-            version: 1,
-            batch: 16,
-            spare: true,
-        };
+        let lead = lead_of(config, policy, flavors);
         let demand = queues.plan(*now, &lead, view, provisioner);
         (demand, queues.messages(*now, view, provisioner.addresses()))
     }
@@ -165,15 +157,7 @@
             queues,
             ..
         } = self;
-        let lead = Lead {
-            config,
-            policy,
-            flavors,
-            term: TERM,
-            version: 1,
-            batch: 16,
-            spare: true,
-        };
+        let lead = lead_of(config, policy, flavors);
         queues.writer = Writer::Idle;
         let Some(Op::Commit(txn)) = queues.write(self.now, &lead, view) else {
             return Vec::new();
@@ -200,6 +184,18 @@
     }
 }
 
+fn lead_of<'a>(config: &'a Config, policy: &'a Policy, flavors: &'a Flavors) -> Lead<'a> {
+    Lead {
+        config,
+        policy,
+        flavors,
+        term: TERM,
+        version: 1,
+        batch: 16,
+        spare: true,
+    }
+}
+
 pub(super) fn name(n: u32) -> MachineId {
     format!("m-{n:06}").as_str().into()
 }
@@ -617,15 +613,7 @@
             queues,
             ..
         } = &fixture;
-        let lead = Lead {
-            config,
-            policy,
-            flavors,
-            term: TERM,
-            version: 1,
-            batch: 16,
-            spare: true,
-        };
+        let lead = lead_of(config, policy, flavors);
         queues.queue(*now, view)[0].reach(&lead)
     };
     let late = opportunistic::RESTRICTED_FOR + Duration::from_secs(1);
