One look-up of a machine's roster part, one withdrawal of releases, no edits worked out in vain

Found on reading the change once more; behaviour as before.

- Holder and leader each looked up which part of a roster a machine is in: `View::roster_part_of` serves both.
- Every write of the leader's machines worked out the edits, which look at all placed tasks, only to find that no roster is too large.
That is looked at first.
- `Release::withdraw` where two places set the same two fields.

--- a/src/fleet/block.rs
+++ b/src/fleet/block.rs
@@ -728,7 +728,7 @@
                     self.refused.push(wanted.attempt.number);
                     continue;
                 };
-                let Some(roster_part) = roster_part_of(view, &self.id, &machine) else {
+                let Some(roster_part) = view.roster_part_of(&self.id, &machine) else {
                     continue;
                 };
                 if placed.conditions_with(task.job, roster_part) > most_conditions {
@@ -924,15 +924,6 @@
     }
 }
 
-/// The part of the block's roster that a machine is in: the last one, if it is being moved.
-fn roster_part_of(view: &View, block: &BlockId, machine: &MachineId) -> Option<Part> {
-    let parts = view.roster_parts(block)?;
-    let holding = parts
-        .iter()
-        .filter(|(_, part)| part.value.on.contains_key(machine));
-    holding.map(|(part, _)| *part).next_back()
-}
-
 /// Whether a job's tasks should run at all.
 pub(super) fn wanted_alive(view: &View, job: JobId) -> bool {
     view.open.get(&job).is_some_and(|open| !open.cancelled)
--- a/src/provisioning/edits.rs
+++ b/src/provisioning/edits.rs
@@ -177,12 +177,7 @@
             return false;
         };
         let (block, zone) = (machine.block.clone(), machine.zone.clone());
-        let parts = self.view.roster_parts(&block);
-        let holding = parts
-            .into_iter()
-            .flatten()
-            .filter(|(_, part)| part.value.on.contains_key(id));
-        let Some(part) = holding.map(|(part, _)| *part).next_back() else {
+        let Some(part) = self.view.roster_part_of(&block, id) else {
             return false;
         };
         let open = self.rosters.contains_key(&(block.clone(), part));
@@ -196,12 +191,7 @@
     /// Brings a value that is too large into parts that fit. Nothing else may be changed before that is done. None: there
     /// is no such value.
     pub(super) fn divide(&mut self) -> Option<Division> {
-        let most = self.part_bytes?;
-        let (block, large) = self.view.rosters.keys().find_map(|block| {
-            let mut parts = self.view.roster_parts(block)?.iter();
-            let large = parts.find(|(_, part)| part.value.size() > most)?;
-            Some((block.clone(), *large.0))
-        })?;
+        let (block, large) = too_large(self.view, self.part_bytes?)?;
         let parts = self.view.roster_parts(&block)?;
         let whole = &parts.get(&large)?.value;
         let elsewhere = |id: &MachineId| {
@@ -253,6 +243,15 @@
     }
 }
 
+/// A roster's value that is larger than this.
+pub(super) fn too_large(view: &View, bytes: usize) -> Option<(BlockId, Part)> {
+    view.rosters.keys().find_map(|block| {
+        let mut parts = view.roster_parts(block)?.iter();
+        let (part, _) = parts.find(|(_, part)| part.value.size() > bytes)?;
+        Some((block.clone(), *part))
+    })
+}
+
 /// A value that is being brought into parts.
 pub(super) struct Division {
     pub(super) block: BlockId,
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -24,10 +24,10 @@
 use crate::fleet::wire::Report;
 use crate::leadership::Lead;
 use crate::policy::Policy;
-use crate::store::records::{LEADER, Order, Rostered, order_key, roster_part_key};
+use crate::store::records::{FORMAT, LEADER, Order, Rostered, order_key, roster_part_key};
 use crate::store::{Op, Outcome, Txn, View, Writer};
 use boot_times::BootTimes;
-use edits::Edits;
+use edits::{Edits, too_large};
 pub use flavors::Flavors;
 use round::Round;
 use wire::{
@@ -807,6 +807,10 @@
 
 /// Brings the value of a roster that is too large for the limits in force into parts.
 fn divide_roster(lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
+    // Seldom is there one, and the edits look at all tasks there are.
+    if view.format() < FORMAT || too_large(view, lead.config.state_limits.value_bytes).is_none() {
+        return None;
+    }
     let mut edits = Edits::new(lead, view, demand);
     let division = edits.divide()?;
     info!(block = %division.block, "a value is too large: divided");
--- a/src/queueing/block_state.rs
+++ b/src/queueing/block_state.rs
@@ -34,6 +34,12 @@
 const PREEMPTION_TIMEOUT: Duration = Duration::from_secs(30);
 
 impl Release {
+    /// Takes it back: the next message says so.
+    pub(super) fn withdraw(&mut self) {
+        self.withdrawn = true;
+        self.message = u64::MAX;
+    }
+
     /// Whether it should be withdrawn, so that its task can be placed elsewhere. While preempted tasks still save, the
     /// holder finds no room and says so: that is expected, and withdrawing would leave their room to other work.
     pub(super) fn is_stuck(
--- a/src/queueing/gangs.rs
+++ b/src/queueing/gangs.rs
@@ -195,8 +195,7 @@
                 block_state.releases.get_mut(&attempt.number)
             });
             if let Some(release) = release.filter(|release| !release.withdrawn) {
-                release.withdrawn = true;
-                release.message = u64::MAX;
+                release.withdraw();
                 withdrawn += 1;
             }
         }
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -304,8 +304,7 @@
                     status.is_some_and(|status| status.refused.contains(&release.attempt.number));
                 let stuck = release.is_stuck(now, &block_state.stops, refused);
                 if !release.withdrawn && (!alive || stuck) {
-                    release.withdrawn = true;
-                    release.message = u64::MAX;
+                    release.withdraw();
                     block_state.dirty = true;
                 }
             }
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -809,6 +809,13 @@
         self.roster_parts.get(block)
     }
 
+    /// The part of the block's roster that a machine is in: the last one, if it is being moved.
+    pub fn roster_part_of(&self, block: &BlockId, machine: &MachineId) -> Option<Part> {
+        let mut parts = self.roster_parts(block)?.iter().rev();
+        let (part, _) = parts.find(|(_, part)| part.value.on.contains_key(machine))?;
+        Some(*part)
+    }
+
     /// All values that tasks are kept in.
     pub fn all_places_parts(&self) -> impl Iterator<Item = &Versioned<Places>> {
         self.places_parts.values().flat_map(BTreeMap::values)
