--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,11 @@
 //! dappleshore, a cluster scheduler: controllers take users' jobs, rent and return cloud machines, and run
 //! tasks on workers. The binary only parses its command line; everything else is here, one module for each duty.
 
+pub use dappleshore_domain as domain;
+
 pub mod blocks;
 pub mod cancellation;
 pub mod config;
-pub mod domain;
 pub mod fleet;
 pub mod http;
 pub mod intake;
