--- /dev/null
+++ b/crates/drain/src/budget.rs
@@ -0,0 +1,131 @@
+//! How many tasks of a team may be disrupted at a time.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+
+use dappleshore_domain::Team;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// At most so many, as a number or as a share of all there are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(try_from = "String", into = "String")]
+#[schemars(with = "String")]
+pub enum Limit {
+    /// So many.
+    Count(u32),
+    /// So many hundredths of a percent of all, rounded down. Rounding down can come to 0.
+    Share { basis_points: u32 },
+}
+
+/// One percent, in basis points.
+const PERCENT: u32 = 100;
+const ALL: u32 = 100 * PERCENT;
+
+/// A text that is no limit.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is no limit: a number such as 3, or a share from 0% to 100% such as 12.5%")]
+pub struct MalformedLimit(String);
+
+impl Limit {
+    /// What it comes to of so many.
+    pub fn of(self, all: u64) -> u64 {
+        match self {
+            Limit::Count(count) => u64::from(count),
+            Limit::Share { basis_points } => {
+                all.saturating_mul(u64::from(basis_points)) / u64::from(ALL)
+            }
+        }
+    }
+}
+
+impl FromStr for Limit {
+    type Err = MalformedLimit;
+
+    fn from_str(text: &str) -> Result<Self, MalformedLimit> {
+        let malformed = || MalformedLimit(text.to_owned());
+        let Some(percent) = text.strip_suffix('%') else {
+            return text.parse().map(Limit::Count).map_err(|_| malformed());
+        };
+        let percent: f64 = percent.parse().map_err(|_| malformed())?;
+        if !(0.0..=100.0).contains(&percent) {
+            return Err(malformed());
+        }
+        // At most 10,000 by the check above.
+        let basis_points = (percent * f64::from(PERCENT)).round() as u32;
+        Ok(Limit::Share { basis_points })
+    }
+}
+
+impl TryFrom<String> for Limit {
+    type Error = MalformedLimit;
+
+    fn try_from(text: String) -> Result<Self, MalformedLimit> {
+        text.parse()
+    }
+}
+
+impl From<Limit> for String {
+    fn from(limit: Limit) -> String {
+        limit.to_string()
+    }
+}
+
+impl fmt::Display for Limit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Limit::Count(count) => write!(f, "{count}"),
+            Limit::Share { basis_points } => {
+                write!(f, "{}%", f64::from(*basis_points) / f64::from(PERCENT))
+            }
+        }
+    }
+}
+
+/// A team's budget, as operators have set it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct TeamBudget {
+    /// For all tasks of the team. None: the default.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<Limit>,
+    /// For the tasks of a class, within the team's.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub classes: BTreeMap<String, Limit>,
+}
+
+impl TeamBudget {
+    /// Whether it says nothing.
+    pub fn is_empty(&self) -> bool {
+        self.limit.is_none() && self.classes.is_empty()
+    }
+}
+
+/// The budgets of all teams: what operators have set by request, else what the settings say.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Budgets {
+    pub default: Limit,
+    pub settings: BTreeMap<Team, TeamBudget>,
+    pub requested: BTreeMap<Team, TeamBudget>,
+}
+
+impl Budgets {
+    /// The limit for all tasks of a team.
+    pub fn of_team(&self, team: &Team) -> Limit {
+        let limit = |budgets: &BTreeMap<Team, TeamBudget>| {
+            budgets.get(team).and_then(|budget| budget.limit)
+        };
+        limit(&self.requested)
+            .or_else(|| limit(&self.settings))
+            .unwrap_or(self.default)
+    }
+
+    /// The limit for the team's tasks of a class, if there is one of its own.
+    pub fn of_class(&self, team: &Team, class: &str) -> Option<Limit> {
+        let limit = |budgets: &BTreeMap<Team, TeamBudget>| {
+            let budget = budgets.get(team)?;
+            budget.classes.get(class).copied()
+        };
+        limit(&self.requested).or_else(|| limit(&self.settings))
+    }
+}
--- /dev/null
+++ b/crates/drain/src/disruption.rs
@@ -0,0 +1,225 @@
+//! Which tasks are disrupted: evicted, lost, or on machines that can't be relied on, and not seen to run again.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::sync::Arc;
+
+use dappleshore_domain::{Attempt, TaskId, Team};
+
+use crate::budget::Budgets;
+use crate::ledger::{Eviction, Ledger, Subject};
+use crate::planner::Fleet;
+
+/// What is known of disruptions beyond what is recorded: the leader's memory.
+#[derive(Debug, Default)]
+pub struct Tracker {
+    /// Tasks lost by no decision of a drain, with the attempt that was lost.
+    lost: BTreeMap<TaskId, u64>,
+    /// Recorded evictions whose replacement was seen to run.
+    replaced: BTreeSet<Subject>,
+    /// Recorded losses that were seen to run again.
+    recovered: BTreeSet<TaskId>,
+}
+
+/// Losses kept in mind. Beyond that the oldest jobs' are kept.
+const MOST_LOST: usize = 20_000;
+
+impl Tracker {
+    /// Notes that a task's attempt has gone, neither done nor stopped by us.
+    pub fn note_lost(&mut self, attempt: Attempt) {
+        if self.lost.len() < MOST_LOST {
+            self.recovered.remove(&attempt.task);
+            self.lost.insert(attempt.task, attempt.number);
+        }
+    }
+
+    /// Takes in what runs again.
+    pub fn observe(&mut self, ledgers: &BTreeMap<Team, Ledger>, fleet: &impl Fleet) {
+        self.lost
+            .retain(|task, lost| !is_restored(fleet, *task, |attempt| attempt.number == *lost));
+        let recorded: BTreeSet<Subject> = evictions(ledgers).map(|e| e.subject).collect();
+        self.replaced.retain(|subject| recorded.contains(subject));
+        for subject in recorded {
+            if subject
+                .tasks()
+                .all(|task| is_restored(fleet, task, |attempt| subject.covers(attempt)))
+            {
+                self.replaced.insert(subject);
+            }
+        }
+        let recorded: BTreeSet<TaskId> = ledgers.values().flat_map(|l| &l.lost).copied().collect();
+        self.recovered.retain(|task| recorded.contains(task));
+        for task in recorded {
+            if !self.lost.contains_key(&task) && is_restored(fleet, task, |_| false) {
+                self.recovered.insert(task);
+            }
+        }
+    }
+
+    /// Whether an eviction's replacement has not been seen to run yet.
+    pub fn is_outstanding(&self, eviction: &Eviction) -> bool {
+        !self.replaced.contains(&eviction.subject)
+    }
+
+    /// Recorded evictions whose replacements were not seen to run yet.
+    pub fn outstanding<'l>(
+        &self,
+        ledgers: &'l BTreeMap<Team, Ledger>,
+    ) -> impl Iterator<Item = &'l Eviction> {
+        evictions(ledgers).filter(|eviction| self.is_outstanding(eviction))
+    }
+
+    /// Tasks that were lost and not seen to run again, recorded or not.
+    pub fn lost(&self, ledgers: &BTreeMap<Team, Ledger>) -> BTreeSet<TaskId> {
+        let recorded = ledgers.values().flat_map(|ledger| &ledger.lost).copied();
+        let missing = recorded.filter(|task| !self.recovered.contains(task));
+        missing.chain(self.lost.keys().copied()).collect()
+    }
+}
+
+fn evictions(ledgers: &BTreeMap<Team, Ledger>) -> impl Iterator<Item = &Eviction> {
+    ledgers.values().flat_map(|ledger| &ledger.evictions)
+}
+
+/// Whether a task has ended, or another attempt than the old one runs.
+fn is_restored(fleet: &impl Fleet, task: TaskId, is_old: impl Fn(&Attempt) -> bool) -> bool {
+    let runs = |attempt: &Attempt| !is_old(attempt) && fleet.runs(attempt);
+    fleet.job(task.job).is_none() || fleet.is_done(task) || fleet.attempts(task).iter().any(runs)
+}
+
+/// Tasks that exist and those that are disrupted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Count {
+    pub disrupted: u64,
+    pub tasks: u64,
+}
+
+/// The disrupted tasks of each team and class.
+#[derive(Debug, Default)]
+pub struct Disruptions {
+    disrupted: HashSet<TaskId>,
+    known: HashSet<TaskId>,
+    teams: BTreeMap<Team, Count>,
+    classes: BTreeMap<(Team, Arc<str>), Count>,
+}
+
+/// A budget that leaves no room for another disruption.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Exceeded {
+    pub team: Team,
+    /// None: the budget of the whole team.
+    pub class: Option<Arc<str>>,
+    pub disrupted: u64,
+    /// How many the eviction would add.
+    pub more: u64,
+    pub allowed: u64,
+}
+
+impl Disruptions {
+    /// Counts all tasks there are, and those that are disrupted.
+    pub fn count(tracker: &Tracker, ledgers: &BTreeMap<Team, Ledger>, fleet: &impl Fleet) -> Self {
+        let mut count = Disruptions::default();
+        for machine in fleet.machines() {
+            for attempt in &machine.tasks {
+                count.add_task(fleet, attempt.task);
+                if !machine.usable {
+                    count.disrupt(fleet, attempt.task);
+                }
+            }
+        }
+        for eviction in tracker.outstanding(ledgers) {
+            for task in eviction.subject.tasks() {
+                count.disrupt(fleet, task);
+            }
+        }
+        for task in tracker.lost(ledgers) {
+            count.disrupt(fleet, task);
+        }
+        count
+    }
+
+    fn add_task(&mut self, fleet: &impl Fleet, task: TaskId) {
+        if !self.known.insert(task) {
+            return;
+        }
+        if let Some(job) = fleet.job(task.job) {
+            self.teams.entry(job.team.clone()).or_default().tasks += 1;
+            self.classes.entry((job.team, job.class)).or_default().tasks += 1;
+        }
+    }
+
+    /// Counts a task as disrupted; of a gang, all its tasks.
+    pub fn disrupt(&mut self, fleet: &impl Fleet, task: TaskId) {
+        let Some(job) = fleet.job(task.job) else {
+            return;
+        };
+        let indices = match job.gang_tasks {
+            Some(tasks) => 0..tasks,
+            None => task.index..task.index + 1,
+        };
+        for index in indices {
+            let task = TaskId { index, ..task };
+            if fleet.is_done(task) || !self.disrupted.insert(task) {
+                continue;
+            }
+            self.add_task(fleet, task);
+            self.teams.entry(job.team.clone()).or_default().disrupted += 1;
+            let class = (job.team.clone(), job.class.clone());
+            self.classes.entry(class).or_default().disrupted += 1;
+        }
+    }
+
+    /// What each team has.
+    pub fn teams(&self) -> &BTreeMap<Team, Count> {
+        &self.teams
+    }
+
+    /// What a team has.
+    pub fn of_team(&self, team: &Team) -> Count {
+        self.teams.get(team).copied().unwrap_or_default()
+    }
+
+    /// What a team has of a class.
+    pub fn of_class(&self, team: &Team, class: &Arc<str>) -> Count {
+        let key = (team.clone(), class.clone());
+        self.classes.get(&key).copied().unwrap_or_default()
+    }
+
+    /// Whether a budget forbids to disrupt these tasks as well.
+    pub fn exceeded(
+        &self,
+        fleet: &impl Fleet,
+        budgets: &Budgets,
+        subject: &Subject,
+    ) -> Option<Exceeded> {
+        let job = fleet.job(subject.job())?;
+        let more = subject
+            .tasks()
+            .filter(|task| !self.disrupted.contains(task))
+            .count() as u64;
+        if more == 0 {
+            return None;
+        }
+        let within = |count: Count, allowed: u64| count.disrupted + more <= allowed;
+        let of_team = self.of_team(&job.team);
+        let allowed = budgets.of_team(&job.team).of(of_team.tasks);
+        if !within(of_team, allowed) {
+            return Some(Exceeded {
+                team: job.team,
+                class: None,
+                disrupted: of_team.disrupted,
+                more,
+                allowed,
+            });
+        }
+        let limit = budgets.of_class(&job.team, &job.class)?;
+        let of_class = self.of_class(&job.team, &job.class);
+        let allowed = limit.of(of_class.tasks);
+        (!within(of_class, allowed)).then_some(Exceeded {
+            team: job.team,
+            class: Some(job.class),
+            disrupted: of_class.disrupted,
+            more,
+            allowed,
+        })
+    }
+}
--- /dev/null
+++ b/crates/drain/src/ledger.rs
@@ -0,0 +1,84 @@
+//! The record of disruptions: one value for each team, so that all that spend its budget change the same value.
+
+use dappleshore_domain::{Attempt, JobId, MachineId, TaskId};
+use serde::{Deserialize, Serialize};
+
+use crate::id::DrainId;
+
+/// What is evicted: a task, or a gang as a whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Subject {
+    #[serde(rename = "t")]
+    Task(Attempt),
+    /// All tasks of a start of a gang.
+    #[serde(rename = "g")]
+    Gang { job: JobId, start: u64, tasks: u32 },
+}
+
+impl Subject {
+    /// The job that it belongs to.
+    pub fn job(&self) -> JobId {
+        match self {
+            Subject::Task(attempt) => attempt.task.job,
+            Subject::Gang { job, .. } => *job,
+        }
+    }
+
+    /// Whether this attempt is to be stopped.
+    pub fn covers(&self, attempt: &Attempt) -> bool {
+        match self {
+            Subject::Task(evicted) => evicted == attempt,
+            Subject::Gang { job, start, .. } => {
+                attempt.task.job == *job && attempt.gang_start() == Some(*start)
+            }
+        }
+    }
+
+    /// The tasks that have to run again.
+    pub fn tasks(&self) -> impl Iterator<Item = TaskId> + use<> {
+        let (job, indices) = match *self {
+            Subject::Task(Attempt { task, .. }) => (task.job, task.index..task.index + 1),
+            Subject::Gang { job, tasks, .. } => (job, 0..tasks),
+        };
+        indices.map(move |index| TaskId { job, index })
+    }
+}
+
+/// A decision to move a task to another machine, recorded before the task is told to stop.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Eviction {
+    #[serde(rename = "s")]
+    pub subject: Subject,
+    /// The drain that it is for.
+    #[serde(rename = "d")]
+    pub drain: DrainId,
+    /// The machine that is emptied.
+    #[serde(rename = "m")]
+    pub machine: MachineId,
+    /// By the leader's time of day.
+    #[serde(rename = "at")]
+    pub at_ms: u64,
+}
+
+/// A team's disruptions.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Evictions whose replacement was not yet seen to run.
+    #[serde(rename = "e")]
+    pub evictions: Vec<Eviction>,
+    /// Tasks that were lost otherwise and not yet seen to run again.
+    #[serde(rename = "l")]
+    pub lost: Vec<TaskId>,
+}
+
+impl Ledger {
+    /// Whether nothing is disrupted.
+    pub fn is_empty(&self) -> bool {
+        self.evictions.is_empty() && self.lost.is_empty()
+    }
+
+    /// The entries, for which the value must have room.
+    pub fn len(&self) -> usize {
+        self.evictions.len() + self.lost.len()
+    }
+}
--- /dev/null
+++ b/crates/drain/src/operator.rs
@@ -0,0 +1,264 @@
+//! What operators ask controllers, and what they are answered.
+
+use dappleshore_domain::{NodeName, Team};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::budget::Limit;
+use crate::id::DrainId;
+use crate::planner::{Progress, State};
+use crate::record::{DrainRecord, Purpose};
+use crate::scope::Scope;
+
+/// A request. Each can be repeated: it never acts twice.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Request {
+    /// Cordons or drains machines.
+    Start {
+        id: DrainId,
+        scope: Scope,
+        purpose: Purpose,
+        return_machines: bool,
+        step: Option<Limit>,
+    },
+    /// Puts machines back into service.
+    Uncordon {
+        scope: Scope,
+    },
+    /// Calls a drain off.
+    Cancel {
+        id: DrainId,
+    },
+    /// Lets a halted drain go on.
+    Resume {
+        id: DrainId,
+    },
+    /// All drains and cordons, or one.
+    List {
+        id: Option<DrainId>,
+    },
+    /// The budgets of all teams.
+    Budgets,
+    SetBudget {
+        team: Team,
+        class: Option<String>,
+        limit: Limit,
+    },
+    ClearBudget {
+        team: Team,
+        class: Option<String>,
+    },
+}
+
+impl Request {
+    /// Whether it changes nothing.
+    pub fn only_reads(&self) -> bool {
+        matches!(self, Request::List { .. } | Request::Budgets)
+    }
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    Drains(Vec<DrainStatus>),
+    Budgets(Vec<BudgetStatus>),
+    /// Records that no longer hold these machines back.
+    Uncordoned {
+        records: Vec<DrainId>,
+    },
+    /// Another controller leads.
+    Elsewhere {
+        leader: NodeName,
+        addr: String,
+    },
+    Problem(Problem),
+}
+
+/// Why a request was not carried out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema, thiserror::Error)]
+#[error("{message}")]
+pub struct Problem {
+    pub kind: ProblemKind,
+    /// One line for people.
+    pub message: String,
+}
+
+/// What kind of problem it is; each has an exit code of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum ProblemKind {
+    /// The request makes no sense.
+    Invalid,
+    /// There is no such drain.
+    NotFound,
+    /// It can't be done as things are.
+    Refused,
+    /// Nobody can decide just now: it may be repeated.
+    Unavailable,
+}
+
+impl Problem {
+    /// A problem of this kind.
+    pub fn new(kind: ProblemKind, message: impl Into<String>) -> Self {
+        Problem {
+            kind,
+            message: message.into(),
+        }
+    }
+}
+
+/// A drain or a cordon, as it is shown.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct DrainStatus {
+    pub id: String,
+    /// Such as `zone a`.
+    pub scope: String,
+    /// `cordon` or `drain`.
+    pub purpose: String,
+    pub state: StateName,
+    /// What it waits for, or why it is halted.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub reason: Option<String>,
+    /// The team whose budget it waits for.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub waiting_for: Option<String>,
+    pub return_machines: bool,
+    pub machines: usize,
+    /// Machines without tasks.
+    pub empty: usize,
+    pub tasks_left: usize,
+    /// Evicted tasks whose replacement does not run yet.
+    pub outstanding: usize,
+    pub requested_ms: u64,
+}
+
+/// The state of a drain by its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum StateName {
+    Requested,
+    WaitingForBudget,
+    Replacing,
+    Evicting,
+    Empty,
+    Halted,
+    Cancelled,
+    Done,
+}
+
+impl StateName {
+    /// As it is written.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            StateName::Requested => "requested",
+            StateName::WaitingForBudget => "waiting_for_budget",
+            StateName::Replacing => "replacing",
+            StateName::Evicting => "evicting",
+            StateName::Empty => "empty",
+            StateName::Halted => "halted",
+            StateName::Cancelled => "cancelled",
+            StateName::Done => "done",
+        }
+    }
+
+    /// Whether it stays so unless an operator does something.
+    pub fn is_final(self) -> bool {
+        matches!(
+            self,
+            StateName::Halted | StateName::Cancelled | StateName::Done
+        )
+    }
+}
+
+impl State {
+    /// Its name.
+    pub fn name(&self) -> StateName {
+        match self {
+            State::Requested => StateName::Requested,
+            State::WaitingForBudget(_) => StateName::WaitingForBudget,
+            State::Replacing { .. } => StateName::Replacing,
+            State::Evicting => StateName::Evicting,
+            State::Empty => StateName::Empty,
+            State::Halted(_) => StateName::Halted,
+            State::Cancelled => StateName::Cancelled,
+            State::Done => StateName::Done,
+        }
+    }
+
+    /// What it waits for, for people.
+    pub fn reason(&self) -> Option<String> {
+        use crate::planner::NoRoom;
+        match self {
+            State::WaitingForBudget(exceeded) => {
+                let class = exceeded.class.as_ref();
+                let class = class.map_or(String::new(), |class| format!(", class {class}"));
+                Some(format!(
+                    "team {}{class}: {} disrupted, {} more to be evicted, {} allowed",
+                    exceeded.team, exceeded.disrupted, exceeded.more, exceeded.allowed
+                ))
+            }
+            State::Replacing {
+                task,
+                reason: NoRoom::Yet,
+            } => Some(format!("no machine has room for {task} yet")),
+            State::Replacing {
+                task,
+                reason: NoRoom::Anywhere,
+            } => Some(format!("all places where {task} may go are being drained")),
+            State::Halted(reason) => Some(reason.to_string()),
+            _ => None,
+        }
+    }
+}
+
+impl DrainStatus {
+    /// What is shown of a record. `progress`: how far it is, if the leader has looked already.
+    pub fn new(id: &DrainId, record: &DrainRecord, progress: Option<&Progress>) -> Self {
+        let unknown = Progress {
+            state: State::Requested,
+            machines: 0,
+            empty: 0,
+            tasks_left: 0,
+            outstanding: 0,
+        };
+        let progress = progress.unwrap_or(&unknown);
+        let waiting_for = match &progress.state {
+            State::WaitingForBudget(exceeded) => Some(exceeded.team.to_string()),
+            _ => None,
+        };
+        let purpose = match record.purpose {
+            Purpose::Cordon => "cordon",
+            Purpose::Drain => "drain",
+        };
+        DrainStatus {
+            id: id.to_string(),
+            scope: record.scope.to_string(),
+            purpose: purpose.to_owned(),
+            state: progress.state.name(),
+            reason: progress.state.reason(),
+            waiting_for,
+            return_machines: record.return_machines,
+            machines: progress.machines,
+            empty: progress.empty,
+            tasks_left: progress.tasks_left,
+            outstanding: progress.outstanding,
+            requested_ms: record.requested_ms,
+        }
+    }
+}
+
+/// A team's budget, as it is shown.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct BudgetStatus {
+    pub team: String,
+    /// None: all tasks of the team.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub class: Option<String>,
+    pub limit: Limit,
+    /// `request`, `settings` or `default`.
+    pub source: String,
+    /// What the limit comes to now.
+    pub allowed: u64,
+    pub disrupted: u64,
+    pub tasks: u64,
+}
--- /dev/null
+++ b/crates/drain/src/requests.rs
@@ -0,0 +1,368 @@
+//! What operators' requests change: a pure function from the records as they are to the changes of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dappleshore_domain::{BlockId, MachineId, Team, TypeName, Zone};
+
+use crate::budget::{Limit, TeamBudget};
+use crate::id::DrainId;
+use crate::operator::{Problem, ProblemKind, Request};
+use crate::planner::MachineView;
+use crate::record::{DrainRecord, MOST_ENDED, MOST_HOLDING, Phase, Purpose};
+use crate::scope::{Membership, Scope};
+
+/// A change of a record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    PutDrain(DrainId, DrainRecord),
+    DeleteDrain(DrainId),
+    PutBudget(Team, TeamBudget),
+    DeleteBudget(Team),
+}
+
+/// What a request is checked against.
+pub struct Known<'a> {
+    pub now_ms: u64,
+    pub drains: &'a BTreeMap<DrainId, DrainRecord>,
+    /// As operators have set them by request.
+    pub budgets: &'a BTreeMap<Team, TeamBudget>,
+    pub machines: &'a [MachineView],
+    pub blocks: BTreeSet<BlockId>,
+    pub types: BTreeSet<TypeName>,
+    pub zones: BTreeSet<Zone>,
+    pub teams: BTreeSet<Team>,
+    /// Changes that one transaction may have.
+    pub most_changes: usize,
+    /// Whether a record fits a value.
+    pub fits: &'a dyn Fn(&DrainRecord) -> bool,
+}
+
+/// The longest name of a class.
+const MOST_CLASS_CHARACTERS: usize = 64;
+/// Classes of a team with budgets of their own.
+const MOST_CLASSES: usize = 16;
+
+fn invalid(message: String) -> Problem {
+    Problem::new(ProblemKind::Invalid, message)
+}
+
+fn refused(message: String) -> Problem {
+    Problem::new(ProblemKind::Refused, message)
+}
+
+/// The changes that a request comes to: none, if all is as it asks for.
+pub fn changes(request: &Request, known: &Known<'_>) -> Result<Vec<Change>, Problem> {
+    match request {
+        Request::Start {
+            id,
+            scope,
+            purpose,
+            return_machines,
+            step,
+        } => {
+            let record = DrainRecord {
+                scope: scope.clone(),
+                purpose: *purpose,
+                return_machines: *return_machines,
+                step: *step,
+                requested_ms: known.now_ms,
+                resumed_ms: 0,
+                phase: Phase::Active,
+                except: BTreeSet::new(),
+            };
+            start(id, record, known)
+        }
+        Request::Uncordon { scope } => uncordon(scope, known),
+        Request::Cancel { id } => cancel(id, known),
+        Request::Resume { id } => resume(id, known),
+        Request::List { id } => match id {
+            Some(id) => find(id, known).map(|_| Vec::new()),
+            None => Ok(Vec::new()),
+        },
+        Request::Budgets => Ok(Vec::new()),
+        Request::SetBudget { team, class, limit } => {
+            set_budget(team, class.as_deref(), *limit, known)
+        }
+        Request::ClearBudget { team, class } => clear_budget(team, class.as_deref(), known),
+    }
+}
+
+/// The record that a request to start is answered with: of the same name, or one under way that asks for the same.
+pub fn existing<'a>(
+    id: &'a DrainId,
+    record: &DrainRecord,
+    drains: &'a BTreeMap<DrainId, DrainRecord>,
+) -> Option<&'a DrainId> {
+    if drains.contains_key(id) {
+        return Some(id);
+    }
+    let same =
+        |(_, other): &(&DrainId, &DrainRecord)| other.is_under_way() && other.same_request(record);
+    drains.iter().find(same).map(|(id, _)| id)
+}
+
+fn start(id: &DrainId, record: DrainRecord, known: &Known<'_>) -> Result<Vec<Change>, Problem> {
+    if let Some(other) = known.drains.get(id) {
+        if other.same_request(&record) {
+            return Ok(Vec::new());
+        }
+        return Err(refused(format!(
+            "`{id}` names another request already: {} of {}",
+            purpose_name(other.purpose),
+            other.scope
+        )));
+    }
+    check_scope(&record.scope, known)?;
+    if record.step.is_some_and(|step| step.of(u64::MAX) == 0) {
+        return Err(invalid(
+            "a step of 0 would never empty a machine".to_owned(),
+        ));
+    }
+    if record.return_machines && record.purpose == Purpose::Cordon {
+        return Err(invalid(
+            "a cordon returns no machines: ask for a drain".to_owned(),
+        ));
+    }
+    if existing(id, &record, known.drains).is_some() {
+        return Ok(Vec::new());
+    }
+    if !(known.fits)(&record) {
+        return Err(refused(format!(
+            "{}: too many machines for one record; name a block, a type or a zone, or several lists",
+            record.scope
+        )));
+    }
+    let holding = known
+        .drains
+        .values()
+        .filter(|record| record.holds())
+        .count();
+    if holding >= MOST_HOLDING {
+        return Err(refused(format!(
+            "{MOST_HOLDING} drains and cordons hold machines already: cancel or uncordon some"
+        )));
+    }
+    let mut changes = vec![Change::PutDrain(id.clone(), record)];
+    changes.extend(oldest_ended(known).map(Change::DeleteDrain));
+    Ok(changes)
+}
+
+fn purpose_name(purpose: Purpose) -> &'static str {
+    match purpose {
+        Purpose::Cordon => "a cordon",
+        Purpose::Drain => "a drain",
+    }
+}
+
+/// An ended record that makes room for another one.
+fn oldest_ended(known: &Known<'_>) -> Option<DrainId> {
+    let ended = || known.drains.iter().filter(|(_, record)| !record.holds());
+    if ended().count() < MOST_ENDED {
+        return None;
+    }
+    ended()
+        .min_by_key(|(_, record)| record.requested_ms)
+        .map(|(id, _)| id.clone())
+}
+
+fn check_scope(scope: &Scope, known: &Known<'_>) -> Result<(), Problem> {
+    let unknown = |kind: &str, name: &dyn std::fmt::Display| {
+        Err(invalid(format!("there is no {kind} `{name}`")))
+    };
+    match scope {
+        Scope::Machines(machines) => {
+            if machines.is_empty() {
+                return Err(invalid("no machine is named".to_owned()));
+            }
+            let exists = |id: &&MachineId| known.machines.iter().any(|machine| machine.id == **id);
+            match machines.iter().find(|id| !exists(id)) {
+                Some(id) => unknown("machine", id),
+                None => Ok(()),
+            }
+        }
+        Scope::Block(block) if !known.blocks.contains(block) => unknown("block", block),
+        Scope::Type(name) if !known.types.contains(name) => unknown("machine type", name),
+        Scope::Zone(zone) if !known.zones.contains(zone) => unknown("zone", zone),
+        Scope::Block(_) | Scope::Type(_) | Scope::Zone(_) => Ok(()),
+    }
+}
+
+fn find<'a>(id: &DrainId, known: &'a Known<'_>) -> Result<&'a DrainRecord, Problem> {
+    known
+        .drains
+        .get(id)
+        .ok_or_else(|| Problem::new(ProblemKind::NotFound, format!("there is no drain `{id}`")))
+}
+
+fn cancel(id: &DrainId, known: &Known<'_>) -> Result<Vec<Change>, Problem> {
+    let record = find(id, known)?;
+    match record.phase {
+        Phase::Cancelled | Phase::Uncordoned => Ok(Vec::new()),
+        Phase::Done => Err(refused(format!(
+            "`{id}` is done: put its machines back into service with `uncordon`"
+        ))),
+        Phase::Active | Phase::Halted { .. } => {
+            let record = DrainRecord {
+                phase: Phase::Cancelled,
+                ..record.clone()
+            };
+            Ok(vec![Change::PutDrain(id.clone(), record)])
+        }
+    }
+}
+
+fn resume(id: &DrainId, known: &Known<'_>) -> Result<Vec<Change>, Problem> {
+    let record = find(id, known)?;
+    match record.phase {
+        Phase::Active => Ok(Vec::new()),
+        Phase::Halted { .. } => {
+            let record = DrainRecord {
+                phase: Phase::Active,
+                resumed_ms: known.now_ms,
+                ..record.clone()
+            };
+            Ok(vec![Change::PutDrain(id.clone(), record)])
+        }
+        Phase::Done | Phase::Cancelled | Phase::Uncordoned => {
+            Err(refused(format!("`{id}` is over")))
+        }
+    }
+}
+
+fn uncordon(scope: &Scope, known: &Known<'_>) -> Result<Vec<Change>, Problem> {
+    check_scope(scope, known)?;
+    let mut changes = Vec::new();
+    for (id, record) in known.drains.iter().filter(|(_, record)| record.holds()) {
+        let shared = machines_of_both(scope, record, known.machines);
+        let whole = covers(scope, &record.scope);
+        if shared.is_empty() && !whole {
+            continue;
+        }
+        if record.purpose == Purpose::Drain && record.is_under_way() {
+            return Err(refused(format!(
+                "drain `{id}` is under way and holds {}: cancel it first",
+                record.scope
+            )));
+        }
+        let mut record = record.clone();
+        if whole {
+            record.phase = Phase::Uncordoned;
+        } else {
+            record.except.extend(shared);
+        }
+        if !(known.fits)(&record) {
+            return Err(refused(format!(
+                "`{id}` can't note so many exceptions: uncordon {} as a whole",
+                record.scope
+            )));
+        }
+        changes.push(Change::PutDrain(id.clone(), record));
+    }
+    if changes.len() > known.most_changes {
+        return Err(refused(format!(
+            "{} records hold these machines, more than one transaction may change: uncordon fewer at a time",
+            changes.len()
+        )));
+    }
+    Ok(changes)
+}
+
+/// The machines that a record holds and a request is about.
+fn machines_of_both(
+    scope: &Scope,
+    record: &DrainRecord,
+    machines: &[MachineView],
+) -> Vec<MachineId> {
+    let both = |machine: &&MachineView| {
+        let membership = Membership {
+            id: &machine.id,
+            block: &machine.block,
+            type_name: &machine.type_name,
+            zone: &machine.zone,
+        };
+        record.holds_machine(membership) && scope.contains(membership)
+    };
+    machines
+        .iter()
+        .filter(both)
+        .map(|machine| machine.id.clone())
+        .collect()
+}
+
+/// Whether all that the record is about is meant, machines that come later included.
+fn covers(scope: &Scope, held: &Scope) -> bool {
+    match (scope, held) {
+        (Scope::Machines(machines), Scope::Machines(held)) => held.is_subset(machines),
+        (scope, held) => scope == held,
+    }
+}
+
+fn check_team(team: &Team, class: Option<&str>, known: &Known<'_>) -> Result<(), Problem> {
+    if !known.teams.contains(team) {
+        return Err(invalid(format!("there is no team `{team}`")));
+    }
+    if team.0.chars().any(|c| c.is_whitespace() || c.is_control()) {
+        return Err(refused(format!(
+            "a budget for `{team}` can't be stored under its name: state it in the features file"
+        )));
+    }
+    let sensible = |class: &str| !class.is_empty() && class.len() <= MOST_CLASS_CHARACTERS;
+    match class {
+        Some(class) if !sensible(class) => Err(invalid(format!(
+            "a class has a name of 1 to {MOST_CLASS_CHARACTERS} characters"
+        ))),
+        _ => Ok(()),
+    }
+}
+
+fn set_budget(
+    team: &Team,
+    class: Option<&str>,
+    limit: Limit,
+    known: &Known<'_>,
+) -> Result<Vec<Change>, Problem> {
+    check_team(team, class, known)?;
+    let old = known.budgets.get(team).cloned().unwrap_or_default();
+    let mut budget = old.clone();
+    match class {
+        Some(class) => {
+            budget.classes.insert(class.to_owned(), limit);
+        }
+        None => budget.limit = Some(limit),
+    }
+    if budget.classes.len() > MOST_CLASSES {
+        return Err(refused(format!(
+            "{MOST_CLASSES} classes of team `{team}` have budgets of their own already"
+        )));
+    }
+    Ok(put_budget(team, &old, budget))
+}
+
+fn clear_budget(
+    team: &Team,
+    class: Option<&str>,
+    known: &Known<'_>,
+) -> Result<Vec<Change>, Problem> {
+    check_team(team, class, known)?;
+    let Some(old) = known.budgets.get(team) else {
+        return Ok(Vec::new());
+    };
+    let mut budget = old.clone();
+    match class {
+        Some(class) => {
+            budget.classes.remove(class);
+        }
+        None => budget.limit = None,
+    }
+    Ok(put_budget(team, old, budget))
+}
+
+fn put_budget(team: &Team, old: &TeamBudget, budget: TeamBudget) -> Vec<Change> {
+    if budget == *old {
+        return Vec::new();
+    }
+    if budget.is_empty() {
+        return vec![Change::DeleteBudget(team.clone())];
+    }
+    vec![Change::PutBudget(team.clone(), budget)]
+}
--- /dev/null
+++ b/crates/drain/src/scope.rs
@@ -0,0 +1,72 @@
+//! Which machines a drain or a cordon is about.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use dappleshore_domain::{BlockId, MachineId, TypeName, Zone};
+use serde::{Deserialize, Serialize};
+
+/// The machines that are meant. A block, a type or a zone means those that join it later, too.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// These machines.
+    #[serde(rename = "machines")]
+    Machines(BTreeSet<MachineId>),
+    /// All machines of a block.
+    #[serde(rename = "block")]
+    Block(BlockId),
+    /// All machines of a type.
+    #[serde(rename = "type")]
+    Type(TypeName),
+    /// All machines of a zone.
+    #[serde(rename = "zone")]
+    Zone(Zone),
+}
+
+/// Where a machine belongs.
+#[derive(Debug, Clone, Copy)]
+pub struct Membership<'a> {
+    pub id: &'a MachineId,
+    pub block: &'a BlockId,
+    pub type_name: &'a TypeName,
+    pub zone: &'a Zone,
+}
+
+impl Scope {
+    /// Whether a machine is meant.
+    pub fn contains(&self, machine: Membership<'_>) -> bool {
+        match self {
+            Scope::Machines(machines) => machines.contains(machine.id),
+            Scope::Block(block) => block == machine.block,
+            Scope::Type(type_name) => type_name == machine.type_name,
+            Scope::Zone(zone) => zone == machine.zone,
+        }
+    }
+
+    /// Whether every machine of this type in this zone would be meant, so that none should be rented there.
+    pub fn closes(&self, type_name: &TypeName, zone: &Zone) -> bool {
+        match self {
+            Scope::Machines(_) | Scope::Block(_) => false,
+            Scope::Type(closed) => closed == type_name,
+            Scope::Zone(closed) => closed == zone,
+        }
+    }
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Scope::Machines(machines) => {
+                let mut names = machines.iter();
+                match (names.next(), names.len()) {
+                    (Some(only), 0) => write!(f, "machine {only}"),
+                    (Some(first), more) => write!(f, "machine {first} and {more} more"),
+                    (None, _) => f.write_str("no machine"),
+                }
+            }
+            Scope::Block(block) => write!(f, "block {block}"),
+            Scope::Type(type_name) => write!(f, "type {type_name}"),
+            Scope::Zone(zone) => write!(f, "zone {zone}"),
+        }
+    }
+}
--- a/src/cancellation/tests.rs
+++ b/src/cancellation/tests.rs
@@ -6,7 +6,8 @@
 use crate::placement::tests::job;
 use crate::store::Change;
 use crate::store::records::{
-    JobRecord, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key,
+    JobRecord, MachineState, Places, Roster, Rostered, encode, grant_key, job_key, places_key,
+    roster_key,
 };
 
 const BOOT: u64 = 7;
@@ -44,7 +45,7 @@
             let entry = || Rostered {
                 type_name: "large".into(),
                 tenure: Tenure::Spot,
-                draining: false,
+                state: MachineState::InService,
                 rented_s: 0,
             };
             let machines = on
--- a/src/fleet/block.rs
+++ b/src/fleet/block.rs
@@ -15,7 +15,9 @@
 use crate::placement::{self, Candidate};
 use crate::policy::Policy;
 use crate::provisioning::Flavors;
-use crate::store::records::{FORMAT, Grant, Part, Places, grant_key, job_key, roster_part_key};
+use crate::store::records::{
+    Grant, PARTS_FORMAT, Part, Places, grant_key, job_key, roster_part_key,
+};
 use crate::store::view::Parts;
 use crate::store::{Op, Outcome, Txn, Versioned, View, Writer};
 
@@ -76,6 +78,8 @@
     /// outcome still may be.
     pub(super) unsure_before: (Vec<u64>, BTreeSet<Part>),
     pub(super) stops: HashSet<Attempt>,
+    /// Attempts of which the leader needs to know whether they run.
+    pub(super) watch: HashSet<u64>,
     /// What is proven and not yet recorded.
     pub(super) ended: BTreeMap<(MachineId, Attempt), End>,
     pub(super) draft: Option<PartsDraft>,
@@ -117,6 +121,7 @@
             unsure_parts: BTreeSet::new(),
             unsure_before: Default::default(),
             stops: HashSet::new(),
+            watch: HashSet::new(),
             ended: BTreeMap::new(),
             draft: None,
             blocked_since: None,
@@ -546,7 +551,7 @@
             let Some(flavor) = flavors.get(&machine.type_name) else {
                 continue;
             };
-            if machine.draining || !worker.usable(now, self.token) {
+            if !machine.state.takes_tasks() || !worker.usable(now, self.token) {
                 continue;
             }
             let mut taken = Room::default();
@@ -582,7 +587,7 @@
         if unsure {
             self.take_recorded(view);
         }
-        let limits = PartLimits::new(&config.state_limits, most, view.format() >= FORMAT);
+        let limits = PartLimits::new(&config.state_limits, most, view.format() >= PARTS_FORMAT);
         let mut txn = Txn::default().when(grant_key(&self.id), self.grant_version);
         let mut placed = Placed::default();
         let dividing = PartsDraft::dividing(&self.parts, limits, &self.unsure_parts);
@@ -853,9 +858,24 @@
             overdue: self.overdue,
             number: self.number,
             machines: self.workers.values().filter_map(unheard).collect(),
+            running: self.watched_running(),
         }
     }
 
+    /// The watched attempts that their workers show as running.
+    fn watched_running(&self) -> Vec<u64> {
+        if self.watch.is_empty() {
+            return Vec::new();
+        }
+        let seen = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.tasks.values());
+        seen.filter(|seen| seen.state == TaskState::Running && self.watch.contains(&seen.number))
+            .map(|seen| seen.number)
+            .collect()
+    }
+
     /// What follows from the clock alone. `quiet`: how long after its last report a worker is overdue.
     pub(super) fn review(&mut self, now: Now, quiet: Duration, policy: &Policy) {
         self.note_blocked(now);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -141,6 +141,7 @@
                     block.handled.clear();
                     block.unsure.clear();
                     block.stops.clear();
+                    block.watch.clear();
                     block.forget_told();
                     if block.writer != Writer::Sent {
                         block.draft = None;
@@ -267,6 +268,7 @@
             }
         }
         block.stops = work.stop.into_iter().collect();
+        block.watch = work.watch.into_iter().collect();
         let touched: BTreeSet<MachineId> = block
             .places
             .attempts()
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -15,7 +15,7 @@
 use crate::provisioning::wire::tests::flavor;
 use crate::store::Change;
 use crate::store::records::{
-    Grant, JobRecord, Roster, Rostered, encode, grant_key, job_key, roster_key,
+    Grant, JobRecord, MachineState, Roster, Rostered, encode, grant_key, job_key, roster_key,
 };
 
 const BOOT: u64 = 7;
@@ -55,7 +55,7 @@
         let entry = || Rostered {
             type_name: "large".into(),
             tenure: Tenure::Ordinary,
-            draining: false,
+            state: MachineState::InService,
             rented_s: 0,
         };
         let on = ["m-1", "m-2"].map(|machine| (machine.into(), entry()));
@@ -396,6 +396,7 @@
         want,
         stop,
         addresses,
+        watch: Vec::new(),
     }
 }
 
@@ -478,7 +479,7 @@
     let entry = Rostered {
         type_name: "large".into(),
         tenure: Tenure::Ordinary,
-        draining: false,
+        state: MachineState::InService,
         rented_s: 0,
     };
     let roster = Roster {
@@ -728,7 +729,7 @@
     let entry = || Rostered {
         type_name: "large".into(),
         tenure: Tenure::Ordinary,
-        draining: false,
+        state: MachineState::InService,
         rented_s: 0,
     };
     let names: Vec<String> = (0..most * 3).map(|n| format!("m-{n:06}")).collect();
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -13,7 +13,7 @@
 use crate::peer::CancelledJob;
 use crate::provisioning::Flavors;
 use crate::store::budget::{Budget, Urgency};
-use crate::store::records::{FORMAT, JobRecord, encode, job_key, json_size};
+use crate::store::records::{JobRecord, PARTS_FORMAT, encode, job_key, json_size};
 use crate::store::{Op, Outcome, Txn, View};
 use wire::{JobState, Malformed};
 
@@ -131,7 +131,7 @@
         if let Some(response) = self.unable(now, cx) {
             return Some(response);
         }
-        if job.kind == Kind::Gang && cx.view.format() < FORMAT {
+        if job.kind == Kind::Gang && cx.view.format() < PARTS_FORMAT {
             return Some(later(503, "not all controllers know this shape yet"));
         }
         if known {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -129,6 +129,9 @@
     pub number: u64,
     /// The machines that have changed since the last message that the leader is known to have heard.
     pub machines: Vec<MachineStatus>,
+    /// The attempts that the leader watches and that were seen to run. Production does not tell.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub running: Vec<u64>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -169,6 +172,9 @@
     pub stop: Vec<Attempt>,
     /// Where workers are that this holder has not heard from yet, so that it can raise their token at once.
     pub addresses: Vec<(MachineId, String)>,
+    /// Attempts of which the leader needs to know whether they run. Production does not ask.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub watch: Vec<u64>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -40,6 +40,7 @@
         overdue: 0,
         number: 77,
         machines: (first..first + machines).map(machine).collect(),
+        running: Vec::new(),
     }
 }
 
--- a/src/provisioning/edits.rs
+++ b/src/provisioning/edits.rs
@@ -6,7 +6,7 @@
 use crate::blocks;
 use crate::domain::{BlockId, MachineId, TypeName, Zone};
 use crate::leadership::Lead;
-use crate::store::records::{FIRST_PART, FORMAT, Part, Roster, Rostered, roster_part_key};
+use crate::store::records::{FIRST_PART, PARTS_FORMAT, Part, Roster, Rostered, roster_part_key};
 use crate::store::{Txn, View};
 
 /// Changes to rosters, gathered so that each value is written once.
@@ -64,7 +64,7 @@
         let mut edits = Edits {
             view,
             rosters: BTreeMap::new(),
-            part_bytes: (view.format() >= FORMAT).then_some(config.state_limits.value_bytes),
+            part_bytes: (view.format() >= PARTS_FORMAT).then_some(config.state_limits.value_bytes),
             most: config.state_limits.txn_ops - 1,
             blocks: BTreeMap::new(),
             value_bytes: config.block_bytes as f64,
--- a/src/provisioning/mod.rs
+++ b/src/provisioning/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Orders and machines are records in the state service. What is to be done follows from them alone, so a new
 //! leader goes on where the old one stopped: an order that is recorded is (again) sent under its name, and a
-//! draining machine without tasks is (again) deleted.
+//! machine that is being returned and has no tasks is (again) deleted.
 
 mod boot_times;
 mod edits;
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use dappleshore_drain::Scope;
 use tracing::{debug, info, warn};
 
 use crate::cancellation;
@@ -24,7 +25,9 @@
 use crate::fleet::wire::Report;
 use crate::leadership::Lead;
 use crate::policy::Policy;
-use crate::store::records::{FORMAT, LEADER, Order, Rostered, order_key, roster_part_key};
+use crate::store::records::{
+    DRAIN_FORMAT, LEADER, MachineState, Order, PARTS_FORMAT, Rostered, order_key, roster_part_key,
+};
 use crate::store::{Op, Outcome, Txn, View, Writer};
 use boot_times::BootTimes;
 use edits::{Edits, too_large};
@@ -117,6 +120,10 @@
     /// Since when machines have had no tasks.
     idle: BTreeMap<MachineId, Instant>,
     up: BTreeSet<MachineId>,
+    /// What operators want of machines that are in another state.
+    wanted_states: BTreeMap<MachineId, MachineState>,
+    /// What operators empty: nothing is rented there.
+    closed: Vec<Scope>,
     unexpected: BTreeMap<MachineId, (ListedMachine, Instant)>,
     list_busy: bool,
     listed: Option<Instant>,
@@ -208,6 +215,8 @@
             silent: BTreeMap::new(),
             idle: BTreeMap::new(),
             up: BTreeSet::new(),
+            wanted_states: BTreeMap::new(),
+            closed: Vec::new(),
             unexpected: BTreeMap::new(),
             list_busy: false,
             listed: None,
@@ -228,9 +237,29 @@
     /// Whether a machine of this type, zone and tenure can be had, as far as is known.
     pub fn available(&self, now: Now, type_name: &TypeName, zone: &Zone, tenure: Tenure) -> bool {
         let key = (type_name.clone(), zone.clone(), tenure);
-        self.stockouts
+        let in_stock = self
+            .stockouts
             .get(&key)
-            .is_none_or(|until| now.steady >= *until)
+            .is_none_or(|until| now.steady >= *until);
+        in_stock && !self.is_closed(type_name, zone)
+    }
+
+    /// Whether operators empty all machines of this type in this zone.
+    pub fn is_closed(&self, type_name: &TypeName, zone: &Zone) -> bool {
+        self.closed
+            .iter()
+            .any(|scope| scope.closes(type_name, zone))
+    }
+
+    /// Takes in what operators empty.
+    pub fn note_drains(&mut self, view: &View) {
+        let holding = view.drains.values().filter(|record| record.value.holds());
+        self.closed = holding.map(|record| record.value.scope.clone()).collect();
+    }
+
+    /// Takes in what is to become of machines.
+    pub fn want_states(&mut self, states: BTreeMap<MachineId, MachineState>) {
+        self.wanted_states = states;
     }
 
     pub fn is_lost(&self, machine: &MachineId) -> bool {
@@ -468,7 +497,9 @@
                 .iter()
                 .filter(|(id, _)| !self.deleted.contains(*id))
                 .filter(|(id, machine)| {
-                    self.lost.contains(*id) || (machine.draining && !demand.occupied.contains(*id))
+                    self.lost.contains(*id)
+                        || (machine.state == MachineState::Returning
+                            && !demand.occupied.contains(*id))
                 })
                 .map(|(id, _)| id.clone())
                 .take(100)
@@ -622,6 +653,7 @@
             .or_else(|| self.record_rented(now, lead, view, demand, &txn))
             .or_else(|| self.record_deleted(now, lead, view, demand, &txn))
             .or_else(|| self.record_unexpected(now, lead, view, demand, &txn))
+            .or_else(|| self.record_states(lead, view, demand, &txn))
             .or_else(|| {
                 self.round(
                     Round {
@@ -662,7 +694,7 @@
             let entry = Rostered {
                 type_name: name.clone(),
                 tenure: order.tenure,
-                draining: false,
+                state: MachineState::InService,
                 rented_s: now.unix_ms() / 1000,
             };
             // What does not fit this transaction reports, or is listed, and is taken up then.
@@ -741,7 +773,7 @@
             let entry = Rostered {
                 type_name: listed.type_name.clone(),
                 tenure: Tenure::spot(listed.spot),
-                draining: false,
+                state: MachineState::InService,
                 rented_s: (now.unix_ms() / 1000)
                     .saturating_sub(listed.age_s.0.clamp(0.0, 1e9) as u64),
             };
@@ -754,6 +786,41 @@
         edits.any().then(|| edits.apply(txn.clone()))
     }
 
+    /// Machines that operators take out of service or put back.
+    fn record_states(
+        &mut self,
+        lead: &Lead<'_>,
+        view: &View,
+        demand: &Demand,
+        txn: &Txn,
+    ) -> Option<Txn> {
+        let differs = |id: &MachineId, state: MachineState| {
+            let machine = view.machines.get(id);
+            machine.is_some_and(|machine| machine.state != state)
+        };
+        self.wanted_states.retain(|id, state| differs(id, *state));
+        if self.wanted_states.is_empty() || view.format() < DRAIN_FORMAT {
+            return None;
+        }
+        let mut edits = Edits::new(lead, view, demand);
+        edits.most = lead.batch;
+        for (id, state) in &self.wanted_states {
+            let occupied = demand.occupied.contains(id);
+            if *state == MachineState::Returning && occupied {
+                continue;
+            }
+            let changed = edits.change(id, |roster| {
+                if let Some(entry) = roster.on.get_mut(id) {
+                    entry.state = *state;
+                }
+            });
+            if changed {
+                info!(machine = %id, ?state, "machine changes");
+            }
+        }
+        edits.any().then(|| edits.apply(txn.clone()))
+    }
+
     /// A line for each pool in the log, and its values among the metrics.
     pub fn summary(&self, view: &View, demand: &Demand, gauges: &mut BTreeMap<String, f64>) {
         for (pool, machines) in self.machines(view) {
@@ -768,13 +835,13 @@
                 .keys()
                 .filter(|id| of_pool(id) && self.up.contains(*id))
                 .count();
-            let draining = view
+            let returning = view
                 .machines
                 .iter()
-                .filter(|(id, m)| m.draining && of_pool(id))
+                .filter(|(id, m)| m.state == MachineState::Returning && of_pool(id))
                 .count();
             let demand = demand.machines.get(&pool).copied().unwrap_or(0.0);
-            info!(type_name = %pool.0, tenure = ?pool.1, machines, up, idle, draining, demand, "pool");
+            info!(type_name = %pool.0, tenure = ?pool.1, machines, up, idle, returning, demand, "pool");
             for (state, count) in [
                 ("all", f64::from(machines)),
                 ("up", up as f64),
@@ -795,7 +862,7 @@
     pub fn machines(&self, view: &View) -> BTreeMap<Pool, u32> {
         let mut count = BTreeMap::new();
         for (id, machine) in &view.machines {
-            if !machine.draining && !self.lost.contains(id) && !self.late.contains(id) {
+            if machine.state.takes_tasks() && !self.lost.contains(id) && !self.late.contains(id) {
                 *count
                     .entry((machine.type_name.clone(), machine.tenure))
                     .or_default() += 1;
@@ -808,7 +875,9 @@
 /// Brings the value of a roster that is too large for the limits in force into parts.
 fn divide_roster(lead: &Lead<'_>, view: &View, demand: &Demand, txn: &Txn) -> Option<Txn> {
     // Seldom is there one, and the edits look at all tasks there are.
-    if view.format() < FORMAT || too_large(view, lead.config.state_limits.value_bytes).is_none() {
+    if view.format() < PARTS_FORMAT
+        || too_large(view, lead.config.state_limits.value_bytes).is_none()
+    {
         return None;
     }
     let mut edits = Edits::new(lead, view, demand);
--- a/src/provisioning/round.rs
+++ b/src/provisioning/round.rs
@@ -11,7 +11,7 @@
 use super::{ASK_AGAIN, Demand, MOST_RENTED, Pool, Provisioner, Runs, rule};
 use crate::domain::{BlockId, MachineId, Now, Tenure, Zone, since};
 use crate::leadership::Lead;
-use crate::store::records::{Order, order_key};
+use crate::store::records::{MachineState, Order, order_key};
 use crate::store::{Machine, Txn, View};
 
 /// What a round goes by.
@@ -101,7 +101,7 @@
         for id in self.returnable(round, pool, surplus) {
             let drained = edits.change(&id, |roster| {
                 if let Some(entry) = roster.on.get_mut(&id) {
-                    entry.draining = true;
+                    entry.state = MachineState::Returning;
                 }
             });
             if drained {
@@ -168,6 +168,9 @@
             ..
         } = shortage;
         let zone = zone.or_else(|| self.zone_for(now, flavor, tenure, tasks_wait, view))?;
+        if self.is_closed(&flavor.name, &zone) {
+            return None;
+        }
         if !self.available(now, &flavor.name, &zone, tenure) {
             let again = self.asked_again.get(&flavor.name);
             if !lead.spare && again.is_some_and(|at| since(now, *at) < ASK_AGAIN) {
@@ -193,7 +196,8 @@
         } = round;
         let coming = |zone: &Zone| {
             let here = |m: &Machine| {
-                (&m.type_name, m.tenure, &m.zone) == (&pool.0, pool.1, zone) && !m.draining
+                (&m.type_name, m.tenure, &m.zone) == (&pool.0, pool.1, zone)
+                    && m.state.takes_tasks()
             };
             let booting = |id: &MachineId| {
                 !self.up.contains(id) && !self.lost.contains(id) && !self.late.contains(id)
@@ -250,7 +254,7 @@
             .filter(|(id, machine)| {
                 machine.type_name == pool.0
                     && machine.tenure == pool.1
-                    && !machine.draining
+                    && machine.state.takes_tasks()
                     && !demand.occupied.contains(*id)
                     && rested(id)
                     && !self.lost.contains(*id)
@@ -299,7 +303,7 @@
                 flavor
                     .zones
                     .iter()
-                    .filter(|_| wanted)
+                    .filter(|zone| wanted && !self.is_closed(&flavor.name, zone))
                     .min_by_key(|zone| out_until(zone))
             })
             .cloned()
--- a/src/provisioning/tests.rs
+++ b/src/provisioning/tests.rs
@@ -9,7 +9,9 @@
 use crate::provisioning::wire::tests::flavor;
 use crate::store::Change;
 use crate::store::records::Order;
-use crate::store::records::{JobRecord, Places, Roster, encode, job_key, places_key, roster_key};
+use crate::store::records::{
+    JobRecord, MachineState, Places, Roster, encode, job_key, places_key, roster_key,
+};
 
 /// Found by a search of seeds: a machine hung with a cancelled task on it, and its block changed hands so often that
 /// no holder waited long enough to find it silent.
@@ -31,7 +33,7 @@
     let entry = || Rostered {
         type_name: "large".into(),
         tenure: Tenure::Spot,
-        draining: false,
+        state: MachineState::InService,
         rented_s: 0,
     };
     let on = ["m-1", "m-2"].map(|id| (id.into(), entry())).into();
@@ -106,7 +108,7 @@
                 Rostered {
                     type_name: "large".into(),
                     tenure: Tenure::Ordinary,
-                    draining: false,
+                    state: MachineState::InService,
                     rented_s,
                 },
             )
@@ -301,7 +303,7 @@
     let entry = || Rostered {
         type_name: "large".into(),
         tenure: Tenure::Spot,
-        draining: false,
+        state: MachineState::InService,
         rented_s: 1_800_000_000,
     };
     let on = (0..600).map(|n| (format!("m-{n:06}").as_str().into(), entry()));
--- a/src/queueing/block_state.rs
+++ b/src/queueing/block_state.rs
@@ -66,6 +66,8 @@
     pub(super) grant_version: u64,
     pub(super) releases: BTreeMap<u64, Release>,
     pub(super) stops: BTreeMap<Attempt, Instant>,
+    /// Attempts that the holder is asked to tell of once they run.
+    pub(super) watch: Vec<u64>,
     /// The holder's last word, without its machines: those are kept by name, for it tells only what changed.
     pub(super) status: Option<(BlockStatus, Instant)>,
     pub(super) machines: BTreeMap<MachineId, MachineStatus>,
@@ -199,6 +201,7 @@
                 want,
                 stop,
                 addresses: block_state.unseen_addresses(addresses),
+                watch: block_state.watch.clone(),
             });
         }
         messages
--- /dev/null
+++ b/src/queueing/draining.rs
@@ -0,0 +1,973 @@
+//! Draining, on the leader: what the planner of `dappleshore-drain` sees of the fleet, and how its decisions are
+//! recorded and carried out.
+//!
+//! An eviction is recorded before the task is told to stop. From then on the record says what is to be done: whoever
+//! leads stops the old attempt, keeps room for the next one, and releases it once the old one is proven gone.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use dappleshore_drain::disruption::Disruptions;
+use dappleshore_drain::planner::{
+    Bounds, Event, NoRoom, Progress, Records, Reservation, ServiceState,
+};
+use dappleshore_drain::settings::TeamSettings;
+use dappleshore_drain::{
+    Budgets, DrainId, DrainRecord, DrainSettings, Effect, Fleet, JobFacts, Ledger, MachineView,
+    Planner, Subject, TeamBudget,
+};
+use tracing::info;
+
+use super::gangs::find_room;
+use super::stock::Stock;
+use super::waiting::{Waiting, zone_open};
+use super::{Plan, Queues, STATUS_LIFE};
+use crate::domain::{
+    Attempt, BlockId, Job, JobId, Kind, MachineId, Now, Room, TaskId, Team, Zone, since,
+};
+use crate::leadership::Lead;
+use crate::placement;
+use crate::provisioning::Provisioner;
+use crate::store::records::{
+    LEADER, MachineState, Ranges, drain_budget_key, drain_key, drain_ledger_key,
+};
+use crate::store::view::OpenJob;
+use crate::store::{Op, Outcome, Txn, Versioned, View, Writer};
+
+/// What an entry takes of a ledger's value, at the most.
+const LEDGER_ENTRY_BYTES: usize = 192;
+/// Ledgers in which nothing but losses or ends has changed are written this often.
+const UPKEEP_EVERY: Duration = Duration::from_secs(1);
+
+/// The leader's part in draining.
+#[derive(Debug)]
+pub struct Draining {
+    settings: DrainSettings,
+    planner: Planner,
+    writer: Writer,
+    /// Room that is kept for evicted tasks.
+    reserved: BTreeMap<TaskId, MachineId>,
+    /// Tasks whose eviction is being recorded.
+    proposed: BTreeSet<TaskId>,
+    /// What the last look came to, to be recorded.
+    decided: Vec<Effect>,
+    upkeep: Option<Instant>,
+    /// Evictions recorded in this term.
+    evictions: u64,
+}
+
+impl Draining {
+    /// A leader that has decided nothing yet.
+    pub fn new(now: Now, settings: DrainSettings) -> Self {
+        Draining {
+            settings,
+            planner: Planner::default(),
+            writer: Writer::Unsure { since: now.steady },
+            reserved: BTreeMap::new(),
+            proposed: BTreeSet::new(),
+            decided: Vec::new(),
+            upkeep: None,
+            evictions: 0,
+        }
+    }
+
+    /// The budgets in force.
+    pub fn budgets(&self, view: &View) -> Budgets {
+        budgets(&self.settings, view)
+    }
+
+    /// How far each drain is.
+    pub fn progress(&self) -> &BTreeMap<DrainId, Progress> {
+        self.planner.progress()
+    }
+
+    /// The disruptions when it was last looked.
+    pub fn disruptions(&self) -> &Disruptions {
+        self.planner.disruptions()
+    }
+
+    /// What becomes of machines, as the last look says.
+    pub fn machine_states(&self) -> BTreeMap<MachineId, MachineState> {
+        let state = |effect: &Effect| match effect {
+            Effect::Cordon(machine) => Some((machine.clone(), MachineState::Cordoned)),
+            Effect::Uncordon(machine) => Some((machine.clone(), MachineState::InService)),
+            Effect::Return(machine) => Some((machine.clone(), MachineState::Returning)),
+            Effect::WriteLedger { .. } | Effect::WriteRecord { .. } | Effect::Reserve(_) => None,
+        };
+        self.decided.iter().filter_map(state).collect()
+    }
+
+    /// Values for the metrics.
+    pub fn summary(&self, view: &View, gauges: &mut BTreeMap<String, f64>) {
+        let mut states: BTreeMap<&str, f64> = BTreeMap::new();
+        for progress in self.progress().values() {
+            *states.entry(progress.state.name().as_str()).or_default() += 1.0;
+        }
+        for (state, count) in states {
+            gauges.insert(format!("drains{{state=\"{state}\"}}"), count);
+        }
+        let budgets = self.budgets(view);
+        for (team, count) in self.disruptions().teams() {
+            let allowed = budgets.of_team(team).of(count.tasks);
+            let disrupted = count.disrupted as f64;
+            gauges.insert(format!("drain_disrupted{{team=\"{team}\"}}"), disrupted);
+            gauges.insert(format!("drain_budget{{team=\"{team}\"}}"), allowed as f64);
+        }
+        gauges.insert("drain_evictions".to_owned(), self.evictions as f64);
+    }
+
+    /// Whether there is nothing to do and nothing to look after.
+    fn is_idle(&self, view: &View) -> bool {
+        view.drains.is_empty() && view.drain_ledgers.is_empty()
+    }
+
+    /// The transaction that records what was decided.
+    fn transaction(&self, now: Now, lead: &Lead<'_>, view: &View) -> Option<Txn> {
+        let mut txn = Txn::default().when(LEADER, lead.version);
+        let mut drains: BTreeSet<&DrainId> = BTreeSet::new();
+        let most = lead.batch.max(1);
+        let upkeep_due = self.upkeep.is_none_or(|at| since(now, at) >= UPKEEP_EVERY);
+        for effect in &self.decided {
+            if txn.changes.len() >= most {
+                break;
+            }
+            match effect {
+                Effect::WriteLedger { team, ledger } => {
+                    let old = view.drain_ledgers.get(team);
+                    let new = new_evictions(old, ledger);
+                    if new.is_empty() && !upkeep_due {
+                        continue;
+                    }
+                    drains.extend(new.iter().map(|eviction| &eviction.drain));
+                    let key = drain_ledger_key(team);
+                    txn = txn.when(key.clone(), version(old)).when(
+                        drain_budget_key(team),
+                        version(view.drain_budgets.get(team)),
+                    );
+                    txn = if ledger.is_empty() {
+                        txn.delete(key)
+                    } else {
+                        txn.put(key, ledger)
+                    };
+                }
+                Effect::WriteRecord { id, record } => {
+                    let key = drain_key(id);
+                    drains.remove(id);
+                    txn = txn
+                        .when(key.clone(), version(view.drains.get(id)))
+                        .put(key, record);
+                }
+                Effect::Cordon(_)
+                | Effect::Uncordon(_)
+                | Effect::Return(_)
+                | Effect::Reserve(_) => {}
+            }
+        }
+        // A drain that was called off or halted meanwhile evicts nothing more.
+        for id in drains {
+            let key = drain_key(id);
+            if !txn.conditions.iter().any(|(known, _)| *known == key) {
+                txn = txn.when(key, version(view.drains.get(id)));
+            }
+        }
+        (!txn.changes.is_empty()).then_some(txn)
+    }
+
+    fn log_decided(&self, view: &View) {
+        for effect in &self.decided {
+            match effect {
+                Effect::WriteLedger { team, ledger } => {
+                    for eviction in new_evictions(view.drain_ledgers.get(team), ledger) {
+                        let job = eviction.subject.job();
+                        let saves = view.open.get(&job).is_some_and(|open| saves(&open.job));
+                        let saves = if saves { "saves first" } else { "can't save" };
+                        info!(drain = %eviction.drain, %team, %job, subject = ?eviction.subject, machine = %eviction.machine, saves, "evicting");
+                    }
+                }
+                Effect::WriteRecord { id, record } => {
+                    info!(drain = %id, phase = ?record.phase, "drain changes");
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn new_evictions<'l>(
+    old: Option<&Versioned<Ledger>>,
+    ledger: &'l Ledger,
+) -> Vec<&'l dappleshore_drain::Eviction> {
+    let known = |eviction: &&dappleshore_drain::Eviction| {
+        old.is_none_or(|old| !old.value.evictions.contains(eviction))
+    };
+    ledger.evictions.iter().filter(known).collect()
+}
+
+fn version<T>(record: Option<&Versioned<T>>) -> u64 {
+    record.map_or(0, |record| record.version)
+}
+
+/// Whether a task of the job can save its progress when it is stopped. What is left of a gang cannot.
+fn saves(job: &Job) -> bool {
+    job.kind != Kind::Gang && job.checkpoint_every_s > 0.0
+}
+
+fn values<K: Ord + Clone, T: Clone>(records: &BTreeMap<K, Versioned<T>>) -> BTreeMap<K, T> {
+    let value = |(key, record): (&K, &Versioned<T>)| (key.clone(), record.value.clone());
+    records.iter().map(value).collect()
+}
+
+fn budgets(settings: &DrainSettings, view: &View) -> Budgets {
+    let of_team = |(team, stated): (&String, &TeamSettings)| {
+        let budget = TeamBudget {
+            limit: stated.budget,
+            classes: stated.classes.clone(),
+        };
+        (Team::from(team.as_str()), budget)
+    };
+    Budgets {
+        default: settings.budget,
+        settings: settings.teams.iter().map(of_team).collect(),
+        requested: values(&view.drain_budgets),
+    }
+}
+
+/// The machines, as the planner and operators' requests look at them.
+pub fn machine_views(
+    view: &View,
+    usable: impl Fn(&MachineId) -> bool,
+    expects_tasks: impl Fn(&MachineId) -> bool,
+) -> Vec<MachineView> {
+    let mut machines: BTreeMap<&MachineId, MachineView> = BTreeMap::new();
+    for (id, machine) in &view.machines {
+        let state = match machine.state {
+            MachineState::InService => ServiceState::InService,
+            MachineState::Cordoned => ServiceState::Cordoned,
+            MachineState::Returning => ServiceState::Returning,
+        };
+        let seen = MachineView {
+            id: id.clone(),
+            block: machine.block.clone(),
+            type_name: machine.type_name.clone(),
+            zone: machine.zone.clone(),
+            state,
+            usable: usable(id),
+            tasks: Vec::new(),
+            expects_tasks: expects_tasks(id),
+        };
+        machines.insert(id, seen);
+    }
+    for live in view.live_places() {
+        if let Some(machine) = machines.get_mut(live.id) {
+            machine.tasks.extend(live.attempts());
+        }
+    }
+    machines.into_values().collect()
+}
+
+/// What the planner sees, and the room that it may give away.
+struct FleetView<'a, 'v> {
+    queues: &'a Queues,
+    stock: &'a Stock<'a>,
+    view: &'v View,
+    plan: &'a mut Plan,
+    machines: Vec<MachineView>,
+    running: HashSet<u64>,
+    /// Tasks for which no machine had room.
+    unplaced: Vec<TaskId>,
+}
+
+impl FleetView<'_, '_> {
+    fn open(&self, job: JobId) -> Option<&OpenJob> {
+        self.view.open.get(&job).filter(|open| !open.cancelled)
+    }
+
+    /// Where the other tasks of a job are, in all: placed, released, or with room kept for them.
+    fn zones_of_others(&self, task: TaskId) -> BTreeMap<Zone, u32> {
+        self.queues.zones_of_others(self.view, task)
+    }
+
+    fn is_open_anywhere(&self, job: &Job, zones: &BTreeMap<Zone, u32>) -> bool {
+        let provisioner = self.stock.provisioner;
+        self.stock.lead.flavors.all().any(|flavor| {
+            let open = |zone: &Zone| {
+                job.allows_zone(zone)
+                    && zone_open(job, zones, zone)
+                    && !provisioner.is_closed(&flavor.name, zone)
+            };
+            job.allows_type(&flavor.name)
+                && flavor.room().count_of(&job.need) > 0
+                && flavor.zones.iter().any(open)
+        })
+    }
+
+    fn reserve_task(&mut self, task: TaskId) -> Result<Vec<Reservation>, NoRoom> {
+        let Some(open) = self.view.open.get(&task.job) else {
+            return Err(NoRoom::Anywhere);
+        };
+        let zones = self.zones_of_others(task);
+        match self.plan.keep_room(self.view, &open.job, &zones) {
+            Some(machine) => Ok(vec![Reservation { task, machine }]),
+            None if self.is_open_anywhere(&open.job, &zones) => {
+                self.unplaced.push(task);
+                Err(NoRoom::Yet)
+            }
+            None => Err(NoRoom::Anywhere),
+        }
+    }
+
+    fn reserve_gang(&mut self, id: JobId) -> Result<Vec<Reservation>, NoRoom> {
+        let Some(open) = self.view.open.get(&id) else {
+            return Err(NoRoom::Anywhere);
+        };
+        let waiting = gang_waiting(id, open);
+        let block_of = |machine: &MachineId| Some(self.view.machines.get(machine)?.block.clone());
+        let room = find_room(
+            &self.plan.candidates,
+            &waiting,
+            |_| true,
+            &self.plan.spaces,
+            block_of,
+        );
+        if !room.whole {
+            if !self.is_open_anywhere(&open.job, &BTreeMap::new()) {
+                return Err(NoRoom::Anywhere);
+            }
+            let missing = room.tasks.len() as u32..open.job.tasks;
+            self.unplaced
+                .extend(missing.map(|index| TaskId { job: id, index }));
+            return Err(NoRoom::Yet);
+        }
+        let mut reservations = Vec::new();
+        for (index, candidate) in (0..).zip(room.tasks) {
+            let machine = self.plan.candidates[candidate].machine.clone();
+            self.plan.take_room(self.view, candidate, &open.job.need);
+            let task = TaskId { job: id, index };
+            reservations.push(Reservation { task, machine });
+        }
+        Ok(reservations)
+    }
+}
+
+fn gang_waiting<'v>(id: JobId, open: &'v OpenJob) -> Waiting<'v> {
+    Waiting {
+        id,
+        open,
+        left: u64::from(open.job.tasks),
+        taken: Ranges::default(),
+        zones: BTreeMap::new(),
+        overdue: false,
+        waited: Duration::ZERO,
+        blocked: false,
+    }
+}
+
+impl Fleet for FleetView<'_, '_> {
+    fn machines(&self) -> &[MachineView] {
+        &self.machines
+    }
+
+    fn job(&self, job: JobId) -> Option<JobFacts> {
+        let open = self.open(job)?;
+        let gang = open.job.kind == Kind::Gang;
+        Some(JobFacts {
+            team: open.job.team.clone(),
+            class: open.job.class.clone(),
+            gang_tasks: gang.then_some(open.job.tasks),
+            saves: saves(&open.job),
+        })
+    }
+
+    fn is_done(&self, task: TaskId) -> bool {
+        self.open(task.job)
+            .is_none_or(|open| open.done.contains(task.index))
+    }
+
+    fn attempts(&self, task: TaskId) -> Vec<Attempt> {
+        attempts_of(self.view, task)
+            .map(|(attempt, _)| attempt)
+            .collect()
+    }
+
+    fn runs(&self, attempt: &Attempt) -> bool {
+        self.running.contains(&attempt.number)
+    }
+
+    fn is_stopping(&self, attempt: &Attempt) -> bool {
+        self.queues.is_told_to_stop(attempt)
+    }
+
+    fn keeps_failing(&self, job: JobId) -> bool {
+        self.queues.failures.keeps_failing(job)
+    }
+
+    fn reserve(&mut self, subject: &Subject) -> Result<Vec<Reservation>, NoRoom> {
+        match subject {
+            Subject::Task(attempt) => self.reserve_task(attempt.task),
+            Subject::Gang { job, .. } => self.reserve_gang(*job),
+        }
+    }
+}
+
+/// The attempts of a task that are on machines, with their machines.
+fn attempts_of(view: &View, task: TaskId) -> impl Iterator<Item = (Attempt, &MachineId)> {
+    view.placed(task.job)
+        .range((task.index, 0)..=(task.index, u64::MAX))
+        .filter(|(_, place)| view.machines.contains_key(&place.machine))
+        .map(move |((_, number), place)| {
+            let number = *number;
+            (Attempt { task, number }, &place.machine)
+        })
+}
+
+impl Plan {
+    /// Keeps room for a task where it would be placed best. Returns the machine.
+    fn keep_room(
+        &mut self,
+        view: &View,
+        job: &Job,
+        zones: &BTreeMap<Zone, u32>,
+    ) -> Option<MachineId> {
+        let has_space = |machine: &MachineId| {
+            let block = view.machines.get(machine).map(|machine| &machine.block);
+            block.is_some_and(|block| self.spaces.get(block).is_some_and(|space| *space > 0))
+        };
+        let open = self.candidates.iter().filter(|c| has_space(&c.machine));
+        let chosen = placement::choose(open, job, |zone| zone_open(job, zones, zone))?;
+        let machine = chosen.machine.clone();
+        let index = self.index_of(&machine)?;
+        self.take_room(view, index, &job.need);
+        Some(machine)
+    }
+
+    /// Takes room of a machine, and of its block's value.
+    fn take_room(&mut self, view: &View, candidate: usize, need: &Room) {
+        let chosen = &mut self.candidates[candidate];
+        chosen.free.take(need);
+        let block = view.machines.get(&chosen.machine).map(|m| &m.block);
+        if let Some(space) = block.and_then(|block| self.spaces.get_mut(block)) {
+            *space = space.saturating_sub(1);
+        }
+    }
+
+    fn index_of(&self, machine: &MachineId) -> Option<usize> {
+        self.candidates.iter().position(|c| c.machine == *machine)
+    }
+
+    /// The machine's index, if it has room for a task.
+    fn room_on(&self, machine: &MachineId, job: &Job) -> Option<usize> {
+        let fits = |c: &placement::Candidate| {
+            c.machine == *machine && c.free.fits(&job.need) && c.allows(job)
+        };
+        self.candidates.iter().position(fits)
+    }
+}
+
+impl Queues {
+    /// Carries out drains from now on.
+    pub fn with_draining(mut self, draining: Draining) -> Self {
+        self.draining = Some(draining);
+        self
+    }
+
+    /// What the leader knows of drains. None: they are switched off.
+    pub fn draining(&self) -> Option<&Draining> {
+        self.draining.as_ref()
+    }
+
+    /// A task's attempt is gone and was not done: lost, unless it was told to stop or failed by itself.
+    pub(super) fn note_lost(&mut self, now: Now, attempt: Attempt, machine: &MachineId) {
+        let failed = self.failures.failed_on(attempt.task.job, machine);
+        if failed || self.is_told_to_stop(&attempt) {
+            return;
+        }
+        if let Some(draining) = &mut self.draining {
+            let event = Event::<FleetView<'_, '_>>::Lost(attempt);
+            draining.planner.handle(now, event);
+        }
+    }
+
+    fn is_told_to_stop(&self, attempt: &Attempt) -> bool {
+        let mut blocks = self.block_states.values();
+        blocks.any(|block_state| block_state.stops.contains_key(attempt))
+    }
+
+    /// Where the other tasks of a job are, and where room is kept for them.
+    fn zones_of_others(&self, view: &View, task: TaskId) -> BTreeMap<Zone, u32> {
+        let mut zones: BTreeMap<Zone, u32> = BTreeMap::new();
+        let placed = view.placed(task.job).iter();
+        let others = placed.filter(|((index, _), _)| *index != task.index);
+        for machine in others.filter_map(|(_, place)| view.machines.get(&place.machine)) {
+            *zones.entry(machine.zone.clone()).or_default() += 1;
+        }
+        for (block, block_state) in &self.block_states {
+            let of_job = |release: &&super::block_state::Release| {
+                let released = release.attempt.task;
+                released.job == task.job && released.index != task.index
+            };
+            let count = block_state.releases.values().filter(of_job).count() as u32;
+            if let Some(grant) = view.grants.get(block).filter(|_| count > 0) {
+                *zones.entry(grant.value.zone.clone()).or_default() += count;
+            }
+        }
+        let reserved = self.draining.iter().flat_map(|draining| &draining.reserved);
+        for (other, machine) in reserved {
+            let somewhere = attempts_of(view, *other).next().is_some() || self.is_released(*other);
+            let counts = other.job == task.job && other.index != task.index && !somewhere;
+            if let Some(machine) = view.machines.get(machine).filter(|_| counts) {
+                *zones.entry(machine.zone.clone()).or_default() += 1;
+            }
+        }
+        zones
+    }
+
+    fn is_released(&self, task: TaskId) -> bool {
+        let mut releases = self
+            .block_states
+            .values()
+            .flat_map(|block_state| block_state.releases.values());
+        releases.any(|release| release.attempt.task == task)
+    }
+
+    /// Stops what is recorded as evicted, releases replacements, keeps room for those to come, and decides what is
+    /// evicted next.
+    pub(super) fn plan_drains(&mut self, stock: &Stock<'_>, view: &View, plan: &mut Plan) {
+        if self
+            .draining
+            .as_ref()
+            .is_none_or(|draining| draining.is_idle(view))
+        {
+            if let Some(draining) = &mut self.draining {
+                draining.forget();
+            }
+            return;
+        }
+        let drains: BTreeMap<DrainId, DrainRecord> = values(&view.drains);
+        let ledgers: BTreeMap<Team, Ledger> = values(&view.drain_ledgers);
+        self.stop_evicted(stock.now, view, &ledgers);
+        self.replace_evicted(stock, view, plan, &ledgers);
+        self.decide_drains(stock, view, plan, &drains, &ledgers);
+        self.watch(view, &ledgers);
+    }
+
+    fn stop_evicted(&mut self, now: Now, view: &View, ledgers: &BTreeMap<Team, Ledger>) {
+        let subjects = ledgers.values().flat_map(|ledger| &ledger.evictions);
+        for subject in subjects.map(|eviction| eviction.subject) {
+            for ((index, number), place) in view.placed(subject.job()) {
+                let attempt = Attempt {
+                    task: TaskId {
+                        job: subject.job(),
+                        index: *index,
+                    },
+                    number: *number,
+                };
+                let Some(block_state) = self.block_states.get_mut(&place.block) else {
+                    continue;
+                };
+                if subject.covers(&attempt) && !block_state.stops.contains_key(&attempt) {
+                    block_state.stops.insert(attempt, now.steady);
+                    block_state.dirty = true;
+                }
+            }
+        }
+    }
+
+    /// Releases evicted tasks that are proven gone to the machines that have room kept for them. For the others the
+    /// room is kept on.
+    fn replace_evicted(
+        &mut self,
+        stock: &Stock<'_>,
+        view: &View,
+        plan: &mut Plan,
+        ledgers: &BTreeMap<Team, Ledger>,
+    ) {
+        let Some(draining) = &mut self.draining else {
+            return;
+        };
+        let outstanding: Vec<Subject> = draining
+            .planner
+            .outstanding(ledgers)
+            .into_iter()
+            .map(|eviction| eviction.subject)
+            .collect();
+        let evicted: BTreeSet<TaskId> = outstanding.iter().flat_map(Subject::tasks).collect();
+        let proposed = &draining.proposed;
+        draining
+            .reserved
+            .retain(|task, _| evicted.contains(task) || proposed.contains(task));
+        let mut unplaced = Vec::new();
+        for subject in outstanding {
+            let Some(open) = view.open.get(&subject.job()).filter(|open| !open.cancelled) else {
+                continue;
+            };
+            match subject {
+                Subject::Task(old) => {
+                    self.replace_task(stock, view, plan, open, old, &mut unplaced);
+                }
+                Subject::Gang { job, .. } => self.replace_gang(stock, view, plan, open, job),
+            }
+        }
+        self.keep_proposed_room(view, plan);
+        for task in unplaced {
+            count_unplaced(stock, view, plan, task, &self.zones_of_others(view, task));
+        }
+    }
+
+    fn keep_proposed_room(&self, view: &View, plan: &mut Plan) {
+        let Some(draining) = &self.draining else {
+            return;
+        };
+        for task in &draining.proposed {
+            let open = view.open.get(&task.job);
+            let machine = draining.reserved.get(task);
+            if let (Some(open), Some(machine)) = (open, machine)
+                && let Some(candidate) = plan.room_on(machine, &open.job)
+            {
+                plan.take_room(view, candidate, &open.job.need);
+            }
+        }
+    }
+
+    fn replace_task(
+        &mut self,
+        stock: &Stock<'_>,
+        view: &View,
+        plan: &mut Plan,
+        open: &OpenJob,
+        old: Attempt,
+        unplaced: &mut Vec<TaskId>,
+    ) {
+        let task = old.task;
+        let others = attempts_of(view, task).filter(|(attempt, _)| *attempt != old);
+        if others.count() > 0 || self.is_released(task) || open.done.contains(task.index) {
+            return;
+        }
+        let zones = self.zones_of_others(view, task);
+        let Some(draining) = &mut self.draining else {
+            return;
+        };
+        if draining.proposed.contains(&task) {
+            return;
+        }
+        let kept = draining.reserved.get(&task).and_then(|machine| {
+            let candidate = plan.room_on(machine, &open.job)?;
+            let zone = plan.candidates[candidate].zone.clone();
+            zone_open(&open.job, &zones, &zone).then(|| machine.clone())
+        });
+        let machine = match kept {
+            Some(machine) => {
+                if let Some(candidate) = plan.room_on(&machine, &open.job) {
+                    plan.take_room(view, candidate, &open.job.need);
+                }
+                Some(machine)
+            }
+            None => plan.keep_room(view, &open.job, &zones),
+        };
+        let Some(machine) = machine else {
+            draining.reserved.remove(&task);
+            unplaced.push(task);
+            return;
+        };
+        draining.reserved.insert(task, machine.clone());
+        let gone = attempts_of(view, task).next().is_none();
+        let within_limit = plan.usage.within_limit(stock.lead.config, &open.job);
+        if gone && within_limit && !self.failures.backs_off(stock.now, task.job) {
+            self.release_replacement(stock.now, view, plan, open, task, &machine);
+        }
+    }
+
+    /// Releases a task to a machine whose room has been taken for it.
+    fn release_replacement(
+        &mut self,
+        now: Now,
+        view: &View,
+        plan: &mut Plan,
+        open: &OpenJob,
+        task: TaskId,
+        machine: &MachineId,
+    ) {
+        let block = view.machines.get(machine).map(|machine| &machine.block);
+        let Some(block_state) = block.and_then(|block| self.block_states.get_mut(block)) else {
+            return;
+        };
+        let attempt = Attempt {
+            task,
+            number: self.next_attempt,
+        };
+        self.next_attempt += 1;
+        info!(%attempt, %machine, "replacement released");
+        block_state.release(now, attempt, machine.clone(), Vec::new());
+        if let Some(index) = plan.index_of(machine) {
+            plan.count_released(index, &open.job);
+        }
+        if let Some(draining) = &mut self.draining {
+            draining.reserved.remove(&task);
+        }
+    }
+
+    fn replace_gang(
+        &mut self,
+        stock: &Stock<'_>,
+        view: &View,
+        plan: &mut Plan,
+        open: &OpenJob,
+        job: JobId,
+    ) {
+        let tasks = || (0..open.job.tasks).map(|index| TaskId { job, index });
+        let placed: Vec<Attempt> = tasks()
+            .flat_map(|task| attempts_of(view, task).map(|(attempt, _)| attempt))
+            .collect();
+        let released = tasks().any(|task| self.is_released(task));
+        let Some(draining) = &mut self.draining else {
+            return;
+        };
+        let machines: Option<Vec<MachineId>> = tasks()
+            .map(|task| draining.reserved.get(&task).cloned())
+            .collect();
+        let starts: BTreeSet<Option<u64>> = placed.iter().map(Attempt::gang_start).collect();
+        if released || starts.len() > 1 {
+            return;
+        }
+        // Without room for all of it, it waits as any gang.
+        let Some(machines) = machines else { return };
+        let mut taken = Vec::new();
+        for machine in &machines {
+            let Some(candidate) = plan.room_on(machine, &open.job) else {
+                break;
+            };
+            plan.take_room(view, candidate, &open.job.need);
+            taken.push(candidate);
+        }
+        let whole = taken.len() == machines.len();
+        if !whole {
+            for task in tasks() {
+                draining.reserved.remove(&task);
+            }
+            for candidate in taken {
+                plan.candidates[candidate].free.add(&open.job.need);
+            }
+            return;
+        }
+        let within = plan.usage.room_within_limit(stock.lead.config, &open.job);
+        if placed.is_empty() && within >= u64::from(open.job.tasks) {
+            self.release_gang_replacement(stock.now, view, plan, open, job, &machines);
+        }
+    }
+
+    fn release_gang_replacement(
+        &mut self,
+        now: Now,
+        view: &View,
+        plan: &mut Plan,
+        open: &OpenJob,
+        job: JobId,
+        machines: &[MachineId],
+    ) {
+        let start = self.next_attempt;
+        self.next_attempt += 1;
+        info!(%job, start, "gang released to the room kept for it");
+        for (index, machine) in (0..).zip(machines) {
+            let task = TaskId { job, index };
+            let block = view.machines.get(machine).map(|machine| &machine.block);
+            let block_state = block.and_then(|block| self.block_states.get_mut(block));
+            if let (Some(attempt), Some(block_state)) = (Attempt::of_gang(task, start), block_state)
+            {
+                block_state.release(now, attempt, machine.clone(), Vec::new());
+            }
+            if let Some(index) = plan.index_of(machine) {
+                plan.count_released(index, &open.job);
+            }
+            if let Some(draining) = &mut self.draining {
+                draining.reserved.remove(&task);
+            }
+        }
+    }
+
+    fn decide_drains(
+        &mut self,
+        stock: &Stock<'_>,
+        view: &View,
+        plan: &mut Plan,
+        drains: &BTreeMap<DrainId, DrainRecord>,
+        ledgers: &BTreeMap<Team, Ledger>,
+    ) {
+        let Some(draining) = &mut self.draining else {
+            return;
+        };
+        let mut planner = std::mem::take(&mut draining.planner);
+        let draining = &*draining;
+        let budgets = budgets(&draining.settings, view);
+        let settings = draining.settings.clone();
+        let usable = self.usable_machines(stock.now, stock.provisioner);
+        let expecting: HashSet<&MachineId> = self
+            .block_states
+            .values()
+            .flat_map(|block_state| block_state.releases.values())
+            .map(|release| &release.machine)
+            .collect();
+        let machines = machine_views(view, |id| usable.contains(id), |id| expecting.contains(id));
+        let running = self.running_attempts(stock.now, view, &usable);
+        let lead = stock.lead;
+        let limits = &lead.config.state_limits;
+        let bounds = Bounds {
+            step: settings.step,
+            room_timeout: settings.room_timeout_s.duration(),
+            replacement_timeout: settings.replacement_timeout_s.duration(),
+            ledger_entries: (limits.value_bytes / LEDGER_ENTRY_BYTES).max(1),
+            ledgers_at_once: (lead.batch / 2).max(1),
+        };
+        // Room for replacements is only kept while the plan is made: what is decided is taken up below.
+        let mut fleet = FleetView {
+            queues: self,
+            stock,
+            view,
+            plan,
+            machines,
+            running,
+            unplaced: Vec::new(),
+        };
+        let event = Event::Observed {
+            records: Records {
+                drains,
+                ledgers,
+                budgets: &budgets,
+            },
+            bounds,
+            fleet: &mut fleet,
+        };
+        let decided = planner.handle(stock.now, event);
+        let unplaced = std::mem::take(&mut fleet.unplaced);
+        if let Some(draining) = &mut self.draining {
+            draining.planner = planner;
+            draining.decided = decided;
+        }
+        for task in unplaced {
+            count_unplaced(stock, view, plan, task, &self.zones_of_others(view, task));
+        }
+    }
+
+    /// Machines whose holder has told lately that they are well.
+    fn usable_machines(&self, now: Now, provisioner: &Provisioner) -> HashSet<MachineId> {
+        self.machines(now)
+            .filter(|status| status.usable && !provisioner.is_lost(&status.machine))
+            .map(|status| status.machine.clone())
+            .collect()
+    }
+
+    /// The watched attempts that run, on machines that are well.
+    fn running_attempts(&self, now: Now, view: &View, usable: &HashSet<MachineId>) -> HashSet<u64> {
+        let mut running = HashSet::new();
+        for (block, block_state) in &self.block_states {
+            let Some((status, at)) = &block_state.status else {
+                continue;
+            };
+            if since(now, *at) >= STATUS_LIFE || status.running.is_empty() {
+                continue;
+            }
+            let told: HashSet<u64> = status.running.iter().copied().collect();
+            let Some(places) = view.places.get(block) else {
+                continue;
+            };
+            let here = places.value.attempts();
+            let well = here.filter(|(machine, _)| usable.contains(*machine));
+            running.extend(
+                well.map(|(_, attempt)| attempt.number)
+                    .filter(|number| told.contains(number)),
+            );
+        }
+        running
+    }
+
+    /// Asks holders to tell of the attempts of which it matters whether they run.
+    fn watch(&mut self, view: &View, ledgers: &BTreeMap<Team, Ledger>) {
+        let Some(draining) = &self.draining else {
+            return;
+        };
+        let mut watched: HashMap<&BlockId, Vec<u64>> = HashMap::new();
+        for task in draining.planner.watched(ledgers) {
+            for (attempt, machine) in attempts_of(view, task) {
+                if let Some(machine) = view.machines.get(machine) {
+                    let of_block = watched.entry(&machine.block).or_default();
+                    of_block.push(attempt.number);
+                }
+            }
+        }
+        for (block, block_state) in &mut self.block_states {
+            let watch = watched.remove(block).unwrap_or_default();
+            if block_state.watch != watch {
+                block_state.watch = watch;
+                block_state.dirty = true;
+            }
+        }
+    }
+
+    /// The transaction that records evictions and what became of drains.
+    pub fn write_drains(&mut self, now: Now, lead: &Lead<'_>, view: &mut View) -> Option<Op> {
+        let draining = self.draining.as_mut()?;
+        if !draining.writer.ready(now, view) {
+            return None;
+        }
+        draining.proposed.clear();
+        let txn = draining.transaction(now, lead, view)?;
+        draining.log_decided(view);
+        draining.upkeep = Some(now.steady);
+        for effect in &draining.decided {
+            match effect {
+                Effect::Reserve(Reservation { task, machine }) => {
+                    draining.proposed.insert(*task);
+                    draining.reserved.insert(*task, machine.clone());
+                }
+                Effect::WriteLedger { team, ledger } => {
+                    let new = new_evictions(view.drain_ledgers.get(team), ledger).len();
+                    draining.evictions += new as u64;
+                }
+                _ => {}
+            }
+        }
+        draining.writer.sent();
+        Some(Op::Commit(txn))
+    }
+
+    /// What became of it.
+    pub fn drains_written(&mut self, now: Now, outcome: &Outcome) {
+        if let Some(draining) = &mut self.draining {
+            draining.writer.answered(now, outcome);
+        }
+    }
+}
+
+impl Draining {
+    /// No drain is left.
+    fn forget(&mut self) {
+        self.decided.clear();
+        self.reserved.clear();
+    }
+}
+
+/// Counts a task for which no machine has room as waiting, so that the rule orders one. Where it may go only to some
+/// zones, one of those.
+fn count_unplaced(
+    stock: &Stock<'_>,
+    view: &View,
+    plan: &mut Plan,
+    task: TaskId,
+    zones: &BTreeMap<Zone, u32>,
+) {
+    let Some(open) = view.open.get(&task.job) else {
+        return;
+    };
+    let waiting = Waiting {
+        zones: zones.clone(),
+        ..gang_waiting(task.job, open)
+    };
+    let pinned = stock.pinned(&waiting);
+    let cheapest = stock.cheapest(&open.job, &plan.demand, pinned.as_ref(), f64::INFINITY);
+    let Some((pool, share)) = cheapest else {
+        return;
+    };
+    if let Some(zone) = pinned {
+        let demand = plan.demand.pinned.entry((pool.clone(), zone)).or_default();
+        *demand += share;
+    }
+    *plan.demand.machines.entry(pool).or_default() += share;
+}
--- a/src/queueing/folding.rs
+++ b/src/queueing/folding.rs
@@ -8,7 +8,7 @@
 
 use crate::config::Config;
 use crate::domain::JobId;
-use crate::store::records::{CHUNK, FORMAT, Places, Progress, Ranges, progress_key};
+use crate::store::records::{CHUNK, PARTS_FORMAT, Places, Progress, Ranges, progress_key};
 use crate::store::{Txn, View};
 
 /// A block's finished tasks are folded when its value is this full of all that it may come to hold ...
@@ -22,7 +22,7 @@
 pub(super) fn fold(config: &Config, view: &View, mut txn: Txn, most: usize) -> Txn {
     let limit = config.state_limits.value_bytes as f64;
     // Where a block may have more values, room for finished tasks is had more cheaply than by folding.
-    let worth = if view.format() >= FORMAT {
+    let worth = if view.format() >= PARTS_FORMAT {
         WORTH_FOLDING_DIVIDED
     } else {
         WORTH_FOLDING
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -5,6 +5,7 @@
 
 mod block_state;
 mod demand;
+mod draining;
 mod failures;
 mod folding;
 mod gangs;
@@ -34,6 +35,7 @@
 use crate::store::{Op, Outcome, Txn, View, Writer};
 use block_state::BlockState;
 use demand::Present;
+pub use draining::Draining;
 use failures::Failures;
 use opportunistic::{Opportunities, Reach};
 use preemption::Victims;
@@ -79,6 +81,8 @@
     measured: Instant,
     /// Machines heard by another controller than their holder, and when.
     strays: HashMap<MachineId, Instant>,
+    /// What operators want emptied. None: draining is switched off.
+    draining: Option<Draining>,
     pub waiting: BTreeMap<Team, u64>,
 }
 
@@ -113,6 +117,12 @@
         if let Some(space) = self.spaces.get_mut(block) {
             *space = space.saturating_sub(1);
         }
+        self.count_released(index, job);
+    }
+
+    /// Counts a task that is released to a machine.
+    fn count_released(&mut self, index: usize, job: &Job) {
+        let chosen = &self.candidates[index];
         self.usage.add(job);
         self.kept.add(job);
         let each = f64::from(chosen.size.count_of(&job.need).max(1));
@@ -137,6 +147,7 @@
             runs: BTreeMap::new(),
             measured: now.steady,
             strays: HashMap::new(),
+            draining: None,
             waiting: BTreeMap::new(),
         }
     }
@@ -228,6 +239,7 @@
                     grant_version: grant.version,
                     releases: BTreeMap::new(),
                     stops: BTreeMap::new(),
+                    watch: Vec::new(),
                     status: None,
                     machines: BTreeMap::new(),
                     heard: 0,
@@ -263,13 +275,13 @@
             self.runs.entry(pool).or_default().time += passed * count;
         }
         let mut gone = Vec::new();
-        self.placed.retain(|_, seen| {
+        self.placed.retain(|number, seen| {
             if seen.look != look {
-                gone.push(seen.clone());
+                gone.push((*number, seen.clone()));
             }
             seen.look == look
         });
-        self.note_ends(view, gone);
+        self.note_ends(now, view, gone);
         let live = &self.placed;
         for (block, block_state) in &mut self.block_states {
             block_state
@@ -312,12 +324,14 @@
     }
 
     /// Counts tasks that have ended.
-    fn note_ends(&mut self, view: &View, gone: Vec<PlacedSince>) {
-        for PlacedSince { task, machine, .. } in gone {
+    fn note_ends(&mut self, now: Now, view: &View, gone: Vec<(u64, PlacedSince)>) {
+        for (number, PlacedSince { task, machine, .. }) in gone {
             let open = view.open.get(&task.job).filter(|open| !open.cancelled);
             let done = open.is_some_and(|open| open.done.contains(task.index));
             if done {
                 self.failures.succeeded(task.job);
+            } else if open.is_some() {
+                self.note_lost(now, Attempt { task, number }, &machine);
             }
             if (done || open.is_none())
                 && let Some(machine) = view.machines.get(&machine)
@@ -379,7 +393,7 @@
             let Some(flavor) = flavors.get(&machine.type_name) else {
                 continue;
             };
-            if machine.draining || provisioner.is_lost(&status.machine) {
+            if !machine.state.takes_tasks() || provisioner.is_lost(&status.machine) {
                 continue;
             }
             let taken = taken.get(&status.machine).copied().unwrap_or_default();
@@ -444,17 +458,8 @@
         let Present {
             usage,
             guaranteed,
-            mut demand,
+            demand,
         } = self.present(&stock, view);
-        let mut queue = self.queue(now, view);
-        self.waiting.clear();
-        for waiting in &queue {
-            *self
-                .waiting
-                .entry(waiting.open.job.team.clone())
-                .or_default() += waiting.left;
-        }
-        demand.smallest = smallest(&queue);
         let all_zones: BTreeSet<Zone> = view
             .grants
             .values()
@@ -478,6 +483,12 @@
                 .grants
                 .values()
                 .all(|grant| grant.value.term == self.term);
+        if complete {
+            self.plan_drains(&stock, view, &mut plan);
+        }
+        let mut queue = self.queue(now, view);
+        self.count_waiting(&queue);
+        plan.demand.smallest = smallest(&queue);
         let mut released = 0;
         let mut turns = Turns::new(&queue);
         let mut rankings: HashMap<(Shape, Image, Option<JobId>), Ranking> = HashMap::new();
@@ -596,6 +607,15 @@
         plan.demand
     }
 
+    /// Counts the tasks that wait, by team.
+    fn count_waiting(&mut self, queue: &[waiting::Waiting<'_>]) {
+        self.waiting.clear();
+        for waiting in queue {
+            let team = waiting.open.job.team.clone();
+            *self.waiting.entry(team).or_default() += waiting.left;
+        }
+    }
+
     /// The next write: jobs that are over, and progress to be folded.
     pub fn write(&mut self, now: Now, lead: &Lead<'_>, view: &mut View) -> Option<Op> {
         let (config, leader_version, most) = (lead.config, lead.version, lead.batch);
--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -11,7 +11,8 @@
 use crate::provisioning::wire::tests::flavor;
 use crate::store::Change;
 use crate::store::records::{
-    Grant, Places, Roster, Rostered, encode, grant_key, job_key, places_key, roster_key,
+    Grant, MachineState, Places, Roster, Rostered, encode, grant_key, job_key, places_key,
+    roster_key,
 };
 
 pub(super) struct Fixture {
@@ -75,7 +76,7 @@
         let entry = || Rostered {
             type_name: "large".into(),
             tenure: Tenure::Ordinary,
-            draining: false,
+            state: MachineState::InService,
             rented_s: 0,
         };
         let on = machines.map(|n| (name(n), entry())).collect();
@@ -127,6 +128,7 @@
                     images: vec!["img".into()],
                 })
                 .collect(),
+            running: Vec::new(),
         };
         self.queues.status(self.now, status);
     }
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -4,12 +4,13 @@
 use std::fmt::Write as _;
 use std::sync::Arc;
 
+use dappleshore_drain::{DrainId, DrainRecord, Ledger, TeamBudget};
 use rangemap::RangeInclusiveSet;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::domain::{
-    Attempt, BlockId, Final, Job, JobId, MachineId, NodeName, TaskId, Tenure, TypeName, Zone,
+    Attempt, BlockId, Final, Job, JobId, MachineId, NodeName, TaskId, Team, Tenure, TypeName, Zone,
 };
 
 /// Everything of ours lies under this prefix, so that one watch sees all of it.
@@ -33,7 +34,7 @@
 }
 
 /// One of the values that a block's record is kept in. Part 0 is the only one in the production format; the others came
-/// with [`FORMAT`], under prefixes that production ignores.
+/// with [`PARTS_FORMAT`], under prefixes that production ignores.
 pub type Part = u32;
 
 /// The first part: the only one that the production version knows.
@@ -54,11 +55,27 @@
     }
 }
 
-/// The version of the format in which this program writes, once it is switched on. Production has 0: blocks of one value
-/// each, no gangs.
-pub const FORMAT: u32 = 1;
+/// The format of the production version: blocks of one value each, no gangs.
+pub const PRODUCTION_FORMAT: u32 = 0;
+/// From this format on a block may be kept in several values, and there are gangs.
+pub const PARTS_FORMAT: u32 = 1;
+/// From this format on machines may be cordoned, and there are drains, their evictions and their budgets.
+pub const DRAIN_FORMAT: u32 = 2;
+/// The newest format that this program reads and writes. It writes in it once it is switched on.
+pub const FORMAT: u32 = DRAIN_FORMAT;
 /// Says which format is switched on.
 pub const FORMAT_KEY: &str = "dappleshore/format";
+pub fn drain_key(id: &DrainId) -> String {
+    format!("{ROOT}drain/{id}")
+}
+/// The budget that operators have set for a team by request.
+pub fn drain_budget_key(team: &Team) -> String {
+    format!("{ROOT}drain_budget/{team}")
+}
+/// A team's disruptions.
+pub fn drain_ledger_key(team: &Team) -> String {
+    format!("{ROOT}drain_ledger/{team}")
+}
 pub fn order_key(name: &TypeName) -> String {
     format!("{ROOT}order/{name}")
 }
@@ -120,7 +137,7 @@
 }
 
 fn is_production(format: &u32) -> bool {
-    *format == 0
+    *format == PRODUCTION_FORMAT
 }
 
 /// The format that is switched on: written once for all controllers, when all of them know it, and never taken back.
@@ -149,18 +166,34 @@
     pub on: BTreeMap<MachineId, Rostered>,
 }
 
+/// Whether a machine takes tasks, and what becomes of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineState {
+    InService,
+    /// Operators keep new tasks off it. It stays rented. Written only since [`DRAIN_FORMAT`].
+    Cordoned,
+    /// Takes no new tasks: it is returned once it is empty.
+    Returning,
+}
+
+impl MachineState {
+    /// Whether new tasks may be placed on it.
+    pub fn takes_tasks(self) -> bool {
+        self == MachineState::InService
+    }
+}
+
 #[derive(Debug, Clone, PartialEq)]
 pub struct Rostered {
     pub type_name: TypeName,
     pub tenure: Tenure,
-    /// Takes no new tasks: it is to be returned.
-    pub draining: bool,
+    pub state: MachineState,
     /// Seconds since the epoch.
     pub rented_s: u64,
 }
 
 /// A roster as it is stored: each machine as `0s1800000000`, which is the number of its type, its tenure (`s` for
-/// spot, `o` for ordinary, in capitals if it is draining) and when it was rented. With every name in full, the
+/// spot, `o` for ordinary, in capitals if it is being returned; `p` and `c` if it is cordoned) and when it was rented. With every name in full, the
 /// rosters needed more blocks than the tasks did, and each block costs a change of its own.
 #[derive(Clone, Serialize, Deserialize)]
 struct RosterText {
@@ -184,13 +217,8 @@
                     types.push(machine.type_name.clone());
                     types.len() - 1
                 });
-            let tenure = match (machine.tenure, machine.draining) {
-                (Tenure::Spot, false) => 's',
-                (Tenure::Spot, true) => 'S',
-                (Tenure::Ordinary, false) => 'o',
-                (Tenure::Ordinary, true) => 'O',
-            };
-            on.insert(id, format!("{index}{tenure}{}", machine.rented_s));
+            let letter = state_letter(machine.tenure, machine.state);
+            on.insert(id, format!("{index}{letter}{}", machine.rented_s));
         }
         RosterText {
             zone: roster.zone,
@@ -211,12 +239,13 @@
                 .find(|c: char| c.is_ascii_alphabetic())
                 .ok_or(malformed)?;
             let (index, rest) = entry.split_at(at);
-            let (tenure, rented) = rest.split_at(1);
+            let (letter, rented) = rest.split_at(1);
+            let (tenure, state) = parse_state_letter(letter).ok_or(malformed)?;
             let index: usize = index.parse().map_err(|_| malformed)?;
             let machine = Rostered {
                 type_name: text.types.get(index).ok_or(malformed)?.clone(),
-                tenure: Tenure::spot(tenure.eq_ignore_ascii_case("s")),
-                draining: tenure.bytes().all(|b| b.is_ascii_uppercase()),
+                tenure,
+                state,
                 rented_s: rented.parse().map_err(|_| malformed)?,
             };
             on.insert(id, machine);
@@ -228,6 +257,30 @@
     }
 }
 
+/// A machine's tenure and state, as they are stored together.
+const STATE_LETTERS: [(char, Tenure, MachineState); 6] = [
+    ('o', Tenure::Ordinary, MachineState::InService),
+    ('c', Tenure::Ordinary, MachineState::Cordoned),
+    ('O', Tenure::Ordinary, MachineState::Returning),
+    ('s', Tenure::Spot, MachineState::InService),
+    ('p', Tenure::Spot, MachineState::Cordoned),
+    ('S', Tenure::Spot, MachineState::Returning),
+];
+
+fn state_letter(tenure: Tenure, state: MachineState) -> char {
+    STATE_LETTERS
+        .iter()
+        .find(|(_, of, is)| (*of, *is) == (tenure, state))
+        .map_or('o', |(letter, _, _)| *letter)
+}
+
+fn parse_state_letter(text: &str) -> Option<(Tenure, MachineState)> {
+    STATE_LETTERS
+        .iter()
+        .find(|(letter, _, _)| text.starts_with(*letter))
+        .map(|(_, tenure, state)| (*tenure, *state))
+}
+
 impl Roster {
     pub fn new(zone: Zone) -> Self {
         Roster {
@@ -560,7 +613,10 @@
     Order,
     Places,
     JobRecord,
-    Progress
+    Progress,
+    DrainRecord,
+    TeamBudget,
+    Ledger
 );
 
 /// A changed key.
@@ -585,6 +641,9 @@
     Order(TypeName),
     Job(JobId),
     Progress(JobId, u32),
+    Drain(DrainId),
+    DrainBudget(Team),
+    DrainLedger(Team),
 }
 
 impl Records {
@@ -607,6 +666,9 @@
                 let (block, part) = rest.split_once('/')?;
                 Some(Records::Roster(block.into(), part.parse().ok()?))
             }
+            Some(("drain", rest)) => rest.parse().ok().map(Records::Drain),
+            Some(("drain_budget", rest)) => Some(Records::DrainBudget(rest.into())),
+            Some(("drain_ledger", rest)) => Some(Records::DrainLedger(rest.into())),
             Some(("order", rest)) => Some(Records::Order(rest.into())),
             Some(("job", rest)) => rest.parse().ok().map(Records::Job),
             Some(("progress", rest)) => {
--- a/src/store/records/tests.rs
+++ b/src/store/records/tests.rs
@@ -102,7 +102,11 @@
         let entry = Rostered {
             type_name: type_name.into(),
             tenure,
-            draining: n % 5 == 0,
+            state: [
+                MachineState::InService,
+                MachineState::Cordoned,
+                MachineState::Returning,
+            ][n as usize / 3 % 3],
             rented_s,
         };
         roster.on.insert(format!("m-{n:06}").as_str().into(), entry);
@@ -199,7 +203,7 @@
         boot: 7,
         format: FORMAT,
     });
-    assert_eq!(value, cbor!({"boot" => 7, "format" => 1}).expect("valid"));
+    assert_eq!(value, cbor!({"boot" => 7, "format" => 2}).expect("valid"));
 }
 
 #[test]
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -3,16 +3,18 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
+use dappleshore_drain::{DrainId, DrainRecord, Ledger, TeamBudget};
 use tracing::{info, warn};
 
 use super::records::{
-    CHUNK, Change, FormatSwitch, Grant, JobRecord, Leader, Member, NOWHERE, Order, Part,
-    PlacedText, Places, Progress, ROOT, Ranges, Record, Records, Roster, Token,
+    CHUNK, Change, FormatSwitch, Grant, JobRecord, Leader, MachineState, Member, NOWHERE, Order,
+    Part, PlacedText, Places, Progress, ROOT, Ranges, Record, Records, Roster, Token,
 };
 use super::{Op, Outcome};
 use crate::config::StateLimits;
 use crate::domain::{
-    Attempt, BlockId, Final, Job, JobId, MachineId, NodeName, Now, Tenure, TypeName, Zone, since,
+    Attempt, BlockId, Final, Job, JobId, MachineId, NodeName, Now, Team, Tenure, TypeName, Zone,
+    since,
 };
 
 #[derive(Debug, Clone, PartialEq)]
@@ -44,8 +46,7 @@
     pub zone: Zone,
     pub tenure: Tenure,
     pub block: BlockId,
-    /// Takes no new tasks: it is to be returned.
-    pub draining: bool,
+    pub state: MachineState,
     pub rented_s: u64,
 }
 
@@ -158,6 +159,10 @@
     pub open: BTreeMap<JobId, OpenJob>,
     pub ended: HashMap<JobId, (Final, u32)>,
     pub progress: BTreeMap<(JobId, u32), Versioned<Progress>>,
+    /// What operators want of machines.
+    pub drains: BTreeMap<DrainId, Versioned<DrainRecord>>,
+    pub drain_budgets: BTreeMap<Team, Versioned<TeamBudget>>,
+    pub drain_ledgers: BTreeMap<Team, Versioned<Ledger>>,
     placed: HashMap<JobId, Placed>,
     /// Cancellations that other controllers have told us of and our copy is too old to show: version, time of day.
     cancellations: BTreeMap<JobId, (u64, u64)>,
@@ -240,6 +245,9 @@
             open: BTreeMap::new(),
             ended: HashMap::new(),
             progress: BTreeMap::new(),
+            drains: BTreeMap::new(),
+            drain_budgets: BTreeMap::new(),
+            drain_ledgers: BTreeMap::new(),
             placed: HashMap::new(),
             cancellations: BTreeMap::new(),
             touched: Touched {
@@ -599,6 +607,15 @@
                 set_in(&mut self.grants, block, change);
             }
             Records::Format => set(&mut self.format, change),
+            Records::Drain(id) => {
+                set_in(&mut self.drains, id, change);
+            }
+            Records::DrainBudget(team) => {
+                set_in(&mut self.drain_budgets, team, change);
+            }
+            Records::DrainLedger(team) => {
+                set_in(&mut self.drain_ledgers, team, change);
+            }
             Records::Roster(block, part) => self.apply_roster(block, part, change),
             Records::Order(name) => {
                 set_in(&mut self.orders, name, change);
@@ -658,7 +675,7 @@
                 zone: new.map_or_else(|| Zone::from(""), |new| new.zone.clone()),
                 tenure: entry.tenure,
                 block: block.clone(),
-                draining: entry.draining,
+                state: entry.state,
                 rented_s: entry.rented_s,
             };
             self.machines.insert(id.clone(), machine);
--- a/src/store/view/tests.rs
+++ b/src/store/view/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::domain::TaskId;
 use crate::placement::tests::job;
-use crate::store::records::{Rostered, encode, job_key, places_key, roster_key};
+use crate::store::records::{MachineState, Rostered, encode, job_key, places_key, roster_key};
 
 /// Found on the bench: a controller that had been cut off from the state service for 46 s asked for all changes since,
 /// more than it could take in one answer, and asked again for ever.
@@ -86,7 +86,7 @@
     let entry = || Rostered {
         type_name: "small".into(),
         tenure: Tenure::Spot,
-        draining: false,
+        state: MachineState::InService,
         rented_s: 0,
     };
     let roster = |machines: &[&MachineId]| Roster {
--- a/src/upgrade/mod.rs
+++ b/src/upgrade/mod.rs
@@ -1,4 +1,4 @@
-//! The switch to a new format of records, once every controller knows it.
+//! The switch to a newer format of records, once every controller knows it.
 //!
 //! While versions are mixed, all that this version writes and sends is what the production version reads. The leader
 //! switches the new format on with a durable record when the member record of each configured controller says that it
@@ -32,20 +32,23 @@
         if view.format() >= FORMAT || !self.writer.ready(now, view) {
             return None;
         }
-        let members = known_by_all(lead.config, view)?;
+        let Members { format, versions } = members(lead.config, view)?;
+        if format <= view.format() {
+            return None;
+        }
         let mut txn = Txn::default()
             .when(LEADER, lead.version)
             .when(FORMAT_KEY, view.format_version());
-        for (node, version) in members {
+        for (node, version) in versions {
             txn = txn.when(member_key(&node), version);
         }
         info!(
-            format = FORMAT,
+            format,
             "all controllers know the new format: switching it on"
         );
         self.writer.sent();
         Some(Op::Commit(
-            txn.put(FORMAT_KEY, &FormatSwitch { version: FORMAT }),
+            txn.put(FORMAT_KEY, &FormatSwitch { version: format }),
         ))
     }
 
@@ -61,16 +64,26 @@
     }
 }
 
-/// All configured controllers and the versions of their records. None: one is not up, or does not know the format.
-fn known_by_all(config: &Config, view: &View) -> Option<Vec<(NodeName, u64)>> {
+/// What the records of all configured controllers say.
+struct Members {
+    /// The newest format that all of them, this process included, can read and write.
+    format: u32,
+    versions: Vec<(NodeName, u64)>,
+}
+
+/// None: one of them is not up.
+fn members(config: &Config, view: &View) -> Option<Members> {
     let peers = config.peers.iter().map(|peer| &peer.name);
-    peers
-        .chain([&config.name])
-        .map(|node| {
-            let member = view.members.get(node)?;
-            (member.value.format >= FORMAT).then(|| (node.clone(), member.version))
-        })
-        .collect()
+    let mut all = Members {
+        format: FORMAT,
+        versions: Vec::new(),
+    };
+    for node in peers.chain([&config.name]) {
+        let member = view.members.get(node)?;
+        all.format = all.format.min(member.value.format);
+        all.versions.push((node.clone(), member.version));
+    }
+    Some(all)
 }
 
 #[cfg(test)]
--- a/src/upgrade/tests.rs
+++ b/src/upgrade/tests.rs
@@ -5,7 +5,7 @@
 use crate::policy::Policy;
 use crate::provisioning::Flavors;
 use crate::store::Change;
-use crate::store::records::{Member, encode};
+use crate::store::records::{Member, PARTS_FORMAT, encode};
 
 struct Fixture {
     config: Config,
@@ -94,3 +94,27 @@
     assert_eq!(fixture.view.format(), FORMAT);
     assert_eq!(fixture.poll(&mut Upgrade::new()), None);
 }
+
+#[test]
+fn the_newest_format_that_all_know_is_switched_on() {
+    let mut fixture = Fixture::new();
+    for (node, format) in [
+        ("node-0", FORMAT),
+        ("node-1", PARTS_FORMAT),
+        ("node-2", FORMAT),
+    ] {
+        fixture.member(node, format);
+    }
+    let switched_on = |txn: Txn| match txn.changes.as_slice() {
+        [crate::store::TxnChange::Put { value, .. }] => value
+            .deserialized::<FormatSwitch>()
+            .map(|switch| switch.version)
+            .ok(),
+        _ => None,
+    };
+    let txn = fixture.poll(&mut Upgrade::new()).expect("all know it");
+    assert_eq!(switched_on(txn), Some(PARTS_FORMAT));
+    fixture.member("node-1", FORMAT);
+    let txn = fixture.poll(&mut Upgrade::new()).expect("all know it");
+    assert_eq!(switched_on(txn), Some(FORMAT));
+}
