--- /dev/null
+++ b/src/features.rs
@@ -0,0 +1,126 @@
+//! What operators have switched on: the features file. Whatever it does not name is off.
+
+use std::path::{Path, PathBuf};
+
+use dappleshore_drain::{DrainSettings, Limit};
+use schemars::JsonSchema;
+use serde::Deserialize;
+use toml::de::DeTable;
+
+use crate::config::Config;
+
+/// Where `serve` and `check` look for the file unless they are told: below their working directory.
+pub const DEFAULT_PATH: &str = "deploy/features.toml";
+
+/// The features file.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Features {
+    /// Emptying machines in steps.
+    pub drain: DrainSettings,
+}
+
+/// Why a features file can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum FeaturesError {
+    #[error("{path}: {source}")]
+    Unreadable {
+        path: String,
+        source: std::io::Error,
+    },
+    #[error("{path}:{line}: {problem}")]
+    Wrong {
+        path: String,
+        line: usize,
+        problem: String,
+    },
+}
+
+impl Features {
+    /// Reads the file that is named, else the one at the usual place; if there is none there, everything is off.
+    pub fn find(named: Option<&Path>, config: &Config) -> Result<Found, FeaturesError> {
+        let path = named.unwrap_or(Path::new(DEFAULT_PATH));
+        if named.is_none() && !path.exists() {
+            return Ok(Found {
+                features: Features::default(),
+                path: None,
+            });
+        }
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| FeaturesError::Unreadable {
+            path: shown.clone(),
+            source,
+        })?;
+        Ok(Found {
+            features: Features::parse(&shown, &text, config)?,
+            path: Some(path.to_owned()),
+        })
+    }
+
+    /// Checks all that the text says.
+    pub fn parse(path: &str, text: &str, config: &Config) -> Result<Self, FeaturesError> {
+        let wrong = |line, problem| FeaturesError::Wrong {
+            path: path.to_owned(),
+            line,
+            problem,
+        };
+        let features: Features = toml::from_str(text).map_err(|error| {
+            let line = error.span().map_or(1, |span| line_at(text, span.start));
+            wrong(line, one_line(error.message()))
+        })?;
+        if features.drain.step == Limit::Count(0) {
+            let line = line_of(text, &["drain", "step"]);
+            return Err(wrong(
+                line,
+                "`step` must be at least 1, or a share".to_owned(),
+            ));
+        }
+        for team in features.drain.teams.keys() {
+            if config.team(&team.as_str().into()).is_none() {
+                let line = line_of(text, &["drain", "teams", team]);
+                let known: Vec<&str> = config.teams.iter().map(|team| &*team.name.0).collect();
+                let problem = format!("there is no team `{team}`, only {}", known.join(", "));
+                return Err(wrong(line, problem));
+            }
+        }
+        Ok(features)
+    }
+}
+
+/// The features, and the file that states them, if there is one.
+#[derive(Debug)]
+pub struct Found {
+    pub features: Features,
+    pub path: Option<PathBuf>,
+}
+
+fn one_line(text: &str) -> String {
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+fn line_at(text: &str, offset: usize) -> usize {
+    1 + text.bytes().take(offset).filter(|b| *b == b'\n').count()
+}
+
+/// The line on which a key stands.
+fn line_of(text: &str, keys: &[&str]) -> usize {
+    let offset = DeTable::parse(text).ok().and_then(|table| {
+        let mut table = table.into_inner();
+        let mut found = None;
+        for key in keys {
+            let (name, value) = table
+                .into_iter()
+                .find(|(name, _)| name.get_ref().as_ref() == *key)?;
+            found = Some(name.span().start);
+            table = match value.into_inner() {
+                toml::de::DeValue::Table(inner) => inner,
+                _ => break,
+            };
+        }
+        found
+    });
+    line_at(text, offset.unwrap_or(0))
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use dappleshore_drain::operator;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
@@ -33,6 +34,7 @@
     /// The answer comes with the time until which it may be given.
     Report(Report, oneshot::Sender<(Answer, Instant)>),
     Peer(Message),
+    Operate(operator::Request, oneshot::Sender<operator::Reply>),
     Metrics(oneshot::Sender<String>),
 }
 
@@ -232,6 +234,13 @@
     events: mpsc::Sender<Incoming>,
 ) -> impl Filter<Extract = (HttpResponse,), Error = Infallible> + Clone {
     let with = events.clone();
+    let with_operations = events.clone();
+    let operate = warp::path!("operate")
+        .and(warp::post())
+        .and(body(LARGEST_BODY))
+        .and_then(move |body: Bytes| {
+            take_operation(body, with_operations.clone()).into_rejection()
+        });
     let metrics = warp::path!("metrics").and(warp::get()).and_then(move || {
         ask(with.clone(), Incoming::Metrics, |text| {
             HttpResponse::new(text.into())
@@ -255,10 +264,24 @@
         })
         .or(metrics)
         .unify()
+        .or(operate)
+        .unify()
         .recover(refused)
         .unify()
 }
 
+async fn take_operation(
+    body: Bytes,
+    events: mpsc::Sender<Incoming>,
+) -> Result<HttpResponse, Infallible> {
+    let Some(request) = read::<operator::Request>(&body) else {
+        let error = "malformed request";
+        return Ok(reply_cbor(400, &Problem { error }));
+    };
+    let show = |reply: operator::Reply| reply_cbor(200, &reply);
+    ask(events, |reply| Incoming::Operate(request, reply), show).await
+}
+
 /// Shortens the filters above: our handlers answer everything themselves.
 trait IntoRejection {
     fn into_rejection(self) -> impl Future<Output = Result<HttpResponse, Rejection>> + Send;
--- a/src/http/server/tests.rs
+++ b/src/http/server/tests.rs
@@ -32,6 +32,9 @@
                 }
                 Incoming::Metrics(reply) => reply.send("accept_ms_count 0\n".to_owned()).is_ok(),
                 Incoming::Peer(_) => true,
+                Incoming::Operate(_, reply) => {
+                    reply.send(operator::Reply::Drains(Vec::new())).is_ok()
+                }
             };
         }
     });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,13 +5,17 @@
 
 pub mod blocks;
 pub mod cancellation;
+pub mod cli;
+pub mod client;
 pub mod config;
+pub mod features;
 pub mod fleet;
 pub mod http;
 pub mod intake;
 pub mod leadership;
 pub mod metrics;
 pub mod node;
+pub mod operations;
 pub mod peer;
 pub mod placement;
 pub mod policy;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,79 +1,66 @@
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::Parser;
+use dappleshore::cli::operate::Operation;
+use dappleshore::cli::{Cli, Command, Exit, Files};
 use dappleshore::config::Config;
+use dappleshore::features::{Features, Found};
 use dappleshore::policy::Policy;
 use dappleshore::service;
-use tracing::{Level, error, warn};
+use tracing::{Level, error, info, warn};
 
-/// A cluster scheduler: takes users' jobs, rents and returns cloud machines, runs tasks on workers.
-#[derive(Parser)]
-#[command(
-    version,
-    after_help = "Exit codes: 0 success, 1 the service could not run, 2 wrong settings or command line.\n\
-    Logs go to standard error at the level of the variable LOG_LEVEL: error, warn, info (default), debug or trace."
-)]
-struct Cli {
-    #[command(subcommand)]
-    command: Command,
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Serve(files) => with_files(&files, serve),
+        Command::Check(files) => with_files(&files, |loaded| report(&files, &loaded)),
+        Command::Cordon(args) => operate(args.operation()),
+        Command::Drain(args) => operate(args.operation()),
+        Command::Uncordon(args) => operate(Ok(args.operation())),
+        Command::Drains(args) => operate(Ok(args.operation())),
+        Command::Budget(args) => operate(Ok(args.operation())),
+    }
 }
 
-#[derive(Subcommand)]
-enum Command {
-    /// Run a controller until it is killed.
-    Serve {
-        /// The settings file (TOML) that the platform hands over.
-        #[arg(long, value_name = "FILE")]
-        config: PathBuf,
-        /// The operators' policy file; the built-in policy stands without one.
-        #[arg(long, value_name = "FILE")]
-        policy: Option<PathBuf>,
-    },
-    /// Check a settings file, and a policy under it, and say what is wrong.
-    Check {
-        /// The settings file (TOML).
-        #[arg(long, value_name = "FILE")]
-        config: PathBuf,
-        /// The operators' policy file.
-        #[arg(long, value_name = "FILE")]
-        policy: Option<PathBuf>,
-    },
+/// What a controller goes by.
+struct Loaded {
+    config: Config,
+    policy: Policy,
+    found: Found,
 }
 
-const WRONG_SETTINGS: u8 = 2;
-
-fn main() -> ExitCode {
-    let (config, policy, run) = match Cli::parse().command {
-        Command::Serve { config, policy } => (config, policy, true),
-        Command::Check { config, policy } => (config, policy, false),
-    };
-    let (settings, tuned) = match load(&config, policy.as_deref()) {
-        Ok(loaded) => loaded,
+fn with_files(files: &Files, run: impl FnOnce(Loaded) -> ExitCode) -> ExitCode {
+    match load(files) {
+        Ok(loaded) => run(loaded),
         Err(problem) => {
             eprintln!("{problem}");
-            return ExitCode::from(WRONG_SETTINGS);
+            Exit::Wrong.into()
         }
-    };
-    if run {
-        return serve(settings, tuned);
-    }
-    for path in [Some(config), policy].into_iter().flatten() {
-        println!("{}: correct", path.display());
     }
-    ExitCode::SUCCESS
 }
 
-fn load(
-    config: &Path,
-    policy: Option<&Path>,
-) -> Result<(Config, Policy), Box<dyn std::error::Error>> {
-    let config = Config::load(config)?;
-    let policy = match policy {
+fn load(files: &Files) -> Result<Loaded, Box<dyn std::error::Error>> {
+    let config = Config::load(&files.config)?;
+    let policy = match &files.policy {
         Some(path) => Policy::load(path, &config)?,
         None => Policy::defaults(&config),
     };
-    Ok((config, policy))
+    let found = Features::find(files.features.as_deref(), &config)?;
+    Ok(Loaded {
+        config,
+        policy,
+        found,
+    })
+}
+
+fn report(files: &Files, loaded: &Loaded) -> ExitCode {
+    let policy = files.policy.as_deref();
+    let features = loaded.found.path.as_deref();
+    let named: [Option<&Path>; 3] = [Some(&files.config), policy, features];
+    for path in named.into_iter().flatten() {
+        println!("{}: correct", path.display());
+    }
+    ExitCode::SUCCESS
 }
 
 fn start_logging() {
@@ -95,22 +82,43 @@
     }
 }
 
-fn serve(config: Config, policy: Policy) -> ExitCode {
-    start_logging();
-    let runtime = match tokio::runtime::Builder::new_current_thread()
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-    {
-        Ok(runtime) => runtime,
+}
+
+fn serve(loaded: Loaded) -> ExitCode {
+    start_logging();
+    let Loaded {
+        config,
+        policy,
+        found,
+    } = loaded;
+    info!(features = ?found.path, drain = found.features.drain.enabled, "features");
+    let outcome = runtime()
+        .and_then(|runtime| runtime.block_on(service::run(config, policy, found.features)));
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            error!(%problem, "the service could not run");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn operate(operation: Result<Operation, String>) -> ExitCode {
+    let operation = match operation {
+        Ok(operation) => operation,
         Err(problem) => {
-            error!(%problem, "the runtime can't be started");
-            return ExitCode::FAILURE;
+            eprintln!("{problem}");
+            return Exit::Wrong.into();
         }
     };
-    match runtime.block_on(service::run(config, policy)) {
-        Ok(()) => ExitCode::SUCCESS,
+    match runtime() {
+        Ok(runtime) => runtime.block_on(operation.run()),
         Err(problem) => {
-            error!(%problem, "the service could not run");
+            eprintln!("the runtime can't be started: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use dappleshore_drain::operator;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tracing::{info, warn};
@@ -12,15 +13,18 @@
 use crate::cancellation::Cancellations;
 use crate::config::Config;
 use crate::domain::{Attempt, BlockId, MachineId, NodeName, Now, Zone, since};
+use crate::features::Features;
 use crate::fleet::wire::{Orders, Report};
 use crate::fleet::{Answer, Command, CommandOutcome, Fleet, Writes};
 use crate::intake::{self, Intake, RequestId, Response};
 use crate::leadership::{self, Lead, Leadership};
 use crate::metrics::Metrics;
+use crate::operations::{self, Operations};
 use crate::peer::{Alive, CancelledJob, Message, Status, Work};
 use crate::policy::Policy;
 use crate::provisioning::{self, Call, CallOutcome, Demand, Flavors, Provisioner};
 use crate::queueing::Queues;
+use crate::queueing::draining::Draining;
 use crate::store::budget::{Budget, Urgency};
 use crate::store::records::FORMAT;
 use crate::store::{Op, Outcome, View, view};
@@ -36,6 +40,8 @@
     Upgrade,
     Provisioning(u64),
     Queueing(u64),
+    Draining(u64),
+    Operations,
     Block { block: BlockId, grant_version: u64 },
 }
 
@@ -57,6 +63,11 @@
     Health {
         id: RequestId,
     },
+    /// An operator asks.
+    Operate {
+        id: RequestId,
+        request: operator::Request,
+    },
     Report {
         id: RequestId,
         report: Report,
@@ -113,6 +124,10 @@
         id: RequestId,
         healthy: bool,
     },
+    AnswerOperator {
+        id: RequestId,
+        reply: operator::Reply,
+    },
     /// The records are in a format newer than this program knows: it must not go on.
     Unsupported {
         format: u32,
@@ -132,6 +147,8 @@
 pub struct Node {
     config: Config,
     policy: Policy,
+    features: Features,
+    operations: Operations,
     boot: u64,
     rng: SmallRng,
     view: View,
@@ -195,6 +212,8 @@
         Node {
             leadership: Leadership::new(config.name.clone(), boot, format),
             policy,
+            features: Features::default(),
+            operations: Operations::default(),
             boot,
             rng,
             view: View::new(&config.state_limits, config.controllers()),
@@ -223,6 +242,12 @@
         }
     }
 
+    /// With what operators have switched on.
+    pub fn with_features(mut self, features: Features) -> Self {
+        self.features = features;
+        self
+    }
+
     pub fn view(&self) -> &View {
         &self.view
     }
@@ -341,6 +366,10 @@
                 id,
                 healthy: self.healthy(now),
             }),
+            Event::Operate { id, request } => {
+                let reply = self.operations.ask(now, id, request);
+                effects.extend(reply.map(|reply| Effect::AnswerOperator { id, reply }));
+            }
             Event::Report { id, report } => {
                 let until = self.entitled_until(now);
                 let entitled = now.steady < until;
@@ -411,6 +440,8 @@
             StoreTag::Upgrade => Some("upgrade"),
             StoreTag::Provisioning(_) => Some("provisioning"),
             StoreTag::Queueing(_) => Some("queueing"),
+            StoreTag::Draining(_) => Some("draining"),
+            StoreTag::Operations => Some("operations"),
             StoreTag::Block { .. } => Some("block"),
         };
         if let Some(slice) = slice {
@@ -460,6 +491,12 @@
                     leading.queues.answered(now, &outcome);
                 }
             }
+            StoreTag::Draining(term) => {
+                if let Some(leading) = self.leading.as_mut().filter(|l| l.queues.term() == term) {
+                    leading.queues.drains_written(now, &outcome);
+                }
+            }
+            StoreTag::Operations => self.operations.written(now, &outcome),
             StoreTag::Block {
                 block,
                 grant_version,
@@ -588,6 +625,7 @@
             self.ask(Urgency::Authority, StoreTag::Leadership(tag), op);
         }
         self.lead(now, effects);
+        self.operate(now, effects);
         while self.budget.idle(now, Urgency::Work)
             && let writes = self.writes(now)
             && let Some((block, op)) =
@@ -672,8 +710,15 @@
             .is_none_or(|leading| leading.queues.term() != term)
         {
             self.budget.lead(now, true);
+            let queues = Queues::new(now, term);
+            let settings = &self.features.drain;
+            let queues = if settings.enabled {
+                queues.with_draining(Draining::new(now, settings.clone()))
+            } else {
+                queues
+            };
             self.leading = Some(Leading {
-                queues: Queues::new(now, term),
+                queues,
                 provisioner: Provisioner::new(now, term),
                 demand: Demand::default(),
                 planned: None,
@@ -734,6 +779,9 @@
             leading
                 .provisioner
                 .summary(&self.view, &leading.demand, gauges);
+            if let Some(draining) = leading.queues.draining() {
+                draining.summary(&self.view, gauges);
+            }
             for (team, count) in &leading.queues.waiting {
                 gauges.insert(format!("waiting{{team=\"{team}\"}}"), *count as f64);
             }
@@ -766,6 +814,7 @@
         leading
             .provisioner
             .observe(now, &lead, &self.view, &health, &self.heard_zones, settled);
+        leading.provisioner.note_drains(&self.view);
         leading.demand = leading
             .queues
             .plan(now, &lead, &self.view, &leading.provisioner);
@@ -779,6 +828,11 @@
                 until: Some(until),
             });
         }
+        if let Some(draining) = leading.queues.draining() {
+            leading.provisioner.want_states(draining.machine_states());
+        }
+        let op = leading.queues.write_drains(now, &lead, &mut self.view);
+        ops.extend(op.map(|op| (Urgency::Work, StoreTag::Draining(term), op)));
         let op = leading.queues.write(now, &lead, &mut self.view);
         ops.extend(op.map(|op| (Urgency::Ends, StoreTag::Queueing(term), op)));
         let op = leading
@@ -812,6 +866,54 @@
         }
     }
 
+    /// Answers operators, as far as that can be done now.
+    fn operate(&mut self, now: Now, effects: &mut Vec<Effect>) {
+        if self.operations.is_idle() {
+            return;
+        }
+        let certain = self.leadership.certain_until();
+        let leads = self
+            .leadership
+            .leading(&self.view)
+            .filter(|_| certain.is_some_and(|until| now.steady < until));
+        let (Some((term, version)), Some(leading)) = (leads, &self.leading) else {
+            let replies = self.operations.refer(self.leader_elsewhere());
+            effects.extend(
+                replies
+                    .into_iter()
+                    .map(|(id, reply)| Effect::AnswerOperator { id, reply }),
+            );
+            return;
+        };
+        let lead = Lead {
+            config: &self.config,
+            policy: &self.policy,
+            flavors: &self.flavors,
+            term,
+            version,
+            batch: self.budget.batch(self.config.state_limits.txn_ops),
+            spare: false,
+        };
+        let cx = operations::Context {
+            lead: &lead,
+            draining: leading.queues.draining(),
+        };
+        let progress = self.operations.poll(now, &cx, &mut self.view);
+        if let Some(op) = progress.op {
+            self.ask(Urgency::User, StoreTag::Operations, op);
+        }
+        let replies = progress.replies.into_iter();
+        effects.extend(replies.map(|(id, reply)| Effect::AnswerOperator { id, reply }));
+    }
+
+    /// The controller that leads, if it is another one, and its address.
+    fn leader_elsewhere(&self) -> Option<(NodeName, String)> {
+        let leader = &self.view.leader.as_ref()?.value.node;
+        let mut peers = self.config.peers.iter();
+        let peer = peers.find(|peer| peer.name == *leader)?;
+        Some((leader.clone(), peer.addr.to_string()))
+    }
+
     fn tell_all(&mut self, now: Now, effects: &mut Vec<Effect>) {
         let reaches_state = self.budget.available(now);
         self.cut_off = if reaches_state {
--- /dev/null
+++ b/src/operations/mod.rs
@@ -0,0 +1,405 @@
+//! Operators' requests: checked and recorded by the leader, answered once they are recorded.
+//!
+//! A request stays here until a fresh copy of the records shows that all is as it asks for. So it does not matter
+//! whether a transaction of it was lost, carried out late, or carried out twice.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use dappleshore_drain::budget::Limit;
+use dappleshore_drain::operator::{
+    BudgetStatus, DrainStatus, Problem, ProblemKind, Reply, Request,
+};
+use dappleshore_drain::requests::{self, Change, Known};
+use dappleshore_drain::{DrainId, DrainRecord, Phase, TeamBudget};
+use tracing::info;
+
+use crate::domain::{NodeName, Now, Team, since};
+use crate::intake::RequestId;
+use crate::leadership::Lead;
+use crate::queueing::draining::{Draining, machine_views};
+use crate::store::records::{DRAIN_FORMAT, LEADER, drain_budget_key, drain_key, encode, json_size};
+use crate::store::{Op, Outcome, Txn, Versioned, View, Writer};
+
+/// Requests that wait at a time; more are refused at once.
+const MOST_WAITING: usize = 32;
+/// A request is answered within this, whatever happens.
+pub const ANSWER_WITHIN: Duration = Duration::from_secs(4);
+/// What a drain's record may grow by after it was accepted.
+const RECORD_RESERVE_BYTES: usize = 256;
+
+#[derive(Debug)]
+struct Pending {
+    id: RequestId,
+    request: Request,
+    asked: Instant,
+    /// A transaction of it was sent.
+    sent: bool,
+    /// The records that the request to uncordon changes.
+    uncordoned: BTreeSet<DrainId>,
+}
+
+/// Requests that are not answered yet.
+#[derive(Debug)]
+pub struct Operations {
+    pending: VecDeque<Pending>,
+    writer: Writer,
+}
+
+/// What the leader goes by.
+pub struct Context<'a> {
+    pub lead: &'a Lead<'a>,
+    /// None: draining is switched off.
+    pub draining: Option<&'a Draining>,
+}
+
+/// What becomes of requests.
+#[derive(Default)]
+pub struct Progress {
+    pub replies: Vec<(RequestId, Reply)>,
+    pub op: Option<Op>,
+}
+
+impl Default for Operations {
+    fn default() -> Self {
+        Operations {
+            pending: VecDeque::new(),
+            writer: Writer::Idle,
+        }
+    }
+}
+
+/// A reply that says that nobody can decide now.
+fn unavailable(message: impl Into<String>) -> Reply {
+    Reply::Problem(Problem::new(ProblemKind::Unavailable, message))
+}
+
+impl Operations {
+    /// Takes a request in. A reply: there are too many.
+    pub fn ask(&mut self, now: Now, id: RequestId, request: Request) -> Option<Reply> {
+        if self.pending.len() >= MOST_WAITING {
+            return Some(unavailable("too many requests are waiting"));
+        }
+        self.pending.push_back(Pending {
+            id,
+            request,
+            asked: now.steady,
+            sent: false,
+            uncordoned: BTreeSet::new(),
+        });
+        None
+    }
+
+    /// Whether nothing waits for an answer.
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// This controller does not lead: sends those who ask to the one that does, if it is known.
+    pub fn refer(&mut self, leader: Option<(NodeName, String)>) -> Vec<(RequestId, Reply)> {
+        self.writer = Writer::Idle;
+        let reply = |pending: Pending| {
+            let reply = match &leader {
+                Some((leader, addr)) => Reply::Elsewhere {
+                    leader: leader.clone(),
+                    addr: addr.clone(),
+                },
+                None => unavailable("no controller leads just now"),
+            };
+            (pending.id, reply)
+        };
+        self.pending.drain(..).map(reply).collect()
+    }
+
+    /// Answers what can be answered, and records what the first request that changes anything asks for.
+    pub fn poll(&mut self, now: Now, cx: &Context<'_>, view: &mut View) -> Progress {
+        let mut progress = Progress::default();
+        self.answer_overdue(now, &mut progress);
+        self.answer_reads(cx, view, &mut progress);
+        let Some(pending) = self.pending.iter_mut().find(|p| !p.request.only_reads()) else {
+            return progress;
+        };
+        if !view.covers(pending.asked) {
+            view.want_fresh();
+            return progress;
+        }
+        if !self.writer.ready(now, view) {
+            return progress;
+        }
+        match changes(&pending.request, now, cx, view) {
+            Err(problem) => progress.replies.push((pending.id, Reply::Problem(problem))),
+            Ok(changes) if changes.is_empty() => {
+                let reply = done(pending, cx, view);
+                progress.replies.push((pending.id, reply));
+            }
+            Ok(changes) => {
+                info!(request = ?pending.request, "operators' request");
+                pending.sent = true;
+                for change in &changes {
+                    if let Change::PutDrain(id, record) = change
+                        && matches!(pending.request, Request::Uncordon { .. })
+                        && (record.phase == Phase::Uncordoned || !record.except.is_empty())
+                    {
+                        pending.uncordoned.insert(id.clone());
+                    }
+                }
+                self.writer.sent();
+                progress.op = Some(Op::Commit(transaction(cx.lead, view, &changes)));
+            }
+        }
+        let answered: BTreeSet<RequestId> = progress.replies.iter().map(|(id, _)| *id).collect();
+        self.pending
+            .retain(|pending| !answered.contains(&pending.id));
+        progress
+    }
+
+    fn answer_overdue(&mut self, now: Now, progress: &mut Progress) {
+        self.pending.retain(|pending| {
+            let overdue = since(now, pending.asked) >= ANSWER_WITHIN;
+            if overdue {
+                let message = if pending.sent {
+                    "not known yet whether it was carried out: repeat it as it is"
+                } else {
+                    "the state service does not answer"
+                };
+                progress.replies.push((pending.id, unavailable(message)));
+            }
+            !overdue
+        });
+    }
+
+    fn answer_reads(&mut self, cx: &Context<'_>, view: &mut View, progress: &mut Progress) {
+        let mut fresh_wanted = false;
+        self.pending.retain(|pending| {
+            if !pending.request.only_reads() {
+                return true;
+            }
+            if !view.covers(pending.asked) {
+                fresh_wanted = true;
+                return true;
+            }
+            progress
+                .replies
+                .push((pending.id, read(&pending.request, cx, view)));
+            false
+        });
+        if fresh_wanted {
+            view.want_fresh();
+        }
+    }
+
+    /// What became of the transaction.
+    pub fn written(&mut self, now: Now, outcome: &Outcome) {
+        self.writer.answered(now, outcome);
+    }
+}
+
+fn values<K: Ord + Clone, T: Clone>(records: &BTreeMap<K, Versioned<T>>) -> BTreeMap<K, T> {
+    let value = |(key, record): (&K, &Versioned<T>)| (key.clone(), record.value.clone());
+    records.iter().map(value).collect()
+}
+
+/// The changes that a request still needs.
+fn changes(
+    request: &Request,
+    now: Now,
+    cx: &Context<'_>,
+    view: &View,
+) -> Result<Vec<Change>, Problem> {
+    if cx.draining.is_none() {
+        return Err(Problem::new(
+            ProblemKind::Refused,
+            "draining is switched off: set `enabled = true` under `[drain]` in the features file",
+        ));
+    }
+    if view.format() < DRAIN_FORMAT {
+        let old: Vec<String> = lagging_controllers(cx.lead, view);
+        let message = format!(
+            "not before all controllers know drains; {} can't say so yet",
+            old.join(", ")
+        );
+        return Err(Problem::new(ProblemKind::Unavailable, message));
+    }
+    let Lead {
+        config, flavors, ..
+    } = *cx.lead;
+    let drains = values(&view.drains);
+    let budgets = values(&view.drain_budgets);
+    let machines = machine_views(view, |_| true, |_| false);
+    let value_bytes = config.state_limits.value_bytes;
+    let fits =
+        |record: &DrainRecord| json_size(&encode(record)) + RECORD_RESERVE_BYTES <= value_bytes;
+    let known = Known {
+        now_ms: now.unix_ms(),
+        drains: &drains,
+        budgets: &budgets,
+        machines: &machines,
+        blocks: view
+            .grants
+            .keys()
+            .chain(view.rosters.keys())
+            .cloned()
+            .collect(),
+        types: flavors.all().map(|flavor| flavor.name.clone()).collect(),
+        zones: flavors.zones(config).into_iter().collect(),
+        teams: config.teams.iter().map(|team| team.name.clone()).collect(),
+        most_changes: cx.lead.batch,
+        fits: &fits,
+    };
+    requests::changes(request, &known)
+}
+
+/// Controllers that do not know drains, or are not up.
+fn lagging_controllers(lead: &Lead<'_>, view: &View) -> Vec<String> {
+    let peers = lead.config.peers.iter().map(|peer| &peer.name);
+    let knows = |node: &NodeName| {
+        let member = view.members.get(node);
+        member.is_some_and(|member| member.value.format >= DRAIN_FORMAT)
+    };
+    peers
+        .chain([&lead.config.name])
+        .filter(|node| !knows(node))
+        .map(|node| node.to_string())
+        .collect()
+}
+
+fn transaction(lead: &Lead<'_>, view: &View, changes: &[Change]) -> Txn {
+    fn version<T>(record: Option<&Versioned<T>>) -> u64 {
+        record.map_or(0, |record| record.version)
+    }
+    let mut txn = Txn::default().when(LEADER, lead.version);
+    for change in changes {
+        let (key, version) = match change {
+            Change::PutDrain(id, _) | Change::DeleteDrain(id) => {
+                (drain_key(id), version(view.drains.get(id)))
+            }
+            Change::PutBudget(team, _) | Change::DeleteBudget(team) => (
+                drain_budget_key(team),
+                version(view.drain_budgets.get(team)),
+            ),
+        };
+        txn = txn.when(key.clone(), version);
+        txn = match change {
+            Change::PutDrain(_, record) => txn.put(key, record),
+            Change::PutBudget(_, budget) => txn.put(key, budget),
+            Change::DeleteDrain(_) | Change::DeleteBudget(_) => txn.delete(key),
+        };
+    }
+    txn
+}
+
+/// The answer to a request that needs no change any more.
+fn done(pending: &Pending, cx: &Context<'_>, view: &View) -> Reply {
+    match &pending.request {
+        Request::Start {
+            id,
+            scope,
+            purpose,
+            return_machines,
+            step,
+        } => {
+            let drains = values(&view.drains);
+            let record = DrainRecord {
+                scope: scope.clone(),
+                purpose: *purpose,
+                return_machines: *return_machines,
+                step: *step,
+                requested_ms: 0,
+                resumed_ms: 0,
+                phase: Phase::Active,
+                except: BTreeSet::new(),
+            };
+            let existing = requests::existing(id, &record, &drains).cloned();
+            drains_reply(existing.as_ref().or(Some(id)), cx, view)
+        }
+        Request::Cancel { id } | Request::Resume { id } => drains_reply(Some(id), cx, view),
+        Request::Uncordon { .. } => Reply::Uncordoned {
+            records: pending.uncordoned.iter().cloned().collect(),
+        },
+        request => read(request, cx, view),
+    }
+}
+
+fn read(request: &Request, cx: &Context<'_>, view: &View) -> Reply {
+    match request {
+        Request::List { id } => drains_reply(id.as_ref(), cx, view),
+        _ => Reply::Budgets(budget_statuses(cx, view)),
+    }
+}
+
+fn drains_reply(id: Option<&DrainId>, cx: &Context<'_>, view: &View) -> Reply {
+    let progress = |id: &DrainId| cx.draining.and_then(|draining| draining.progress().get(id));
+    let wanted = |known: &&DrainId| id.is_none_or(|id| id == *known);
+    let ids = view.drains.keys().filter(wanted);
+    let statuses: Vec<DrainStatus> = ids
+        .map(|id| DrainStatus::new(id, &view.drains[id].value, progress(id)))
+        .collect();
+    match id {
+        Some(id) if statuses.is_empty() => Reply::Problem(Problem::new(
+            ProblemKind::NotFound,
+            format!("there is no drain `{id}`"),
+        )),
+        _ => Reply::Drains(statuses),
+    }
+}
+
+/// The budgets of all teams, and those of classes that have one of their own.
+fn budget_statuses(cx: &Context<'_>, view: &View) -> Vec<BudgetStatus> {
+    let Some(draining) = cx.draining else {
+        return Vec::new();
+    };
+    let budgets = draining.budgets(view);
+    let mut statuses = Vec::new();
+    for team in cx.lead.config.teams.iter().map(|team| &team.name) {
+        let limit = budgets.of_team(team);
+        let stated = |by: &BTreeMap<Team, TeamBudget>| {
+            by.get(team).is_some_and(|budget| budget.limit.is_some())
+        };
+        let count = draining.disruptions().of_team(team);
+        let status =
+            |class: Option<String>,
+             limit: Limit,
+             source: &str,
+             count: dappleshore_drain::disruption::Count| BudgetStatus {
+                team: team.to_string(),
+                class,
+                limit,
+                source: source.to_owned(),
+                allowed: limit.of(count.tasks),
+                disrupted: count.disrupted,
+                tasks: count.tasks,
+            };
+        statuses.push(status(
+            None,
+            limit,
+            source(stated(&budgets.requested), stated(&budgets.settings)),
+            count,
+        ));
+        let of = |by: &BTreeMap<Team, TeamBudget>| -> BTreeSet<String> {
+            by.get(team)
+                .map(|budget| budget.classes.keys().cloned().collect())
+                .unwrap_or_default()
+        };
+        let requested = of(&budgets.requested);
+        for class in requested.union(&of(&budgets.settings)) {
+            let Some(limit) = budgets.of_class(team, class) else {
+                continue;
+            };
+            let count = draining
+                .disruptions()
+                .of_class(team, &class.as_str().into());
+            let source = source(requested.contains(class), true);
+            statuses.push(status(Some(class.clone()), limit, source, count));
+        }
+    }
+    statuses
+}
+
+/// Who has set a budget.
+fn source(requested: bool, in_settings: bool) -> &'static str {
+    match (requested, in_settings) {
+        (true, _) => "request",
+        (false, true) => "settings",
+        (false, false) => "default",
+    }
+}
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -5,7 +5,7 @@
 
 mod block_state;
 mod demand;
-mod draining;
+pub mod draining;
 mod failures;
 mod folding;
 mod gangs;
@@ -35,7 +35,7 @@
 use crate::store::{Op, Outcome, Txn, View, Writer};
 use block_state::BlockState;
 use demand::Present;
-pub use draining::Draining;
+use draining::Draining;
 use failures::Failures;
 use opportunistic::{Opportunities, Reach};
 use preemption::Victims;
--- a/src/service.rs
+++ b/src/service.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use dappleshore_drain::operator;
 use tokio::sync::{mpsc, oneshot};
 use tracing::{debug, info};
 
 use crate::config::Config;
 use crate::domain::{NodeName, Now};
+use crate::features::Features;
 use crate::fleet::wire::Report;
 use crate::fleet::{Answer, COMMAND_PART, Command, CommandOutcome};
 use crate::http::server::{self, Door, Incoming, MOST_WAITING};
@@ -82,6 +84,7 @@
     User(oneshot::Sender<Response>, Instant),
     Worker(oneshot::Sender<(Answer, Instant)>),
     Health(oneshot::Sender<bool>),
+    Operator(oneshot::Sender<operator::Reply>),
 }
 
 struct Runner {
@@ -101,7 +104,7 @@
 }
 
 /// Runs until the process is killed, a listener can't be opened, or the records turn out to be of a newer version.
-pub async fn run(config: Config, policy: Policy) -> std::io::Result<()> {
+pub async fn run(config: Config, policy: Policy, features: Features) -> std::io::Result<()> {
     let (incoming, mut requests) = mpsc::channel(MOST_WAITING);
     let (results, mut answers) = mpsc::unbounded_channel();
     let doors = Doors::of(config.max_sockets);
@@ -131,7 +134,7 @@
             .map(|peer| (peer.name.clone(), peer.addr))
             .collect(),
         unsupported: None,
-        node: Node::new(config, policy, rand::random(), Now::read()),
+        node: Node::new(config, policy, rand::random(), Now::read()).with_features(features),
     };
     tokio::pin!(public);
     tokio::pin!(between);
@@ -172,6 +175,9 @@
             Incoming::Report(report, reply) => {
                 (Waiting::Worker(reply), Event::Report { id, report })
             }
+            Incoming::Operate(request, reply) => {
+                (Waiting::Operator(reply), Event::Operate { id, request })
+            }
             Incoming::Peer(message) => return self.handle(Event::Peer(message)),
             Incoming::Metrics(reply) => {
                 // Whoever asked may be gone.
@@ -214,6 +220,12 @@
                     let _ = reply.send(healthy);
                 }
             }
+            Effect::AnswerOperator { id, reply } => {
+                if let Some(Waiting::Operator(waiting)) = self.waiting.remove(&id) {
+                    // Whoever asked may be gone.
+                    let _ = waiting.send(reply);
+                }
+            }
             Effect::Store { tag, op } => {
                 let sent = Now::read().steady;
                 let request = store::wire::request(&op);
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -965,7 +965,7 @@
                     }
                 }
             }
-            Effect::AnswerHealth { .. } => {}
+            Effect::AnswerHealth { .. } | Effect::AnswerOperator { .. } => {}
         }
     }
 
