Drains in simulated worlds: budgets checked by what runs on machines

Need: a drain must keep each team's disruption within its budget whatever fails. Met on the way: tasks on machines that do not answer counted as disrupted, and evicting them took nothing of the budget, though they may still run; a drain whose replacements have no room left now says so instead of naming a budget.

--- a/crates/drain/src/disruption.rs
+++ b/crates/drain/src/disruption.rs
@@ -34,6 +34,11 @@
 
     /// Takes in what runs again.
     pub fn observe(&mut self, ledgers: &BTreeMap<Team, Ledger>, fleet: &impl Fleet) {
+        // Noted, and so recorded, before they are proven gone: a new leader could not tell that they were there.
+        let given_up = fleet.machines().iter().filter(|machine| machine.given_up);
+        for attempt in given_up.flat_map(|machine| &machine.tasks) {
+            self.note_lost(*attempt);
+        }
         self.lost
             .retain(|task, lost| !is_restored(fleet, *task, |attempt| attempt.number == *lost));
         let recorded: BTreeSet<Subject> = evictions(ledgers).map(|e| e.subject).collect();
@@ -196,9 +201,8 @@
             .tasks()
             .filter(|task| !self.disrupted.contains(task))
             .count() as u64;
-        if more == 0 {
-            return None;
-        }
+        // Also for tasks that count as disrupted already, since their machine does not answer: it may come back, and
+        // then they run.
         let within = |count: Count, allowed: u64| count.disrupted + more <= allowed;
         let of_team = self.of_team(&job.team);
         let allowed = budgets.of_team(&job.team).of(of_team.tasks);
--- a/crates/drain/src/planner.rs
+++ b/crates/drain/src/planner.rs
@@ -36,6 +36,8 @@
     pub state: ServiceState,
     /// It reports, hears us, and is not being taken away.
     pub usable: bool,
+    /// It is given up: its tasks are lost once the cloud has deleted it.
+    pub given_up: bool,
     /// Tasks that are not proven gone.
     pub tasks: Vec<Attempt>,
     /// Tasks are released to it that its holder may still place.
@@ -92,6 +94,8 @@
     fn is_stopping(&self, attempt: &Attempt) -> bool;
     /// Whether a job's tasks fail again and again.
     fn keeps_failing(&self, job: JobId) -> bool;
+    /// Why a task that was evicted already has no room kept for it, if it has none.
+    fn lacks_room(&self, task: TaskId) -> Option<NoRoom>;
     /// Keeps room for what is to be moved, and says where.
     fn reserve(&mut self, subject: &Subject) -> Result<Vec<Reservation>, NoRoom>;
 }
@@ -387,6 +391,11 @@
             }
             return State::Halted(reason.clone());
         }
+        let mut evicted = outstanding.iter().flat_map(|e| e.subject.tasks());
+        let stranded = evicted.find_map(|task| Some((task, pass.fleet.lacks_room(task)?)));
+        if let Some((task, reason)) = stranded {
+            return State::Replacing { task, reason };
+        }
         match blocked {
             _ if decided > 0 || !outstanding.is_empty() => State::Evicting,
             Blocked {
--- a/src/operations/mod.rs
+++ b/src/operations/mod.rs
@@ -225,7 +225,7 @@
     } = *cx.lead;
     let drains = values(&view.drains);
     let budgets = values(&view.drain_budgets);
-    let machines = machine_views(view, |_| true, |_| false);
+    let machines = machine_views(view, |_| true, |_| false, |_| false);
     let value_bytes = config.state_limits.value_bytes;
     let fits =
         |record: &DrainRecord| json_size(&encode(record)) + RECORD_RESERVE_BYTES <= value_bytes;
--- a/src/queueing/draining.rs
+++ b/src/queueing/draining.rs
@@ -28,6 +28,7 @@
 use crate::leadership::Lead;
 use crate::placement;
 use crate::provisioning::Provisioner;
+use crate::provisioning::wire::Flavor;
 use crate::store::records::{
     LEADER, MachineState, Ranges, drain_budget_key, drain_key, drain_ledger_key,
 };
@@ -49,6 +50,8 @@
     reserved: BTreeMap<TaskId, MachineId>,
     /// Tasks whose eviction is being recorded.
     proposed: BTreeSet<TaskId>,
+    /// Evicted tasks for which there is no room, and why.
+    without_room: BTreeMap<TaskId, NoRoom>,
     /// What the last look came to, to be recorded.
     decided: Vec<Effect>,
     upkeep: Option<Instant>,
@@ -65,6 +68,7 @@
             writer: Writer::Unsure { since: now.steady },
             reserved: BTreeMap::new(),
             proposed: BTreeSet::new(),
+            without_room: BTreeMap::new(),
             decided: Vec::new(),
             upkeep: None,
             evictions: 0,
@@ -236,6 +240,7 @@
 pub fn machine_views(
     view: &View,
     usable: impl Fn(&MachineId) -> bool,
+    given_up: impl Fn(&MachineId) -> bool,
     expects_tasks: impl Fn(&MachineId) -> bool,
 ) -> Vec<MachineView> {
     let mut machines: BTreeMap<&MachineId, MachineView> = BTreeMap::new();
@@ -252,6 +257,7 @@
             zone: machine.zone.clone(),
             state,
             usable: usable(id),
+            given_up: given_up(id),
             tasks: Vec::new(),
             expects_tasks: expects_tasks(id),
         };
@@ -287,20 +293,6 @@
         self.queues.zones_of_others(self.view, task)
     }
 
-    fn is_open_anywhere(&self, job: &Job, zones: &BTreeMap<Zone, u32>) -> bool {
-        let provisioner = self.stock.provisioner;
-        self.stock.lead.flavors.all().any(|flavor| {
-            let open = |zone: &Zone| {
-                job.allows_zone(zone)
-                    && zone_open(job, zones, zone)
-                    && !provisioner.is_closed(&flavor.name, zone)
-            };
-            job.allows_type(&flavor.name)
-                && flavor.room().count_of(&job.need) > 0
-                && flavor.zones.iter().any(open)
-        })
-    }
-
     fn reserve_task(&mut self, task: TaskId) -> Result<Vec<Reservation>, NoRoom> {
         let Some(open) = self.view.open.get(&task.job) else {
             return Err(NoRoom::Anywhere);
@@ -308,11 +300,13 @@
         let zones = self.zones_of_others(task);
         match self.plan.keep_room(self.view, &open.job, &zones) {
             Some(machine) => Ok(vec![Reservation { task, machine }]),
-            None if self.is_open_anywhere(&open.job, &zones) => {
-                self.unplaced.push(task);
-                Err(NoRoom::Yet)
+            None => {
+                let reason = no_room(self.stock, &open.job, &zones);
+                if reason == NoRoom::Yet {
+                    self.unplaced.push(task);
+                }
+                Err(reason)
             }
-            None => Err(NoRoom::Anywhere),
         }
     }
 
@@ -330,7 +324,7 @@
             block_of,
         );
         if !room.whole {
-            if !self.is_open_anywhere(&open.job, &BTreeMap::new()) {
+            if no_room(self.stock, &open.job, &BTreeMap::new()) == NoRoom::Anywhere {
                 return Err(NoRoom::Anywhere);
             }
             let missing = room.tasks.len() as u32..open.job.tasks;
@@ -349,6 +343,24 @@
     }
 }
 
+/// Why there is no room for a task whose job's others are in these zones: whether machines can be had where it may go.
+fn no_room(stock: &Stock<'_>, job: &Job, zones: &BTreeMap<Zone, u32>) -> NoRoom {
+    let open = |flavor: &Flavor, zone: &Zone| {
+        job.allows_zone(zone)
+            && zone_open(job, zones, zone)
+            && !stock.provisioner.is_closed(&flavor.name, zone)
+    };
+    let obtainable = stock.lead.flavors.all().any(|flavor| {
+        let fits = job.allows_type(&flavor.name) && flavor.room().count_of(&job.need) > 0;
+        fits && flavor.zones.iter().any(|zone| open(flavor, zone))
+    });
+    if obtainable {
+        NoRoom::Yet
+    } else {
+        NoRoom::Anywhere
+    }
+}
+
 fn gang_waiting<'v>(id: JobId, open: &'v OpenJob) -> Waiting<'v> {
     Waiting {
         id,
@@ -401,6 +413,11 @@
         self.queues.failures.keeps_failing(job)
     }
 
+    fn lacks_room(&self, task: TaskId) -> Option<NoRoom> {
+        let draining = self.queues.draining.as_ref()?;
+        draining.without_room.get(&task).copied()
+    }
+
     fn reserve(&mut self, subject: &Subject) -> Result<Vec<Reservation>, NoRoom> {
         match subject {
             Subject::Task(attempt) => self.reserve_task(attempt.task),
@@ -595,21 +612,23 @@
         draining
             .reserved
             .retain(|task, _| evicted.contains(task) || proposed.contains(task));
-        let mut unplaced = Vec::new();
+        draining.without_room.clear();
         for subject in outstanding {
             let Some(open) = view.open.get(&subject.job()).filter(|open| !open.cancelled) else {
                 continue;
             };
             match subject {
                 Subject::Task(old) => {
-                    self.replace_task(stock, view, plan, open, old, &mut unplaced);
+                    self.replace_task(stock, view, plan, open, old);
                 }
                 Subject::Gang { job, .. } => self.replace_gang(stock, view, plan, open, job),
             }
         }
         self.keep_proposed_room(view, plan);
-        for task in unplaced {
-            count_unplaced(stock, view, plan, task, &self.zones_of_others(view, task));
+        let without_room = self.draining.iter().flat_map(|d| &d.without_room);
+        let unplaced = without_room.filter(|(_, reason)| **reason == NoRoom::Yet);
+        for (task, _) in unplaced {
+            count_unplaced(stock, view, plan, *task, &self.zones_of_others(view, *task));
         }
     }
 
@@ -635,7 +654,6 @@
         plan: &mut Plan,
         open: &OpenJob,
         old: Attempt,
-        unplaced: &mut Vec<TaskId>,
     ) {
         let task = old.task;
         let others = attempts_of(view, task).filter(|(attempt, _)| *attempt != old);
@@ -665,7 +683,8 @@
         };
         let Some(machine) = machine else {
             draining.reserved.remove(&task);
-            unplaced.push(task);
+            let reason = no_room(stock, &open.job, &zones);
+            draining.without_room.insert(task, reason);
             return;
         };
         draining.reserved.insert(task, machine.clone());
@@ -805,7 +824,12 @@
             .flat_map(|block_state| block_state.releases.values())
             .map(|release| &release.machine)
             .collect();
-        let machines = machine_views(view, |id| usable.contains(id), |id| expecting.contains(id));
+        let machines = machine_views(
+            view,
+            |id| usable.contains(id),
+            |id| stock.provisioner.is_lost(id),
+            |id| expecting.contains(id),
+        );
         let running = self.running_attempts(stock.now, view, &usable);
         let lead = stock.lead;
         let limits = &lead.config.state_limits;
--- a/tests/simulation/machine.rs
+++ b/tests/simulation/machine.rs
@@ -63,6 +63,9 @@
 /// The class of jobs whose tasks fail on every machine.
 pub const BROKEN: &str = "broken";
 
+/// The class of services that run until they are cancelled. (Others here end, so that days have ends.)
+pub const LASTING: &str = "lookup";
+
 const FETCH: Duration = Duration::from_secs(2);
 
 impl Machine {
@@ -236,7 +239,9 @@
             // The tasks of a gang run together: see `gangs`.
             .filter(|(task, t)| {
                 t.state == TaskState::Fetching
-                    || (t.state == TaskState::Running && !is_gang(jobs, **task))
+                    || (t.state == TaskState::Running
+                        && !is_gang(jobs, **task)
+                        && !is_lasting(jobs, **task))
             })
             .filter_map(|(task, t)| {
                 t.left = t.left.saturating_sub(passed);
@@ -292,6 +297,11 @@
     }
 }
 
+fn is_lasting(jobs: &BTreeMap<JobId, Job>, task: TaskId) -> bool {
+    jobs.get(&task.job)
+        .is_some_and(|job| *job.class == *LASTING)
+}
+
 fn is_gang(jobs: &BTreeMap<JobId, Job>, task: TaskId) -> bool {
     jobs.get(&task.job)
         .is_some_and(|job| job.kind == Kind::Gang)
--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -1,10 +1,12 @@
 //! Whole services, three controllers each, in simulated worlds with faults. Every rule of PROTOCOL is checked
 //! after each step. The same seed gives the same run.
 
+mod drains;
 mod gangs;
 mod machine;
 mod meetings;
 mod operations;
+mod operators;
 mod production;
 mod rollout;
 mod rules;
@@ -358,7 +360,8 @@
 }
 
 /// `SEED=n LOG_LEVEL=debug cargo test --test simulation -- --ignored by_hand` replays one run; with `COUNT=m` it
-/// searches the seeds from there on; with `ROLLOUT=1` an upgrade rolls through, the limits fall, and there are gangs.
+/// searches the seeds from there on; with `ROLLOUT=1` an upgrade rolls through, the limits fall, and there are gangs;
+/// with `DRAINS=1` zones are drained.
 #[test]
 #[ignore = "for replaying and searching seeds by hand"]
 fn by_hand() {
@@ -368,9 +371,10 @@
             .and_then(|text| text.parse::<u64>().ok())
     };
     let first = number("SEED").expect("SEED is a number");
-    let check = match number("ROLLOUT") {
-        Some(_) => rollout::check_at_random,
-        None => |seed| check(seed, Faults::all()),
+    let check = match (number("ROLLOUT"), number("DRAINS")) {
+        (Some(_), _) => rollout::check_at_random,
+        (None, Some(_)) => drains::check_at_random,
+        (None, None) => |seed| check(seed, Faults::all()),
     };
     let failed: Vec<u64> = (first..first + number("COUNT").unwrap_or(1))
         .filter(|seed| std::panic::catch_unwind(|| check(*seed)).is_err())
--- a/tests/simulation/rules.rs
+++ b/tests/simulation/rules.rs
@@ -33,6 +33,10 @@
     began: Option<Duration>,
     /// How often any of its tasks started.
     starts: usize,
+    /// When each task started last.
+    last_start: BTreeMap<u32, Duration>,
+    /// Tasks that have started, are not done and are on no machine, and since when.
+    lost: BTreeMap<u32, Duration>,
     /// Since when its user's questions have gone unanswered.
     unanswered: Option<Duration>,
     /// Since when it has waited beside a machine with room.
@@ -61,6 +65,8 @@
     /// Starts after a confirmed cancellation: the task, and how long after.
     pub started_cancelled: Vec<(TaskId, Duration)>,
     pub broken: Vec<String>,
+    /// The time of what is being told.
+    pub now: Duration,
 }
 
 impl Rules {
@@ -73,9 +79,45 @@
             started: 0,
             started_cancelled: Vec::new(),
             broken: Vec::new(),
+            now: Duration::ZERO,
         }
     }
 
+    /// Tasks of a team that have started and are nowhere now, and that have been nowhere for so long. A gang counts
+    /// whole.
+    pub fn lost(&self, team: &Team, longer_than: Duration) -> BTreeSet<TaskId> {
+        let mut lost = BTreeSet::new();
+        let of_team = |known: &&JobHistory| known.job.team == *team && !known.cancel_asked;
+        let jobs = self.jobs.iter().filter(|(_, known)| of_team(known));
+        for (id, known) in jobs {
+            let long = |at: &&Duration| self.now.saturating_sub(**at) >= longer_than;
+            let task = |index: u32| TaskId { job: *id, index };
+            let gone = known.lost.iter().filter(|(_, at)| long(at));
+            let mut gone: BTreeSet<TaskId> = gone.map(|(index, _)| task(*index)).collect();
+            if known.job.kind == Kind::Gang && !gone.is_empty() {
+                gone = (0..known.job.tasks).map(task).collect();
+            }
+            lost.extend(gone);
+        }
+        lost
+    }
+
+    /// Whether a task has started since, is done, or is not wanted any more.
+    pub fn restored(&self, task: TaskId, since: Duration) -> bool {
+        let Some(known) = self.jobs.get(&task.job) else {
+            return true;
+        };
+        let started = known.last_start.get(&task.index);
+        known.cancel_asked
+            || known.done.contains(&task.index)
+            || started.is_some_and(|at| *at > since)
+    }
+
+    /// The team of a job.
+    pub fn team_of(&self, job: JobId) -> Option<Team> {
+        self.jobs.get(&job).map(|known| known.job.team.clone())
+    }
+
     fn break_rule(&mut self, now: Duration, text: String) {
         self.broken.push(format!("{:.3} {text}", now.as_secs_f64()));
     }
@@ -91,6 +133,8 @@
             accepted: None,
             began: None,
             starts: 0,
+            last_start: BTreeMap::new(),
+            lost: BTreeMap::new(),
             unanswered: None,
             beside_room: None,
         });
@@ -108,6 +152,8 @@
         if let Some(known) = self.jobs.get_mut(&task.job) {
             known.began.get_or_insert(now);
             known.starts += 1;
+            known.last_start.insert(task.index, now);
+            known.lost.remove(&task.index);
         }
         let cancelled = self.jobs.get(&task.job).and_then(|known| known.cancel_told);
         self.started_cancelled
@@ -181,6 +227,9 @@
         }
         if done {
             known.done.insert(task.index);
+            known.lost.remove(&task.index);
+        } else if !known.on.contains_key(&task.index) && !known.done.contains(&task.index) {
+            known.lost.insert(task.index, self.now);
         }
     }
 
--- a/tests/simulation/state.rs
+++ b/tests/simulation/state.rs
@@ -7,6 +7,7 @@
 use dappleshore::config::StateLimits;
 use dappleshore::store::records::{FORMAT_KEY, FormatSwitch, LEADER, Leader, TOKEN, Token};
 use dappleshore::store::{Change, Op, Outcome, Txn};
+use dappleshore_drain::{Eviction, Ledger};
 
 use super::production;
 
@@ -34,6 +35,8 @@
     pub changes: usize,
     /// Requests that only read.
     pub reads: usize,
+    /// Evictions that were recorded and not yet looked at.
+    pub recorded_evictions: Vec<Eviction>,
 }
 
 fn bucket(slot: &mut (f64, Duration), now: Duration, rate: f64, cost: f64) -> bool {
@@ -63,11 +66,26 @@
             largest: 0,
             changes: 0,
             reads: 0,
+            recorded_evictions: Vec::new(),
         }
     }
 
+    /// Notes the evictions that a ledger's new value has and its old one had not.
+    fn note_evictions(&mut self, key: &str, value: Option<&Value>) {
+        if !key.starts_with("dappleshore/drain_ledger/") {
+            return;
+        }
+        let read = |value: &Value| value.deserialized::<Ledger>().expect("a ledger");
+        let old = self.keys.get(key).map(|key| read(&key.value));
+        let known = old.unwrap_or_default().evictions;
+        let new = value.map(read).unwrap_or_default().evictions;
+        self.recorded_evictions
+            .extend(new.into_iter().filter(|eviction| !known.contains(eviction)));
+    }
+
     fn change(&mut self, key: &str, value: Option<Value>, hold: Option<u64>) {
         let version = self.revision;
+        self.note_evictions(key, value.as_ref());
         let readable = value
             .as_ref()
             .is_none_or(|value| production::reads_record(key, value));
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -7,6 +7,7 @@
 
 use dappleshore::config::{Config, StateLimits, TeamLimits};
 use dappleshore::domain::{Amount, Job, JobId, Kind, Now, Priority, Room, TaskId, Tenure, Zone};
+use dappleshore::features::Features;
 use dappleshore::fleet::wire::{Orders, Report, TaskState};
 use dappleshore::fleet::{Answer, Command, CommandOutcome};
 use dappleshore::intake::Response;
@@ -17,13 +18,15 @@
     Flavor, FlavorList, ListedMachine, ListedState, MachineList, MachineNames,
 };
 use dappleshore::provisioning::{Call, CallOutcome, Tag as CallTag};
-use dappleshore::store::records::FORMAT;
+use dappleshore::store::records::{FORMAT, MachineState};
 use dappleshore::store::{Op, Outcome};
+use dappleshore_drain::operator::Request;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::gangs::Gangs;
 use super::machine::{BROKEN, Machine, MachineEvent};
+use super::operators::Operators;
 use super::production;
 use super::rules::{Place, Rules, Told};
 use super::state::StateService;
@@ -168,7 +171,7 @@
         node: usize,
         report: Box<Report>,
     },
-    /// What a user asked before, once more.
+    /// What a user or an operator asked before, once more.
     Repeat {
         node: usize,
         event: Box<Event>,
@@ -286,6 +289,8 @@
         seq: u64,
         sent: Duration,
     },
+    /// An operator, by number.
+    Operator(usize),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -325,7 +330,7 @@
 }
 
 pub struct World {
-    now: Duration,
+    pub(super) now: Duration,
     base: Instant,
     wall: SystemTime,
     order: u64,
@@ -336,7 +341,7 @@
     /// Faults stop here; what follows is for the service to recover.
     calm_from: Duration,
     config: Config,
-    state: StateService,
+    pub(super) state: StateService,
     state_out_until: Duration,
     state_slow_until: Duration,
     cloud_out_until: Duration,
@@ -344,7 +349,7 @@
     zone_cut: (Zone, Duration),
     watchers: BTreeMap<u64, Watcher>,
     slots: Vec<Slot>,
-    machines: BTreeMap<String, Machine>,
+    pub(super) machines: BTreeMap<String, Machine>,
     next_machine: u32,
     requests: BTreeMap<String, Vec<String>>,
     users: Vec<User>,
@@ -352,6 +357,11 @@
     results: BTreeSet<TaskId>,
     gangs: Gangs,
     pub rules: Rules,
+    /// What operators have switched on.
+    pub features: Features,
+    /// Whether tasks are stopped for others.
+    pub preemption: bool,
+    pub operators: Operators,
     pub rented: usize,
     size: Size,
     looked_for_idle: Duration,
@@ -460,6 +470,9 @@
             results: BTreeSet::new(),
             gangs: Gangs::default(),
             rules: Rules::new(limits, config.cancel_within, calm_from + LAST_TROUBLES),
+            features: Features::default(),
+            preemption: true,
+            operators: Operators::default(),
             rented: 0,
             size,
             looked_for_idle: Duration::ZERO,
@@ -659,6 +672,32 @@
         self.queue.push(Reverse((at, self.order, key)));
     }
 
+    /// A request of an operator is on its way to a controller that is up.
+    pub(super) fn send_operation(&mut self, operator: usize, node: usize, request: Request) {
+        let slot = &mut self.slots[node];
+        if slot.node.is_none() {
+            return;
+        }
+        slot.next_request += 1;
+        let id = slot.next_request;
+        slot.waiting.insert(id, Asker::Operator(operator));
+        let boot = slot.boot;
+        if let (Request::Start { .. } | Request::Cancel { .. }, Some(late)) =
+            (&request, self.copied())
+        {
+            let request = request.clone();
+            let event = Box::new(Event::Operate { id: 0, request });
+            self.at(late, WorldEvent::Repeat { node, event });
+        }
+        let event = Box::new(Event::Operate { id, request });
+        self.soon(WorldEvent::Deliver { node, boot, event });
+    }
+
+    /// Some controller, by chance.
+    pub(super) fn any_node(&mut self) -> usize {
+        self.rng.random_range(0..NODES)
+    }
+
     fn soon(&mut self, event: WorldEvent) {
         let at = self.now + self.transit();
         self.at(at, event);
@@ -696,10 +735,12 @@
                 break;
             }
             self.now = at;
+            self.rules.now = at;
             if let Some(event) = self.events.remove(&key) {
                 self.take(event);
             }
             self.rules.check(self.now);
+            self.check_disruptions();
             if !self.rules.broken.is_empty() {
                 break;
             }
@@ -743,7 +784,7 @@
     }
 
     /// When a copy of a message is carried out again, if one is.
-    fn copied(&mut self) -> Option<Duration> {
+    pub(super) fn copied(&mut self) -> Option<Duration> {
         if self.now >= self.calm_from || !self.rng.random_bool(self.faults.copies) {
             return None;
         }
@@ -965,7 +1006,12 @@
                     }
                 }
             }
-            Effect::AnswerHealth { .. } | Effect::AnswerOperator { .. } => {}
+            Effect::AnswerHealth { .. } => {}
+            Effect::AnswerOperator { id, reply } => {
+                if let Some(Asker::Operator(operator)) = self.slots[node].waiting.remove(&id) {
+                    self.operator_answered(operator, node, reply);
+                }
+            }
         }
     }
 
@@ -1139,7 +1185,9 @@
                 addr,
             })
             .collect();
-        let policy = Policy::defaults(&config);
+        let mut policy = Policy::defaults(&config);
+        policy.preempt_for_priority &= self.preemption;
+        policy.preempt_for_guarantee &= self.preemption;
         let seed = self.rng.random();
         let now = self.clock(node);
         let slot = &mut self.slots[node];
@@ -1147,7 +1195,9 @@
         slot.frozen_until = Duration::ZERO;
         slot.commands = 0;
         slot.waiting.clear();
-        slot.node = Some(Node::knowing(slot.format, config, policy, seed, now));
+        let features = self.features.clone();
+        slot.node =
+            Some(Node::knowing(slot.format, config, policy, seed, now).with_features(features));
         let boot = slot.boot;
         self.soon(WorldEvent::Tick { node, boot });
     }
@@ -1243,6 +1293,7 @@
         } else {
             self.state.serve(self.now, &op)
         };
+        self.check_evictions();
         if matches!(outcome, Outcome::Committed { .. }) {
             self.wake_watchers();
         }
@@ -1599,6 +1650,7 @@
         for user in 0..self.users.len() {
             self.step_user(user);
         }
+        self.step_operators();
         if self.size.jobs <= Size::SMALL.jobs && self.now >= self.looked_for_idle + IDLE_EVERY {
             self.looked_for_idle = self.now;
             self.look_for_idle_room();
@@ -1934,12 +1986,20 @@
     }
 
     /// Jobs that wait while a machine that fits has room and their team is under its limit.
+    /// Machines that operators keep tasks off, by what a controller knows of their requests.
+    fn cordoned(&self) -> BTreeSet<String> {
+        let machines = self.any_view().into_iter().flat_map(|view| &view.machines);
+        let cordoned = machines.filter(|(_, machine)| machine.state == MachineState::Cordoned);
+        cordoned.map(|(id, _)| id.0.to_string()).collect()
+    }
+
     fn look_for_idle_room(&mut self) {
+        let out_of_service = self.cordoned();
         let mut free: Vec<(&Machine, Room)> = Vec::new();
         for machine in self
             .machines
             .values()
-            .filter(|machine| machine.settled(self.now))
+            .filter(|machine| machine.settled(self.now) && !out_of_service.contains(&machine.id))
         {
             free.push((machine, machine.free(&self.jobs)));
         }
@@ -2161,7 +2221,7 @@
         self.add_job(job, Some(self.now + cancel_after))
     }
 
-    fn add_job(&mut self, job: Job, cancel_at: Option<Duration>) -> JobId {
+    pub fn add_job(&mut self, job: Job, cancel_at: Option<Duration>) -> JobId {
         let id = JobId(900_000 + self.users.len() as u64);
         let body = body_of(id, &job);
         self.jobs.insert(id, job);
@@ -2178,6 +2238,22 @@
         id
     }
 
+    /// What a user has submitted or will submit.
+    pub fn job(&self, id: JobId) -> &Job {
+        &self.jobs[&id]
+    }
+
+    /// No job is bound to a zone.
+    pub fn unbind_jobs(&mut self) {
+        for user in &mut self.users {
+            if let Some(job) = self.jobs.get_mut(&user.job) {
+                job.one_zone = false;
+                job.zone = None;
+                user.body = body_of(user.job, job);
+            }
+        }
+    }
+
     /// All arrays are bound to one zone: every other one to a given zone.
     pub fn bind_jobs(&mut self) {
         for (n, user) in self.users.iter_mut().enumerate() {
@@ -2334,6 +2410,12 @@
         all.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
     }
 
+    /// The records as some controller knows them.
+    pub fn any_view(&self) -> Option<&dappleshore::store::View> {
+        let mut nodes = self.slots.iter().filter_map(|slot| slot.node.as_ref());
+        nodes.next().map(Node::view)
+    }
+
     pub fn state(&self) -> &StateService {
         &self.state
     }
