--- a/src/queueing/draining.rs
+++ b/src/queueing/draining.rs
@@ -122,7 +122,8 @@
 
     /// Whether there is nothing to do and nothing to look after.
     fn is_idle(&self, view: &View) -> bool {
-        view.drains.is_empty() && view.drain_ledgers.is_empty()
+        let mut ledgers = view.drain_ledgers.values();
+        view.drains.is_empty() && ledgers.all(|ledger| ledger.value.is_empty())
     }
 
     /// The transaction that records what was decided.
@@ -148,11 +149,9 @@
                         drain_budget_key(team),
                         version(view.drain_budgets.get(team)),
                     );
-                    txn = if ledger.is_empty() {
-                        txn.delete(key)
-                    } else {
-                        txn.put(key, ledger)
-                    };
+                    // Empty ones are kept: were the key removed, a transaction from before it existed could still be
+                    // carried out, and spend what has been spent since.
+                    txn = txn.put(key, ledger);
                 }
                 Effect::WriteRecord { id, record } => {
                     let key = drain_key(id);
--- a/tests/simulation/drains.rs
+++ b/tests/simulation/drains.rs
@@ -451,7 +451,8 @@
 /// Drains while machines, zones, controllers and the state service fail.
 #[test]
 fn drains_under_all_troubles() {
-    for seed in 860..=867 {
+    // With ledgers removed when they were empty, a transaction that came late in the last one was carried out twice.
+    for seed in (860..=867).chain([2020]) {
         check_at_random(seed);
     }
 }
--- a/tests/simulation/operators.rs
+++ b/tests/simulation/operators.rs
@@ -149,6 +149,7 @@
     /// Looks at the evictions that were recorded just now.
     pub(super) fn check_evictions(&mut self) {
         for eviction in std::mem::take(&mut self.state.recorded_evictions) {
+            tracing::debug!(at = self.now.as_secs_f64(), ?eviction, "recorded");
             self.operators.evicted.insert(eviction.subject, self.now);
             self.check_eviction(&eviction);
             self.operators.evictions.push(eviction.clone());
