A zone is drained on loopback while a controller is killed

Need: the drain has to be seen working with processes, commands and workers over HTTP. Change: tests/loopback: three controllers as processes, stand-in state service, cloud and workers on 127.0.0.1, driven by the command line; disruption counted by the workers; each kind of problem has its exit code.

--- /dev/null
+++ b/tests/loopback/cloud.rs
@@ -0,0 +1,180 @@
+//! The cloud over HTTP, by its published protocol. Machines are up half a second after they were rented.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ciborium::{Value, cbor};
+use dappleshore::domain::{Room, Tenure};
+use dappleshore::http::read;
+use dappleshore::provisioning::wire::{MachineNames, RentRequest};
+use warp::Filter;
+use warp::reply::Response;
+
+use super::machine::Machine;
+use super::site::{Fleet, ZONES, lock};
+use super::state_service::reply;
+use super::workers;
+
+const BOOT: Duration = Duration::from_millis(500);
+const CPUS: f64 = 4.0;
+/// Machines of a zone and a tenure.
+const STOCK: usize = 6;
+
+/// Serves until the test ends.
+pub async fn serve(fleet: Arc<Mutex<Fleet>>) -> SocketAddr {
+    let with = warp::any().map(move || fleet.clone());
+    let body = warp::body::bytes();
+    let flavors = warp::path!("flavors").and(warp::get()).map(flavors);
+    let rent = warp::path!("machines")
+        .and(warp::post())
+        .and(body)
+        .and(with.clone())
+        .then(|body: bytes::Bytes, fleet: Arc<Mutex<Fleet>>| async move {
+            match read::<RentRequest>(&body) {
+                Some(request) => rent(&request, &fleet).await,
+                None => reply(400, &cbor!({"error" => "malformed"})),
+            }
+        });
+    let delete = warp::path!("machines" / "delete")
+        .and(warp::post())
+        .and(body)
+        .and(with.clone())
+        .map(|body: bytes::Bytes, fleet: Arc<Mutex<Fleet>>| {
+            let names = read::<MachineNames>(&body).map_or(Vec::new(), |names| names.machines);
+            let mut fleet = lock(&fleet);
+            for name in names {
+                if let Some(machine) = fleet.machines.get_mut(&*name.0) {
+                    let ended = machine.gone();
+                    fleet.happened(&name.0, ended);
+                    fleet.machines.remove(&*name.0);
+                }
+            }
+            reply(200, &cbor!({}))
+        });
+    let list = warp::path!("machines")
+        .and(warp::get())
+        .and(with)
+        .map(|fleet: Arc<Mutex<Fleet>>| list(&lock(&fleet)));
+    let routes = flavors.or(rent).unify().or(delete).unify().or(list).unify();
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    tokio::spawn(warp::serve(routes).incoming(listener).run());
+    addr
+}
+
+fn flavors() -> Response {
+    let zones = Value::Array(ZONES.into_iter().map(Value::from).collect());
+    reply(
+        200,
+        &cbor!({"berthKinds" => [{
+            "name" => "small", "cpus" => CPUS, "cards" => 0.0, "ramGb" => 16.0, "cacheGb" => 20.0,
+            "pullGbPerS" => 1.0, "rate" => 0.3, "spotPrice" => 0.1, "readyS" => 0.5, "wings" => zones,
+        }]}),
+    )
+}
+
+async fn rent(request: &RentRequest, fleet: &Arc<Mutex<Fleet>>) -> Response {
+    let known = lock(fleet).requests.get(&request.request).cloned();
+    let names = match known {
+        Some(names) => names,
+        None => {
+            let names = rent_new(request, fleet).await;
+            if names.is_empty() {
+                return reply(503, &cbor!({"error" => "no capacity"}));
+            }
+            names
+        }
+    };
+    let names = Value::Array(names.into_iter().map(Value::from).collect());
+    reply(200, &cbor!({"berths" => names}))
+}
+
+async fn rent_new(request: &RentRequest, fleet: &Arc<Mutex<Fleet>>) -> Vec<String> {
+    let mut names = Vec::new();
+    for _ in 0..request.count {
+        let alike = |machine: &&Machine| {
+            machine.zone == request.zone && machine.tenure == Tenure::spot(request.spot)
+        };
+        let taken = lock(fleet).machines.values().filter(alike).count();
+        if taken >= STOCK {
+            break;
+        }
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port");
+        let name = {
+            let mut fleet = lock(fleet);
+            fleet.next_machine += 1;
+            let name = format!("m-{:06}", fleet.next_machine);
+            let machine = machine(&name, request, fleet.now());
+            let addr = listener.local_addr().expect("bound");
+            fleet.addresses.insert(name.clone(), addr);
+            fleet.machines.insert(name.clone(), machine);
+            name
+        };
+        workers::start(name.clone(), listener, fleet.clone());
+        names.push(name);
+    }
+    let mut fleet = lock(fleet);
+    if !names.is_empty() {
+        fleet
+            .requests
+            .insert(request.request.clone(), names.clone());
+    }
+    names
+}
+
+fn machine(name: &str, request: &RentRequest, now: Duration) -> Machine {
+    Machine {
+        id: name.to_owned(),
+        type_name: request.type_name.clone(),
+        zone: request.zone.clone(),
+        tenure: Tenure::spot(request.spot),
+        size: Room {
+            cpus: CPUS,
+            gpus: 0.0,
+            memory_gb: 16.0,
+        },
+        rented: now,
+        up_at: Some(now + BOOT),
+        up: false,
+        dead: false,
+        hung_until: None,
+        deaf_until: Duration::ZERO,
+        mute_until: Duration::ZERO,
+        notice: None,
+        faulty: false,
+        session: 1,
+        seq: 0,
+        token: 0,
+        lease_from: now + BOOT,
+        tasks: BTreeMap::new(),
+        images: BTreeSet::new(),
+        node: 0,
+        report: None,
+        next_report: now + BOOT,
+        last_report: Duration::ZERO,
+        changed: false,
+        backlog: Vec::new(),
+    }
+}
+
+fn list(fleet: &Fleet) -> Response {
+    let entry = |machine: &Machine| {
+        let status = if machine.up { "running" } else { "booting" };
+        let addr = fleet.addresses[&machine.id].to_string();
+        let held = (fleet.now().saturating_sub(machine.rented)).as_secs_f64();
+        let entry = cbor!({
+            "id" => machine.id, "endpoint" => addr, "berthKind" => &*machine.type_name.0,
+            "wing" => &*machine.zone.0, "loaner" => machine.tenure.is_spot(), "status" => status,
+            "heldS" => held,
+        });
+        entry.expect("has a form")
+    };
+    let machines = Value::Array(fleet.machines.values().map(entry).collect());
+    reply(200, &cbor!({"berths" => machines, "more" => false}))
+}
--- /dev/null
+++ b/tests/loopback/processes.rs
@@ -0,0 +1,187 @@
+//! Controllers and operators' commands as processes of the program under test.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::OnceLock;
+
+use super::site::{CANCEL_WITHIN, LEASE, LIMITS, Site, ZONES};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_dappleshore");
+
+/// Where controllers take reports.
+pub static PUBLIC: OnceLock<Vec<SocketAddr>> = OnceLock::new();
+
+/// The controllers, and their files.
+pub struct Controllers {
+    children: Vec<Child>,
+    files: PathBuf,
+    pub public: Vec<SocketAddr>,
+    pub between: Vec<SocketAddr>,
+}
+
+impl Controllers {
+    /// Starts one in each zone.
+    pub fn start(site: &Site) -> Self {
+        let files = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("loopback-{}", std::process::id()));
+        std::fs::create_dir_all(&files).expect("a folder for settings");
+        let ports = free_ports(2 * ZONES.len());
+        let (public, between) = ports.split_at(ZONES.len());
+        let mut controllers = Controllers {
+            children: Vec::new(),
+            files,
+            public: public.to_vec(),
+            between: between.to_vec(),
+        };
+        PUBLIC.get_or_init(|| controllers.public.clone());
+        let features = format!("[drain]\nenabled = true\nbudget = \"{}\"\n", site.budget);
+        std::fs::write(controllers.files.join("features.toml"), features).expect("writable");
+        for node in 0..ZONES.len() {
+            let path = controllers.files.join(format!("node-{node}.toml"));
+            std::fs::write(path, controllers.settings(site, node)).expect("writable");
+            let child = controllers.spawn(node);
+            controllers.children.push(child);
+        }
+        controllers
+    }
+
+    fn settings(&self, site: &Site, node: usize) -> String {
+        let mut text = format!(
+            "node_name = \"node-{node}\"\ndomain = \"{}\"\nbind = \"{}\"\nback = \"{}\"\n",
+            ZONES[node], self.public[node], self.between[node]
+        );
+        for other in (0..ZONES.len()).filter(|other| *other != node) {
+            text += &format!(
+                "[[members]]\nnode_name = \"node-{other}\"\ndomain = \"{}\"\npeer_addr = \"{}\"\n",
+                ZONES[other], self.between[other]
+            );
+        }
+        text += &format!(
+            "[external]\ncloud = \"{}\"\nstate = \"{}\"\n[params]\ncount = 3\nzones = [\"a\", \"b\", \"c\"]\n",
+            site.cloud, site.state
+        );
+        for team in super::site::TEAMS {
+            text += &format!(
+                "[[params.teams]]\nname = \"{team}\"\ncpus = 16.0\ncpus_max = 64.0\ngpus = 0.0\ngpus_max = 0.0\n"
+            );
+        }
+        text += &format!(
+            "[params.workers]\nreport_s = 1.0\nlease_s = {:.1}\ncancel_s = {:.1}\n",
+            LEASE.as_secs_f64(),
+            CANCEL_WITHIN.as_secs_f64()
+        );
+        text += &format!(
+            "[params.state]\nrps = {:.1}\nwrite_rps = {:.1}\nvalue_kb = {:.1}\ntxn_ops = {}\n",
+            LIMITS.rps,
+            LIMITS.write_rps,
+            LIMITS.value_bytes as f64 / 1024.0,
+            LIMITS.txn_ops
+        );
+        text + "[params.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n[params.quota]\ncpu = 1.0\nram_mb = 200.0\nsockets = 500\n"
+    }
+
+    fn spawn(&self, node: usize) -> Child {
+        let log = self.files.join(format!("node-{node}.log"));
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("a log");
+        Command::new(PROGRAM)
+            .arg("serve")
+            .arg("--features")
+            .arg(self.files.join("features.toml"))
+            .arg("--config")
+            .arg(self.files.join(format!("node-{node}.toml")))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the program starts")
+    }
+
+    /// Kills a controller, and starts it again a moment later.
+    pub async fn restart(&mut self, node: usize) {
+        self.children[node].kill().expect("it runs");
+        self.children[node].wait().expect("it ends");
+        tokio::time::sleep(super::PAUSE).await;
+        self.children[node] = self.spawn(node);
+    }
+}
+
+impl Drop for Controllers {
+    fn drop(&mut self) {
+        for child in &mut self.children {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.files);
+        }
+    }
+}
+
+/// Ports that nobody uses just now.
+fn free_ports(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
+        .collect();
+    let addr = |listener: &TcpListener| listener.local_addr().expect("bound");
+    listeners.iter().map(addr).collect()
+}
+
+/// Whoever runs the commands.
+pub struct Operator {
+    controllers: String,
+}
+
+impl Operator {
+    /// Of these controllers.
+    pub fn of(controllers: &Controllers) -> Self {
+        let addresses: Vec<String> = controllers
+            .between
+            .iter()
+            .map(SocketAddr::to_string)
+            .collect();
+        Operator {
+            controllers: addresses.join(","),
+        }
+    }
+
+    /// Who asks at an address.
+    pub fn asking(controllers: &str) -> Self {
+        Operator {
+            controllers: controllers.to_owned(),
+        }
+    }
+
+    /// Starts a command.
+    pub fn spawn(&self, arguments: &[&str]) -> Child {
+        Command::new(PROGRAM)
+            .args(arguments)
+            .env("DAPPLESHORE_CONTROLLERS", &self.controllers)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts")
+    }
+
+    /// Its exit code and all that it has said. It ends by itself: each request has a time-out.
+    pub async fn finish(&self, child: Child) -> (Option<i32>, String) {
+        let output = tokio::task::spawn_blocking(move || child.wait_with_output()).await;
+        let output = output.expect("not cancelled").expect("it ends");
+        let text = [output.stdout, output.stderr].concat();
+        (
+            output.status.code(),
+            String::from_utf8_lossy(&text).into_owned(),
+        )
+    }
+
+    /// Runs a command to its end.
+    pub async fn run(&self, arguments: &[&str]) -> (Option<i32>, String) {
+        self.finish(self.spawn(arguments)).await
+    }
+}
--- /dev/null
+++ b/tests/loopback/site.rs
@@ -0,0 +1,228 @@
+//! What the stand-ins share: machines, jobs, the state service's keys, and what is checked of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use ciborium::cbor;
+use dappleshore::config::StateLimits;
+use dappleshore::domain::{Job, JobId, Kind, Priority, Room, TaskId, Team};
+use dappleshore::fleet::wire::TaskState;
+use dappleshore::http::{Client, Request};
+
+use super::machine::{LASTING, Machine, MachineEvent};
+use super::processes::Controllers;
+use super::rules::{Place, Rules};
+use super::state::StateService;
+use super::{cloud, state_service};
+
+pub const TEAMS: [&str; 2] = ["red", "blue"];
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+pub const LEASE: Duration = Duration::from_secs(40);
+pub const CANCEL_WITHIN: Duration = Duration::from_secs(110);
+pub const LIMITS: StateLimits = StateLimits {
+    rps: 400.0,
+    write_rps: 120.0,
+    value_bytes: 8192,
+    txn_ops: 16,
+};
+
+/// Everything there is, and what was seen of it.
+pub struct Fleet {
+    pub began: Instant,
+    pub state: StateService,
+    pub machines: BTreeMap<String, Machine>,
+    pub addresses: BTreeMap<String, SocketAddr>,
+    pub requests: BTreeMap<String, Vec<String>>,
+    pub next_machine: u32,
+    pub jobs: BTreeMap<JobId, Job>,
+    pub results: BTreeSet<TaskId>,
+    pub rules: Rules,
+    budget: usize,
+    /// Moments at which more of a team was down than its budget allows.
+    pub over_budget: Vec<String>,
+    pub most_down: usize,
+}
+
+/// The stand-ins, and where they listen.
+#[derive(Clone)]
+pub struct Site {
+    fleet: Arc<Mutex<Fleet>>,
+    pub state: SocketAddr,
+    pub cloud: SocketAddr,
+    pub budget: usize,
+}
+
+impl Site {
+    /// Starts the state service and the cloud. Each team may have so many tasks disrupted.
+    pub async fn start(budget: usize) -> Self {
+        let limits = TEAMS.map(|team| (Team::from(team), 64.0)).into();
+        let fleet = Fleet {
+            began: Instant::now(),
+            state: StateService::new(LIMITS, |_, _| true),
+            machines: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            next_machine: 0,
+            jobs: BTreeMap::new(),
+            results: BTreeSet::new(),
+            rules: Rules::new(limits, CANCEL_WITHIN, Duration::from_secs(100_000)),
+            budget,
+            over_budget: Vec::new(),
+            most_down: 0,
+        };
+        let fleet = Arc::new(Mutex::new(fleet));
+        Site {
+            state: state_service::serve(fleet.clone()).await,
+            cloud: cloud::serve(fleet.clone()).await,
+            fleet,
+            budget,
+        }
+    }
+
+    /// The fleet, for as long as nobody else needs it.
+    pub fn lock(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    /// A user submits a service, and repeats that until it is accepted.
+    pub async fn submit_service(
+        &self,
+        controllers: &Controllers,
+        id: u64,
+        team: &str,
+        replicas: u32,
+    ) {
+        let job = service(team, replicas);
+        let id = JobId(id);
+        {
+            let mut fleet = self.lock();
+            fleet.jobs.insert(id, job.clone());
+            fleet.rules.submitted(id, job);
+        }
+        let body = submission(id, team, replicas);
+        let client = Client::new(Duration::from_secs(1));
+        for attempt in 0..super::LOOKS {
+            let to = controllers.public[attempt % controllers.public.len()];
+            let path = "/submissions".to_owned();
+            let request = Request::post(path, body.clone(), Duration::from_secs(5));
+            let reply = client.send(to, request).await;
+            if reply.is_some_and(|reply| matches!(reply.status, 200 | 201)) {
+                return;
+            }
+            tokio::time::sleep(super::PAUSE).await;
+        }
+        panic!("never accepted: {id}");
+    }
+}
+
+/// The fleet. A test that has failed while it held it has said why.
+pub fn lock(fleet: &Mutex<Fleet>) -> MutexGuard<'_, Fleet> {
+    fleet
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+impl Fleet {
+    /// Time since the site was started.
+    pub fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Takes in what happened on a machine, and counts what is down.
+    pub fn happened(&mut self, machine: &str, events: Vec<MachineEvent>) {
+        let now = self.now();
+        self.rules.now = now;
+        for event in events {
+            match event {
+                MachineEvent::Started(task) => {
+                    let on = &self.machines[machine];
+                    let place = Place {
+                        machine: machine.to_owned(),
+                        type_name: on.type_name.clone(),
+                        zone: on.zone.clone(),
+                        tenure: on.tenure,
+                    };
+                    self.rules.starts(now, task, place);
+                }
+                MachineEvent::Ended(task, done) => self.rules.ends(task, machine, done),
+            }
+        }
+        for team in TEAMS {
+            let down = self.rules.lost(&team.into(), Duration::ZERO);
+            self.most_down = self.most_down.max(down.len());
+            if down.len() > self.budget {
+                let text = format!("{now:?}: {down:?} of {team} down, {} allowed", self.budget);
+                self.over_budget.push(text);
+            }
+        }
+    }
+
+    /// Replicas that run, on all machines.
+    pub fn replicas_running(&self) -> usize {
+        let tasks = self
+            .machines
+            .values()
+            .flat_map(|machine| machine.tasks.values());
+        tasks
+            .filter(|task| task.state == TaskState::Running)
+            .count()
+    }
+
+    /// The zone with the most replicas.
+    pub fn busiest_zone(&self) -> String {
+        let count = |zone: &&str| {
+            let here = self
+                .machines
+                .values()
+                .filter(|machine| *machine.zone.0 == **zone);
+            here.map(|machine| machine.tasks.len()).sum::<usize>()
+        };
+        let busiest = ZONES.into_iter().max_by_key(count);
+        busiest.expect("three zones").to_owned()
+    }
+
+    /// The controller that leads, by its number.
+    pub fn leader(&self) -> Option<usize> {
+        let name = self.state.leader()?.node;
+        name.0.trim_start_matches("node-").parse().ok()
+    }
+}
+
+fn service(team: &str, replicas: u32) -> Job {
+    Job {
+        class: LASTING.into(),
+        team: team.into(),
+        kind: Kind::Service,
+        priority: Priority::Production,
+        tasks: replicas,
+        need: Room {
+            cpus: 2.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        },
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: true,
+        spot: false,
+        image: "img-0".into(),
+        image_gb: 1.0,
+        estimate_s: 0.0,
+        checkpoint_every_s: 0.0,
+        checkpoint_s: 0.0,
+        deadline_s: None,
+        accepted_ms: 0,
+    }
+}
+
+fn submission(id: JobId, team: &str, replicas: u32) -> Vec<u8> {
+    let body = cbor!({
+        "id" => id.to_string(), "docket" => LASTING, "desk" => team, "shape" => "service",
+        "precedence" => "prod", "entries" => replicas, "cpus" => 2.0, "cards" => 0.0, "ramGb" => 1.0,
+        "bundle" => "img-0", "imageGb" => 1.0, "samePlace" => false, "scatter" => true, "loaner" => false,
+        "expectS" => 0.0, "stampEveryS" => 0.0, "stampS" => 0.0,
+    });
+    dappleshore::http::write(&body.expect("has a form"))
+}
--- /dev/null
+++ b/tests/loopback/state_service.rs
@@ -0,0 +1,203 @@
+//! The state service over HTTP, by its published protocol; its keys are those of the simulation's stand-in.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ciborium::{Value, cbor};
+use dappleshore::http::{read, write};
+use dappleshore::store::{Op, Outcome, Txn, TxnChange};
+use serde::Deserialize;
+use warp::Filter;
+use warp::http::StatusCode;
+use warp::reply::Response;
+
+use super::site::{Fleet, lock};
+
+type Query = HashMap<String, String>;
+
+#[derive(Deserialize)]
+struct Multi {
+    when: Vec<Condition>,
+    #[serde(default)]
+    apply: Vec<Apply>,
+}
+
+#[derive(Deserialize)]
+struct Condition {
+    k: String,
+    amended: u64,
+}
+
+#[derive(Deserialize)]
+struct Apply {
+    put: Option<String>,
+    remove: Option<String>,
+    value: Option<Value>,
+    tenure: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct NewHold {
+    #[serde(rename = "lifeMs")]
+    life_ms: u64,
+}
+
+/// A watch looks for changes so often.
+const LOOK_EVERY: Duration = Duration::from_millis(15);
+
+/// Serves until the test ends.
+pub async fn serve(fleet: Arc<Mutex<Fleet>>) -> SocketAddr {
+    let with = warp::any().map(move || fleet.clone());
+    let body = warp::body::bytes();
+    let get = warp::path("keys")
+        .and(warp::get())
+        .and(warp::path::tail())
+        .and(warp::query::<Query>())
+        .and(with.clone())
+        .map(
+            |tail: warp::path::Tail, query: Query, fleet: Arc<Mutex<Fleet>>| {
+                let op = match query.get("prefix") {
+                    Some(prefix) => Op::List {
+                        prefix: prefix.clone(),
+                        after: query.get("after").cloned(),
+                    },
+                    None => Op::Get {
+                        key: tail.as_str().to_owned(),
+                    },
+                };
+                execute(&fleet, &op)
+            },
+        );
+    let multi = warp::path!("multi")
+        .and(warp::post())
+        .and(body)
+        .and(with.clone())
+        .map(
+            |body: bytes::Bytes, fleet: Arc<Mutex<Fleet>>| match read::<Multi>(&body) {
+                Some(multi) => execute(&fleet, &Op::Commit(transaction(multi))),
+                None => reply(400, &cbor!({"error" => "malformed"})),
+            },
+        );
+    let open = warp::path!("holds")
+        .and(warp::post())
+        .and(body)
+        .and(with.clone())
+        .map(|body: bytes::Bytes, fleet: Arc<Mutex<Fleet>>| {
+            let life_ms = read::<NewHold>(&body).map_or(5000, |hold| hold.life_ms);
+            let life = Duration::from_millis(life_ms);
+            execute(&fleet, &Op::OpenHold { life })
+        });
+    let extend = warp::path!("holds" / u64 / "extend")
+        .and(warp::post())
+        .and(with.clone())
+        .map(|id, fleet: Arc<Mutex<Fleet>>| execute(&fleet, &Op::ExtendHold { id }));
+    let follow = warp::path!("follow")
+        .and(warp::get())
+        .and(warp::query::<Query>())
+        .and(with)
+        .then(|query: Query, fleet: Arc<Mutex<Fleet>>| async move { watch(&query, &fleet).await });
+    let routes = get
+        .or(multi)
+        .unify()
+        .or(open)
+        .unify()
+        .or(extend)
+        .unify()
+        .or(follow)
+        .unify();
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    tokio::spawn(warp::serve(routes).incoming(listener).run());
+    addr
+}
+
+fn transaction(multi: Multi) -> Txn {
+    let change = |apply: Apply| match (apply.put, apply.remove) {
+        (Some(key), _) => Some(TxnChange::Put {
+            key,
+            value: apply.value.unwrap_or(Value::Null),
+            hold: apply.tenure,
+        }),
+        (None, Some(key)) => Some(TxnChange::Delete { key }),
+        (None, None) => None,
+    };
+    Txn {
+        conditions: multi.when.into_iter().map(|c| (c.k, c.amended)).collect(),
+        changes: multi.apply.into_iter().filter_map(change).collect(),
+    }
+}
+
+fn execute(fleet: &Mutex<Fleet>, op: &Op) -> Response {
+    let mut fleet = lock(fleet);
+    let now = fleet.now();
+    let outcome = fleet.state.serve(now, op);
+    let revision = fleet.state.revision;
+    match outcome {
+        Outcome::Value { value, version } => {
+            reply(200, &cbor!({"value" => value, "amended" => version}))
+        }
+        Outcome::Missing { revision } => reply(404, &cbor!({"ledgerLine" => revision})),
+        Outcome::Rows {
+            rows,
+            more,
+            revision,
+        } => {
+            let row = |(k, value, amended): (String, Value, u64)| {
+                cbor!({"k" => k, "value" => value, "amended" => amended}).expect("has a form")
+            };
+            let rows = Value::Array(rows.into_iter().map(row).collect());
+            reply(
+                200,
+                &cbor!({"rows" => rows, "more" => more, "ledgerLine" => revision}),
+            )
+        }
+        Outcome::Committed { revision } => reply(200, &cbor!({"ledgerLine" => revision})),
+        Outcome::Conflict => reply(409, &cbor!({"failed" => [], "ledgerLine" => revision})),
+        Outcome::Hold { id } => reply(200, &cbor!({"tenure" => id})),
+        Outcome::HoldGone => reply(404, &cbor!({"error" => "no such lease"})),
+        Outcome::Refused => reply(429, &cbor!({"error" => "busy"})),
+        _ => reply(400, &cbor!({"error" => "no such lease"})),
+    }
+}
+
+async fn watch(query: &Query, fleet: &Mutex<Fleet>) -> Response {
+    let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
+    let prefix = query.get("prefix").cloned().unwrap_or_default();
+    let after = number("after").unwrap_or(0);
+    let wait = Duration::from_millis(number("holdMs").unwrap_or(0));
+    let deadline = tokio::time::Instant::now() + wait;
+    loop {
+        {
+            let mut fleet = lock(fleet);
+            let now = fleet.now();
+            fleet.state.expire(now);
+            let changes = fleet.state.news(&prefix, after);
+            if !changes.is_empty() || tokio::time::Instant::now() >= deadline {
+                let news = changes.into_iter().map(|change| {
+                    let item = match change.value {
+                        Some(value) => {
+                            cbor!({"put" => change.key, "value" => value, "amended" => change.version})
+                        }
+                        None => cbor!({"remove" => change.key, "amended" => change.version}),
+                    };
+                    item.expect("has a form")
+                });
+                let news = Value::Array(news.collect());
+                let revision = fleet.state.revision;
+                return reply(200, &cbor!({"ledgerLine" => revision, "news" => news}));
+            }
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+/// An answer with a CBOR body.
+pub fn reply(status: u16, body: &Result<Value, ciborium::value::Error>) -> Response {
+    let mut response = Response::new(write(body.as_ref().expect("has a form")).into());
+    *response.status_mut() = StatusCode::from_u16(status).expect("a status");
+    response
+}
--- /dev/null
+++ b/tests/loopback/workers.rs
@@ -0,0 +1,183 @@
+//! Workers over HTTP, by their published protocol: each reports to one controller at a time and takes commands at an
+//! address of its own.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dappleshore::domain::TaskId;
+use dappleshore::fleet::wire::{Orders, Redirect, Report};
+use dappleshore::http::{Client, Request, read, write};
+use tokio::net::TcpListener;
+use warp::Filter;
+use warp::http::StatusCode;
+use warp::reply::Response;
+
+use super::processes::PUBLIC;
+use super::site::{Fleet, LEASE, lock};
+
+const STEP: Duration = Duration::from_millis(50);
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+const REPORT_TIMEOUT: Duration = Duration::from_secs(4);
+const TRY_NEXT: Duration = Duration::from_secs(1);
+
+/// Starts a machine's worker: it runs until the machine is deleted.
+pub fn start(name: String, listener: TcpListener, fleet: Arc<Mutex<Fleet>>) {
+    let commands = {
+        let (name, fleet) = (name.clone(), fleet.clone());
+        warp::path!("commands")
+            .and(warp::post())
+            .and(warp::body::bytes())
+            .map(move |body: bytes::Bytes| command(&name, &body, &fleet))
+    };
+    tokio::spawn(warp::serve(commands).incoming(listener).run());
+    tokio::spawn(work(name, fleet));
+}
+
+fn runs_for(_: TaskId) -> Duration {
+    Duration::from_secs(1)
+}
+
+fn report(fleet: &mut Fleet, name: &str) -> Option<Report> {
+    let addr = fleet.addresses[name].to_string();
+    let machine = fleet.machines.get_mut(name)?;
+    let report = machine.message();
+    Some(Report { addr, ..report })
+}
+
+/// Executes orders that come with a token that is not too low.
+fn execute(fleet: &mut Fleet, name: &str, orders: &Orders) -> bool {
+    let Fleet {
+        machines,
+        jobs,
+        results,
+        ..
+    } = fleet;
+    let Some(machine) = machines.get_mut(name) else {
+        return false;
+    };
+    let other_session = orders
+        .session
+        .is_some_and(|session| session != machine.session);
+    if orders.token < machine.token || other_session {
+        return false;
+    }
+    machine.changed |= orders.token > machine.token;
+    machine.token = orders.token;
+    let happened = machine.execute(&orders.orders, jobs, results, runs_for);
+    fleet.happened(name, happened);
+    true
+}
+
+fn command(name: &str, body: &[u8], fleet: &Mutex<Fleet>) -> Response {
+    let mut fleet = lock(fleet);
+    let executed = match read::<Orders>(body) {
+        Some(orders) => execute(&mut fleet, name, &orders),
+        None => false,
+    };
+    let report = report(&mut fleet, name);
+    let mut response = Response::new(write(&report).into());
+    let status = if executed { 200 } else { 409 };
+    *response.status_mut() = StatusCode::from_u16(status).expect("a status");
+    response
+}
+
+async fn work(name: String, fleet: Arc<Mutex<Fleet>>) {
+    let client = Client::new(Duration::from_secs(2));
+    let mut node = 0;
+    loop {
+        tokio::time::sleep(STEP).await;
+        let due = {
+            let mut fleet = lock(&fleet);
+            match step(&mut fleet, &name) {
+                Some(due) => due,
+                None => return,
+            }
+        };
+        let Some(report) = due else { continue };
+        let to: Vec<SocketAddr> = PUBLIC.get().cloned().unwrap_or_default();
+        let Some(addr) = to.get(node).copied() else {
+            continue;
+        };
+        let sent = lock(&fleet).now();
+        let session = report.session;
+        let request = Request::post("/v1/report".to_owned(), write(&report), REPORT_TIMEOUT);
+        let answer = client.send(addr, request).await;
+        let next = match answer {
+            Some(reply) if reply.status == 200 => {
+                let mut fleet = lock(&fleet);
+                answered(
+                    &mut fleet,
+                    &name,
+                    session,
+                    sent,
+                    read::<Orders>(&reply.body),
+                );
+                None
+            }
+            Some(reply) if reply.status == 421 => read::<Redirect>(&reply.body)
+                .and_then(|redirect| redirect.holder)
+                .and_then(|holder| holder.0.trim_start_matches("node-").parse::<usize>().ok())
+                .filter(|holder| *holder != node)
+                .or(Some(usize::MAX)),
+            _ => Some(usize::MAX),
+        };
+        match next {
+            None => {}
+            Some(usize::MAX) => {
+                node = (node + 1) % to.len();
+                tokio::time::sleep(TRY_NEXT).await;
+            }
+            Some(holder) => node = holder,
+        }
+        if next.is_some()
+            && let Some(machine) = lock(&fleet).machines.get_mut(&name)
+        {
+            machine.changed = true;
+        }
+    }
+}
+
+/// Time passes. None: the machine is gone. A report, if one is due.
+fn step(fleet: &mut Fleet, name: &str) -> Option<Option<Report>> {
+    let now = fleet.now();
+    let Fleet {
+        machines,
+        jobs,
+        results,
+        ..
+    } = fleet;
+    let machine = machines.get_mut(name)?;
+    if machine.up_at.is_some_and(|at| now < at) {
+        return Some(None);
+    }
+    if !machine.up {
+        machine.up = true;
+        machine.lease_from = now;
+    }
+    let mut happened = machine.check_lease(now, LEASE);
+    happened.extend(machine.progress(STEP, jobs, results, runs_for));
+    let rested = now >= machine.last_report + Duration::from_millis(500);
+    let due = now >= machine.next_report || (machine.changed && rested);
+    if due {
+        machine.changed = false;
+        machine.last_report = now;
+        machine.next_report = now + REPORT_EVERY;
+    }
+    fleet.happened(name, happened);
+    Some(if due { report(fleet, name) } else { None })
+}
+
+fn answered(fleet: &mut Fleet, name: &str, session: u64, sent: Duration, orders: Option<Orders>) {
+    let Some(machine) = fleet.machines.get_mut(name) else {
+        return;
+    };
+    let Some(orders) = orders.filter(|_| machine.session == session) else {
+        return;
+    };
+    if execute(fleet, name, &orders)
+        && let Some(machine) = fleet.machines.get_mut(name)
+    {
+        machine.lease_from = sent;
+    }
+}
--- a/tests/simulation/gangs.rs
+++ b/tests/simulation/gangs.rs
@@ -10,8 +10,6 @@
 use super::machine::{Machine, MachineEvent};
 use super::world::{CALM_FROM, Faults, Size, World, array};
 
-/// A waiting task gives up after this long.
-pub const GANG_WAIT: Duration = Duration::from_secs(30);
 /// Tasks of a running gang notice within this time that one is gone.
 const GANG_PEER: Duration = Duration::from_secs(5);
 
--- a/tests/simulation/machine.rs
+++ b/tests/simulation/machine.rs
@@ -6,8 +6,6 @@
 use dappleshore::domain::{Amount, Job, JobId, Kind, Room, TaskId, Tenure, TypeName, Zone};
 use dappleshore::fleet::wire::{Cause, Order, Orders, Report, ReportedTask, TaskState};
 
-use super::gangs::GANG_WAIT;
-
 #[derive(Debug)]
 pub struct Task {
     pub number: u64,
@@ -60,6 +58,9 @@
     Ended(TaskId, bool),
 }
 
+/// A gang's task that waits for the others gives up after this long.
+pub const GANG_WAIT: Duration = Duration::from_secs(30);
+
 /// The class of jobs whose tasks fail on every machine.
 pub const BROKEN: &str = "broken";
 
--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -10,6 +10,7 @@
 mod production;
 mod rollout;
 mod rules;
+mod rules_checked;
 mod state;
 mod world;
 
--- a/tests/simulation/state.rs
+++ b/tests/simulation/state.rs
@@ -9,8 +9,6 @@
 use dappleshore::store::{Change, Op, Outcome, Txn};
 use dappleshore_drain::{Eviction, Ledger};
 
-use super::production;
-
 struct Key {
     value: Value,
     version: u64,
@@ -37,6 +35,8 @@
     pub reads: usize,
     /// Evictions that were recorded and not yet looked at.
     pub recorded_evictions: Vec<Eviction>,
+    /// Whether the production version reads a record.
+    production_reads: fn(&str, &Value) -> bool,
 }
 
 fn bucket(slot: &mut (f64, Duration), now: Duration, rate: f64, cost: f64) -> bool {
@@ -50,7 +50,7 @@
 }
 
 impl StateService {
-    pub fn new(limits: StateLimits) -> Self {
+    pub fn new(limits: StateLimits, production_reads: fn(&str, &Value) -> bool) -> Self {
         StateService {
             keys: BTreeMap::new(),
             log: Vec::new(),
@@ -67,6 +67,7 @@
             changes: 0,
             reads: 0,
             recorded_evictions: Vec::new(),
+            production_reads,
         }
     }
 
@@ -88,7 +89,7 @@
         self.note_evictions(key, value.as_ref());
         let readable = value
             .as_ref()
-            .is_none_or(|value| production::reads_record(key, value));
+            .is_none_or(|value| (self.production_reads)(key, value));
         assert!(
             readable || self.format() > 0,
             "production can't read {key}: {value:?}"
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -454,7 +454,7 @@
             events: HashMap::new(),
             faults,
             calm_from,
-            state: StateService::new(config.state_limits),
+            state: StateService::new(config.state_limits, production::reads_record),
             state_out_until: Duration::ZERO,
             state_slow_until: Duration::ZERO,
             cloud_out_until: Duration::ZERO,
