--- /dev/null
+++ b/crates/drain/tests/planner.rs
@@ -0,0 +1,525 @@
+//! Draining decided step by step in a small world of its own: seeded runs, with the budgets checked after each step.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant, SystemTime};
+
+use dappleshore_domain::{Attempt, JobId, MachineId, Now, TaskId, Team};
+use dappleshore_drain::planner::{
+    Bounds, Event, NoRoom, Records, Reservation, ServiceState, State,
+};
+use dappleshore_drain::{
+    Budgets, DrainId, DrainRecord, Effect, Fleet, HaltReason, JobFacts, Ledger, Limit, MachineView,
+    Phase, Planner, Purpose, Scope, Subject,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Room for tasks on each machine.
+const ROOM: usize = 3;
+
+/// Machines, tasks and records, all of them shown to the planner as they are.
+struct World {
+    start: Instant,
+    passed: Duration,
+    machines: Vec<MachineView>,
+    jobs: BTreeMap<JobId, JobFacts>,
+    running: BTreeSet<u64>,
+    failing: BTreeSet<JobId>,
+    drains: BTreeMap<DrainId, DrainRecord>,
+    ledgers: BTreeMap<Team, Ledger>,
+    budgets: Budgets,
+    bounds: Bounds,
+    planner: Planner,
+    next_attempt: u64,
+    /// Replacements start only while this is so.
+    starts: bool,
+}
+
+fn id(text: &str) -> DrainId {
+    text.parse().expect("an id")
+}
+
+fn team(name: &str) -> Team {
+    name.into()
+}
+
+impl World {
+    /// Zones `a` and `b` with so many machines each, and a job of so many tasks for each team, all in zone `a`.
+    fn new(machines: usize, tasks: u32, budget: Limit) -> Self {
+        let view = |zone: &str, n: usize| MachineView {
+            id: format!("{zone}-{n:03}").as_str().into(),
+            block: format!("{zone}.0").as_str().into(),
+            type_name: "small".into(),
+            zone: zone.into(),
+            state: ServiceState::InService,
+            usable: true,
+            given_up: false,
+            tasks: Vec::new(),
+            expects_tasks: false,
+        };
+        let mut world = World {
+            start: Instant::now(),
+            passed: Duration::ZERO,
+            machines: ["a", "b"]
+                .iter()
+                .flat_map(|zone| (0..machines).map(move |n| view(zone, n)))
+                .collect(),
+            jobs: BTreeMap::new(),
+            running: BTreeSet::new(),
+            failing: BTreeSet::new(),
+            drains: BTreeMap::new(),
+            ledgers: BTreeMap::new(),
+            budgets: Budgets {
+                default: budget,
+                settings: BTreeMap::new(),
+                requested: BTreeMap::new(),
+            },
+            bounds: Bounds {
+                step: Limit::Count(1),
+                room_timeout: Duration::from_secs(60),
+                replacement_timeout: Duration::from_secs(60),
+                ledger_entries: 10,
+                ledgers_at_once: 2,
+            },
+            planner: Planner::default(),
+            next_attempt: 0,
+            starts: true,
+        };
+        for (number, name) in [(1, "red"), (2, "blue")] {
+            world.add_job(JobId(number), name, tasks, None);
+        }
+        world
+    }
+
+    fn add_job(&mut self, job: JobId, name: &str, tasks: u32, gang: Option<u64>) {
+        let facts = JobFacts {
+            team: team(name),
+            class: "lookup".into(),
+            gang_tasks: gang.map(|_| tasks),
+            saves: false,
+        };
+        self.jobs.insert(job, facts);
+        for index in 0..tasks {
+            let task = TaskId { job, index };
+            let attempt = match gang {
+                Some(start) => Attempt::of_gang(task, start).expect("small"),
+                None => self.attempt(task),
+            };
+            let room = self.machines.iter_mut().find(|m| m.tasks.len() < ROOM);
+            room.expect("there is room").tasks.push(attempt);
+            self.running.insert(attempt.number);
+        }
+    }
+
+    fn attempt(&mut self, task: TaskId) -> Attempt {
+        self.next_attempt += 1;
+        Attempt {
+            task,
+            number: self.next_attempt,
+        }
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            steady: self.start + self.passed,
+            wall: SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000) + self.passed,
+        }
+    }
+
+    fn drain(&mut self, name: &str, scope: Scope) {
+        let record = DrainRecord {
+            scope,
+            purpose: Purpose::Drain,
+            return_machines: false,
+            step: None,
+            requested_ms: self.now().unix_ms(),
+            resumed_ms: 0,
+            phase: Phase::Active,
+            except: BTreeSet::new(),
+        };
+        self.drains.insert(id(name), record);
+    }
+
+    /// The planner looks, and what it says is recorded, if it may be.
+    fn look(&mut self, recorded: bool) -> Vec<Effect> {
+        let now = self.now();
+        let mut fleet = View {
+            machines: self.machines.clone(),
+            jobs: &self.jobs,
+            running: &self.running,
+            failing: &self.failing,
+        };
+        let event = Event::Observed {
+            records: Records {
+                drains: &self.drains,
+                ledgers: &self.ledgers,
+                budgets: &self.budgets,
+            },
+            bounds: self.bounds,
+            fleet: &mut fleet,
+        };
+        let effects = self.planner.handle(now, event);
+        if recorded {
+            effects
+                .iter()
+                .cloned()
+                .for_each(|effect| self.record(effect));
+        }
+        effects
+    }
+
+    fn record(&mut self, effect: Effect) {
+        let state = match effect {
+            Effect::Cordon(machine) => (machine, ServiceState::Cordoned),
+            Effect::Uncordon(machine) => (machine, ServiceState::InService),
+            Effect::Return(machine) => (machine, ServiceState::Returning),
+            Effect::WriteLedger { team, ledger } => {
+                self.ledgers.insert(team, ledger);
+                return;
+            }
+            Effect::WriteRecord { id, record } => {
+                self.drains.insert(id, record);
+                return;
+            }
+            Effect::Reserve(_) => return,
+        };
+        for machine in self.machines.iter_mut().filter(|m| m.id == state.0) {
+            machine.state = state.1;
+        }
+    }
+
+    /// Evicted tasks stop; tasks that are nowhere start where there is room, and run a moment later.
+    fn step(&mut self) {
+        self.passed += Duration::from_secs(1);
+        let evictions: Vec<Subject> = self
+            .ledgers
+            .values()
+            .flat_map(|ledger| &ledger.evictions)
+            .map(|eviction| eviction.subject)
+            .collect();
+        for machine in &mut self.machines {
+            let stopped = |attempt: &Attempt| evictions.iter().any(|e| e.covers(attempt));
+            machine.tasks.retain(|attempt| !stopped(attempt));
+        }
+        if !self.starts {
+            return;
+        }
+        let placed: Vec<Attempt> = self.machines.iter().flat_map(|m| m.tasks.clone()).collect();
+        self.running
+            .extend(placed.iter().map(|attempt| attempt.number));
+        for task in self.nowhere() {
+            let attempt = match self.jobs[&task.job].gang_tasks {
+                Some(_) => Attempt::of_gang(task, 77).expect("small"),
+                None => self.attempt(task),
+            };
+            let room = self.machines.iter_mut().find(|machine| {
+                machine.state == ServiceState::InService
+                    && machine.usable
+                    && machine.tasks.len() < ROOM
+            });
+            if let Some(machine) = room {
+                machine.tasks.push(attempt);
+            }
+        }
+    }
+
+    fn nowhere(&self) -> Vec<TaskId> {
+        let tasks = self.jobs.iter().flat_map(|(job, facts)| {
+            let tasks = facts.gang_tasks.unwrap_or(6);
+            (0..tasks).map(|index| TaskId { job: *job, index })
+        });
+        let placed: BTreeSet<TaskId> = self
+            .machines
+            .iter()
+            .flat_map(|machine| &machine.tasks)
+            .map(|attempt| attempt.task)
+            .collect();
+        tasks.filter(|task| !placed.contains(task)).collect()
+    }
+
+    /// Tasks of a team that do not run on a machine that is well.
+    fn down(&self, of: &Team) -> usize {
+        let runs = |task: TaskId| {
+            let well = self.machines.iter().filter(|machine| machine.usable);
+            let mut there = well.flat_map(|machine| &machine.tasks);
+            there.any(|a| a.task == task && self.running.contains(&a.number))
+        };
+        let jobs = self.jobs.iter().filter(|(_, facts)| facts.team == *of);
+        let tasks = jobs.flat_map(|(job, facts)| {
+            (0..facts.gang_tasks.unwrap_or(6)).map(|index| TaskId { job: *job, index })
+        });
+        tasks.filter(|task| !runs(*task)).count()
+    }
+
+    fn state(&self, name: &str) -> &State {
+        &self.planner.progress()[&id(name)].state
+    }
+
+    fn machine(&mut self, name: &str) -> &mut MachineView {
+        let mut machines = self.machines.iter_mut();
+        machines.find(|m| *m.id.0 == *name).expect("exists")
+    }
+}
+
+/// What the planner sees.
+struct View<'a> {
+    machines: Vec<MachineView>,
+    jobs: &'a BTreeMap<JobId, JobFacts>,
+    running: &'a BTreeSet<u64>,
+    failing: &'a BTreeSet<JobId>,
+}
+
+impl Fleet for View<'_> {
+    fn machines(&self) -> &[MachineView] {
+        &self.machines
+    }
+
+    fn job(&self, job: JobId) -> Option<JobFacts> {
+        self.jobs.get(&job).cloned()
+    }
+
+    fn is_done(&self, _: TaskId) -> bool {
+        false
+    }
+
+    fn attempts(&self, task: TaskId) -> Vec<Attempt> {
+        let all = self.machines.iter().flat_map(|machine| &machine.tasks);
+        all.filter(|attempt| attempt.task == task)
+            .copied()
+            .collect()
+    }
+
+    fn runs(&self, attempt: &Attempt) -> bool {
+        let well = self.machines.iter().filter(|machine| machine.usable);
+        let there = well.flat_map(|m| &m.tasks).any(|a| a == attempt);
+        there && self.running.contains(&attempt.number)
+    }
+
+    fn is_stopping(&self, _: &Attempt) -> bool {
+        false
+    }
+
+    fn keeps_failing(&self, job: JobId) -> bool {
+        self.failing.contains(&job)
+    }
+
+    fn lacks_room(&self, _: TaskId) -> Option<NoRoom> {
+        None
+    }
+
+    fn reserve(&mut self, subject: &Subject) -> Result<Vec<Reservation>, NoRoom> {
+        let mut reservations = Vec::new();
+        for task in subject.tasks() {
+            let open = |m: &&mut MachineView| {
+                m.state == ServiceState::InService && m.usable && m.tasks.len() < ROOM
+            };
+            let machine = self.machines.iter_mut().find(open).ok_or(NoRoom::Yet)?;
+            machine.tasks.push(Attempt { task, number: 0 });
+            let machine = machine.id.clone();
+            reservations.push(Reservation { task, machine });
+        }
+        Ok(reservations)
+    }
+}
+
+fn evictions(effects: &[Effect]) -> usize {
+    let ledgers = effects.iter().filter_map(|effect| match effect {
+        Effect::WriteLedger { ledger, .. } => Some(ledger.evictions.len()),
+        _ => None,
+    });
+    ledgers.sum()
+}
+
+/// Machines die, hang and come back, leaders change, and what is decided is not always recorded: after each step no
+/// more is down than the budget allows, but for what failed by itself.
+#[test]
+fn seeded_runs_stay_within_the_budgets() {
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let budget = rng.random_range(1..4);
+        let mut world = World::new(6, 6, Limit::Count(budget));
+        world.drain("disk", Scope::Zone("a".into()));
+        for step in 0..150 {
+            world.starts = step > 100 || rng.random_bool(0.8);
+            if step < 100 && rng.random_bool(0.05) {
+                // A new leader remembers nothing.
+                world.planner = Planner::default();
+            }
+            let recorded = step > 100 || rng.random_bool(0.7);
+            let before: BTreeMap<Team, usize> = ["red", "blue"]
+                .into_iter()
+                .map(|name| (team(name), world.down(&team(name))))
+                .collect();
+            world.look(recorded);
+            world.step();
+            for (of, before) in before {
+                let down = world.down(&of);
+                let most = before.max(budget as usize);
+                assert!(
+                    down <= most,
+                    "seed {seed}, step {step}: {down} of {of} down"
+                );
+            }
+        }
+        assert_eq!(world.state("disk"), &State::Done, "seed {seed}");
+        let left = world.machines.iter().filter(|m| *m.zone.0 == *"a");
+        assert!(left.into_iter().all(|m| m.tasks.is_empty()), "seed {seed}");
+    }
+}
+
+#[test]
+fn nothing_is_evicted_while_a_team_is_at_its_limit() {
+    for limit in ["0", "10%"] {
+        // A tenth of six tasks is less than one: rounded down.
+        let mut world = World::new(6, 6, limit.parse().expect("a limit"));
+        world.drain("disk", Scope::Zone("a".into()));
+        world.look(true);
+        assert_eq!(evictions(&world.look(true)), 0);
+        match world.state("disk") {
+            State::WaitingForBudget(exceeded) => assert_eq!(exceeded.allowed, 0),
+            state => panic!("{state:?}"),
+        }
+    }
+}
+
+/// Tasks on a machine that does not answer may still run: they use up the budget, and evicting them does too.
+#[test]
+fn what_does_not_answer_counts_as_disrupted() {
+    let mut world = World::new(6, 6, Limit::Count(2));
+    world.drain("disk", Scope::Zone("a".into()));
+    world.look(true);
+    world.machine("a-000").usable = false;
+    assert_eq!(
+        evictions(&world.look(false)),
+        2,
+        "blue's, which are elsewhere"
+    );
+    assert_eq!(
+        world.planner.disruptions().of_team(&team("red")).disrupted,
+        3
+    );
+}
+
+#[test]
+fn losses_are_recorded_for_the_next_leader_before_they_are_proven() {
+    let mut world = World::new(6, 6, Limit::Count(1));
+    world.drain("disk", Scope::Zone("a".into()));
+    world.look(true);
+    let lost = world.machine("a-000");
+    (lost.usable, lost.given_up) = (false, true);
+    let tasks: Vec<TaskId> = lost.tasks.iter().map(|attempt| attempt.task).collect();
+    world.look(true);
+    assert_eq!(world.ledgers[&team("red")].lost, tasks);
+    world.machine("a-000").tasks.clear();
+    world.planner = Planner::default();
+    let effects = world.look(true);
+    assert!(
+        world.ledgers[&team("red")].evictions.is_empty(),
+        "{effects:?}"
+    );
+}
+
+#[test]
+fn a_gang_counts_whole() {
+    let gang = JobId(9);
+    for (budget, moved) in [(3, false), (4, true)] {
+        let mut world = World::new(8, 0, Limit::Count(budget));
+        world.jobs.clear();
+        world.add_job(gang, "red", 4, Some(5));
+        world.drain("disk", Scope::Machines([MachineId::from("a-001")].into()));
+        world.look(true);
+        world.look(true);
+        let evicted = world
+            .ledgers
+            .get(&team("red"))
+            .map_or(0, |l| l.evictions.len());
+        assert_eq!(evicted, usize::from(moved), "budget {budget}");
+        if moved {
+            assert_eq!(
+                world.planner.disruptions().of_team(&team("red")).disrupted,
+                4
+            );
+        }
+    }
+}
+
+#[test]
+fn a_replacement_that_does_not_come_up_halts_the_drain_until_it_does() {
+    let mut world = World::new(6, 6, Limit::Count(2));
+    world.drain("disk", Scope::Zone("a".into()));
+    world.look(true);
+    world.look(true);
+    world.starts = false;
+    for _ in 0..70 {
+        world.step();
+        world.look(true);
+    }
+    assert!(matches!(
+        world.drains[&id("disk")].phase,
+        Phase::Halted {
+            reason: HaltReason::ReplacementNotRunning { .. }
+        }
+    ));
+    let before = world.ledgers.clone();
+    world.look(true);
+    assert_eq!(world.ledgers, before, "nothing is evicted meanwhile");
+    world.starts = true;
+    for _ in 0..60 {
+        world.step();
+        world.look(true);
+    }
+    assert_eq!(world.state("disk"), &State::Done);
+}
+
+#[test]
+fn a_job_that_keeps_failing_halts_the_drain() {
+    let mut world = World::new(6, 6, Limit::Count(1));
+    world.drain("disk", Scope::Zone("a".into()));
+    world.look(true);
+    world.look(true);
+    world.failing = [JobId(1), JobId(2)].into();
+    world.look(true);
+    let expected = State::Halted(HaltReason::ReplacementFails {
+        task: TaskId {
+            job: JobId(2),
+            index: 0,
+        },
+    });
+    assert!(
+        matches!(world.state("disk"), State::Halted(_)),
+        "{expected:?}"
+    );
+}
+
+#[test]
+fn no_more_machines_are_emptied_at_a_time_than_the_step() {
+    let mut world = World::new(6, 6, Limit::Count(100));
+    world.bounds.step = Limit::Count(2);
+    world.bounds.ledger_entries = 100;
+    world.drain("disk", Scope::Zone("a".into()));
+    world.look(true);
+    world.look(true);
+    let machines: BTreeSet<&MachineId> = world
+        .ledgers
+        .values()
+        .flat_map(|ledger| &ledger.evictions)
+        .map(|eviction| &eviction.machine)
+        .collect();
+    assert_eq!(machines.len(), 2);
+}
+
+#[test]
+fn a_full_ledger_takes_no_more() {
+    let mut world = World::new(6, 6, Limit::Count(100));
+    world.bounds.step = Limit::Count(100);
+    world.bounds.ledger_entries = 2;
+    world.drain("disk", Scope::Zone("a".into()));
+    world.look(true);
+    world.look(true);
+    assert!(
+        world
+            .ledgers
+            .values()
+            .all(|ledger| ledger.evictions.len() == 2)
+    );
+}
