A measurement of drains at up to 4,000 machines, with a report

Need: how long drains take against what the budgets permit, and what they cost. Change: an ignored test plays drains of 1, 10 and 100 machines and of a zone, and two with failures, and writes an HTML report with plots (plotters, maud).

--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -4,10 +4,12 @@
 mod drains;
 mod gangs;
 mod machine;
+mod measure;
 mod meetings;
 mod operations;
 mod operators;
 mod production;
+mod report;
 mod rollout;
 mod rules;
 mod rules_checked;
--- /dev/null
+++ b/tests/simulation/report.rs
@@ -0,0 +1,99 @@
+//! The report of measured drains: a page with a table, and a plot of each team's availability against its budget.
+
+use maud::{DOCTYPE, PreEscaped, html};
+use plotters::prelude::*;
+
+use super::measure::Measured;
+
+const SIZE: (u32, u32) = (760, 260);
+
+/// The page.
+pub fn html(all: &[Measured]) -> String {
+    let seconds = |time: std::time::Duration| format!("{:.1}", time.as_secs_f64());
+    let page = html! {
+        (DOCTYPE)
+        html lang="en" {
+            head {
+                meta charset="utf-8";
+                title { "Drains, measured (simulated)" }
+                style { "body{font-family:sans-serif;max-width:60em;margin:2em auto} td,th{padding:.2em .7em;text-align:right} th:first-child,td:first-child{text-align:left}" }
+            }
+            body {
+                h1 { "Drains, measured" }
+                p {
+                    "Simulated fleets, three controllers, two teams with 4,000 replicas each of services that last; each team may have 5% of its tasks disrupted, and a drain empties 10% of its machines at a time. "
+                    "Least: the rounds that the budget makes necessary, each as long as a moved replica is down in the median. "
+                    "Changes and machine hours: beyond those of the same day without a drain."
+                }
+                table {
+                    tr {
+                        th { "drain" } th { "fleet" } th { "machines" } th { "took, s" } th { "least, s" }
+                        th { "evictions" } th { "down, median s" } th { "most down" } th { "allowed" }
+                        th { "changes for each machine" } th { "machine hours" }
+                    }
+                    @for measured in all {
+                        tr {
+                            td { (measured.name) }
+                            td { (measured.fleet) }
+                            td { (measured.machines) }
+                            td { (measured.duration.map_or("not done".to_owned(), seconds)) }
+                            td { (seconds(measured.least)) }
+                            td { (measured.evictions) }
+                            td { (seconds(measured.median_down)) }
+                            td { (measured.most_down) }
+                            td { (measured.allowed) }
+                            td { (format!("{:+.1}", measured.extra_changes / measured.machines.max(1) as f64)) }
+                            td { (format!("{:+.1}", measured.extra_machine_hours)) }
+                        }
+                    }
+                }
+                @for measured in all {
+                    h2 { (measured.name) }
+                    (PreEscaped(plot(measured)))
+                }
+            }
+        }
+    };
+    page.into_string()
+}
+
+/// The part of each team's replicas that run, and the least that its budget allows.
+fn plot(measured: &Measured) -> String {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let end = measured.availability.last().map_or(1.0, |(at, _)| *at);
+        let lowest = measured
+            .availability
+            .iter()
+            .flat_map(|(_, parts)| parts)
+            .fold(0.94_f64, |least, part| least.min(*part));
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(36)
+            .y_label_area_size(52)
+            .build_cartesian_2d(0.0..end, lowest..1.0)
+            .expect("a plot");
+        chart
+            .configure_mesh()
+            .x_desc("seconds since the drain was asked for")
+            .y_desc("replicas running")
+            .draw()
+            .expect("axes");
+        for (team, color) in [RED, BLUE].iter().enumerate() {
+            let line = measured
+                .availability
+                .iter()
+                .map(|(at, parts)| (*at, parts[team]));
+            chart
+                .draw_series(LineSeries::new(line, color))
+                .expect("a line");
+        }
+        let budget = [(0.0, 0.95), (end, 0.95)];
+        chart
+            .draw_series(LineSeries::new(budget, &BLACK))
+            .expect("a line");
+        area.present().expect("drawn");
+    }
+    svg
+}
--- a/tests/simulation/rules.rs
+++ b/tests/simulation/rules.rs
@@ -67,6 +67,8 @@
     pub broken: Vec<String>,
     /// The time of what is being told.
     pub now: Duration,
+    /// How long tasks were nowhere before they started again.
+    pub down_times: Vec<Duration>,
 }
 
 impl Rules {
@@ -80,6 +82,7 @@
             started_cancelled: Vec::new(),
             broken: Vec::new(),
             now: Duration::ZERO,
+            down_times: Vec::new(),
         }
     }
 
@@ -102,6 +105,16 @@
         lost
     }
 
+    /// Tasks of a class that run.
+    pub fn on_machines(&self, team: &Team, class: &str) -> usize {
+        let of = |known: &&JobHistory| known.job.team == *team && *known.job.class == *class;
+        self.jobs
+            .values()
+            .filter(of)
+            .map(|known| known.on.len())
+            .sum()
+    }
+
     /// Whether a task has started since, is done, or is not wanted any more.
     pub fn restored(&self, task: TaskId, since: Duration) -> bool {
         let Some(known) = self.jobs.get(&task.job) else {
@@ -153,7 +166,9 @@
             known.began.get_or_insert(now);
             known.starts += 1;
             known.last_start.insert(task.index, now);
-            known.lost.remove(&task.index);
+            let lost = known.lost.remove(&task.index);
+            self.down_times
+                .extend(lost.map(|at| now.saturating_sub(at)));
         }
         let cancelled = self.jobs.get(&task.job).and_then(|known| known.cancel_told);
         self.started_cancelled
