--- a/tests/simulation/drains.rs
+++ b/tests/simulation/drains.rs
@@ -433,6 +433,83 @@
     });
 }
 
+#[test]
+fn the_machine_that_is_emptied_is_recalled_or_restarts_in_a_moment() {
+    with_trouble(856, |world, eviction| {
+        world.recall(&eviction.machine.0, seconds(2));
+    });
+    with_trouble(857, |world, eviction| {
+        world.restart_machine(&eviction.machine.0);
+    });
+}
+
+#[test]
+fn the_state_service_refuses_the_leader_alone() {
+    with_trouble(847, |world, _| {
+        let leader = world.leader().expect("led by now");
+        world.cut_state(leader, seconds(14));
+    });
+}
+
+/// The holder of the machine that is emptied loses the state service and the other controllers, not its workers.
+#[test]
+fn the_holder_is_cut_off_and_its_block_taken_over() {
+    with_trouble(848, |world, eviction| {
+        let view = world.any_view().expect("a controller is up");
+        let block = &view.machines[&eviction.machine].block;
+        let holder = view.grants[block].value.holder.clone();
+        let holder = holder
+            .0
+            .trim_start_matches("node-")
+            .parse()
+            .expect("a number");
+        world.island(holder, seconds(25));
+    });
+}
+
+#[test]
+fn stops_and_answers_come_late() {
+    let mut world = world(858, Faults::default(), 1);
+    add_services(&mut world, 8);
+    world.plan(DRAIN_AT - seconds(1), |world| {
+        world.latency = Duration::from_millis(700);
+    });
+    drain_busiest(&mut world, DRAIN_AT, "disk");
+    check_done(world, 858, &["disk"]);
+}
+
+/// From the moment that it is lowered nothing more is evicted; what was goes on.
+#[test]
+fn a_budget_is_lowered_while_it_is_used() {
+    let mut world = world(859, Faults::default(), 2);
+    add_services(&mut world, 10);
+    drain_busiest(&mut world, DRAIN_AT, "disk");
+    world.operators.on_eviction.push(Box::new(|world, _| {
+        for team in ["red", "blue"] {
+            world.operate(Request::SetBudget {
+                team: team.into(),
+                class: None,
+                limit: Limit::Count(0),
+            });
+        }
+    }));
+    world.run_until(DRAIN_AT + seconds(20));
+    let early = world.operators.evictions.len();
+    assert!(early > 0, "nothing was evicted");
+    world.run_until(DRAIN_AT + seconds(60));
+    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+    assert_eq!(world.operators.evictions.len(), early);
+    let seen = world.seen("disk").expect("seen").clone();
+    assert_eq!(seen.state, StateName::WaitingForBudget, "{seen:?}");
+    for team in ["red", "blue"] {
+        world.operate(Request::ClearBudget {
+            team: team.into(),
+            class: None,
+        });
+    }
+    check_done(world, 859, &["disk"]);
+}
+
 /// Other machines die with tasks of the team as its budget is spent: nothing more is evicted until they run again.
 #[test]
 fn losses_count_against_the_budget() {
--- a/tests/simulation/world.rs
+++ b/tests/simulation/world.rs
@@ -2186,6 +2186,23 @@
         self.happened(machine, happened);
     }
 
+    /// Off and on again within a moment.
+    pub fn restart_machine(&mut self, machine: &str) {
+        let now = self.now;
+        if let Some(found) = self.machines.get_mut(machine) {
+            let happened = found.restart(now);
+            self.happened(machine, happened);
+        }
+    }
+
+    /// The cloud takes it away after this long, and says so.
+    pub fn recall(&mut self, machine: &str, notice: Duration) {
+        if let Some(found) = self.machines.get_mut(machine) {
+            found.notice = Some(self.now + notice);
+            found.changed = true;
+        }
+    }
+
     /// Answers and commands don't reach it.
     pub fn deafen(&mut self, machine: &str, how_long: Duration) {
         if let Some(machine) = self.machines.get_mut(machine) {
