Plans, releases and drains in modules of their own

Need: queueing::plan was one function of 170 lines; the drains' part had grown to a thousand lines in one file. Change: moves and renames only: releases in turn (queueing::releases), what the planner sees (draining::fleet_view), what is evicted and replaced (draining::replacement); version_of and values stand once.

--- a/src/operations/mod.rs
+++ b/src/operations/mod.rs
@@ -19,7 +19,8 @@
 use crate::leadership::Lead;
 use crate::queueing::draining::{Draining, machine_views};
 use crate::store::records::{DRAIN_FORMAT, LEADER, drain_budget_key, drain_key, encode, json_size};
-use crate::store::{Op, Outcome, Txn, Versioned, View, Writer};
+use crate::store::view::{values, version_of};
+use crate::store::{Op, Outcome, Txn, View, Writer};
 
 /// Requests that wait at a time; more are refused at once.
 const MOST_WAITING: usize = 32;
@@ -194,11 +195,6 @@
     }
 }
 
-fn values<K: Ord + Clone, T: Clone>(records: &BTreeMap<K, Versioned<T>>) -> BTreeMap<K, T> {
-    let value = |(key, record): (&K, &Versioned<T>)| (key.clone(), record.value.clone());
-    records.iter().map(value).collect()
-}
-
 /// The changes that a request still needs.
 fn changes(
     request: &Request,
@@ -264,18 +260,15 @@
 }
 
 fn transaction(lead: &Lead<'_>, view: &View, changes: &[Change]) -> Txn {
-    fn version<T>(record: Option<&Versioned<T>>) -> u64 {
-        record.map_or(0, |record| record.version)
-    }
     let mut txn = Txn::default().when(LEADER, lead.version);
     for change in changes {
         let (key, version) = match change {
             Change::PutDrain(id, _) | Change::DeleteDrain(id) => {
-                (drain_key(id), version(view.drains.get(id)))
+                (drain_key(id), version_of(view.drains.get(id)))
             }
             Change::PutBudget(team, _) | Change::DeleteBudget(team) => (
                 drain_budget_key(team),
-                version(view.drain_budgets.get(team)),
+                version_of(view.drain_budgets.get(team)),
             ),
         };
         txn = txn.when(key.clone(), version);
--- /dev/null
+++ b/src/queueing/draining/fleet_view.rs
@@ -0,0 +1,187 @@
+//! What the planner of drains sees of the fleet, and the room that it may give away.
+
+use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
+
+use dappleshore_drain::planner::{NoRoom, Reservation};
+use dappleshore_drain::{Fleet, JobFacts, MachineView, Subject};
+
+use super::super::gangs::find_room;
+use super::super::stock::Stock;
+use super::super::waiting::{Waiting, zone_open};
+use super::super::{Plan, Queues};
+use super::saves;
+use crate::domain::{Attempt, Job, JobId, Kind, MachineId, TaskId, Zone};
+use crate::provisioning::wire::Flavor;
+use crate::store::View;
+use crate::store::records::Ranges;
+use crate::store::view::OpenJob;
+
+/// What the planner sees, and the room that it may give away.
+pub(super) struct FleetView<'a, 'v> {
+    pub(super) queues: &'a Queues,
+    pub(super) stock: &'a Stock<'a>,
+    pub(super) view: &'v View,
+    pub(super) plan: &'a mut Plan,
+    pub(super) machines: Vec<MachineView>,
+    pub(super) running: HashSet<u64>,
+    /// Tasks for which no machine had room.
+    pub(super) unplaced: Vec<TaskId>,
+}
+
+impl FleetView<'_, '_> {
+    fn open(&self, job: JobId) -> Option<&OpenJob> {
+        self.view.open.get(&job).filter(|open| !open.cancelled)
+    }
+
+    /// Where the other tasks of a job are, in all: placed, released, or with room kept for them.
+    fn zones_of_others(&self, task: TaskId) -> BTreeMap<Zone, u32> {
+        self.queues.zones_of_others(self.view, task)
+    }
+
+    fn reserve_task(&mut self, task: TaskId) -> Result<Vec<Reservation>, NoRoom> {
+        let Some(open) = self.view.open.get(&task.job) else {
+            return Err(NoRoom::Anywhere);
+        };
+        let zones = self.zones_of_others(task);
+        match self.plan.keep_room(self.view, &open.job, &zones) {
+            Some(machine) => Ok(vec![Reservation { task, machine }]),
+            None => {
+                let reason = no_room(self.stock, &open.job, &zones);
+                if reason == NoRoom::Yet {
+                    self.unplaced.push(task);
+                }
+                Err(reason)
+            }
+        }
+    }
+
+    fn reserve_gang(&mut self, id: JobId) -> Result<Vec<Reservation>, NoRoom> {
+        let Some(open) = self.view.open.get(&id) else {
+            return Err(NoRoom::Anywhere);
+        };
+        let waiting = gang_waiting(id, open);
+        let block_of = |machine: &MachineId| Some(self.view.machines.get(machine)?.block.clone());
+        let room = find_room(
+            &self.plan.candidates,
+            &waiting,
+            |_| true,
+            &self.plan.spaces,
+            block_of,
+        );
+        if !room.whole {
+            if no_room(self.stock, &open.job, &BTreeMap::new()) == NoRoom::Anywhere {
+                return Err(NoRoom::Anywhere);
+            }
+            let missing = room.tasks.len() as u32..open.job.tasks;
+            self.unplaced
+                .extend(missing.map(|index| TaskId { job: id, index }));
+            return Err(NoRoom::Yet);
+        }
+        let mut reservations = Vec::new();
+        for (index, candidate) in (0..).zip(room.tasks) {
+            let machine = self.plan.candidates[candidate].machine.clone();
+            self.plan.take_room(self.view, candidate, &open.job.need);
+            let task = TaskId { job: id, index };
+            reservations.push(Reservation { task, machine });
+        }
+        Ok(reservations)
+    }
+}
+
+/// Why there is no room for a task whose job's others are in these zones: whether machines can be had where it may go.
+pub(super) fn no_room(stock: &Stock<'_>, job: &Job, zones: &BTreeMap<Zone, u32>) -> NoRoom {
+    let open = |flavor: &Flavor, zone: &Zone| {
+        job.allows_zone(zone)
+            && zone_open(job, zones, zone)
+            && !stock.provisioner.is_closed(&flavor.name, zone)
+    };
+    let obtainable = stock.lead.flavors.all().any(|flavor| {
+        let fits = job.allows_type(&flavor.name) && flavor.room().count_of(&job.need) > 0;
+        fits && flavor.zones.iter().any(|zone| open(flavor, zone))
+    });
+    if obtainable {
+        NoRoom::Yet
+    } else {
+        NoRoom::Anywhere
+    }
+}
+
+pub(super) fn gang_waiting<'v>(id: JobId, open: &'v OpenJob) -> Waiting<'v> {
+    Waiting {
+        id,
+        open,
+        left: u64::from(open.job.tasks),
+        taken: Ranges::default(),
+        zones: BTreeMap::new(),
+        overdue: false,
+        waited: Duration::ZERO,
+        blocked: false,
+    }
+}
+
+impl Fleet for FleetView<'_, '_> {
+    fn machines(&self) -> &[MachineView] {
+        &self.machines
+    }
+
+    fn job(&self, job: JobId) -> Option<JobFacts> {
+        let open = self.open(job)?;
+        let gang = open.job.kind == Kind::Gang;
+        Some(JobFacts {
+            team: open.job.team.clone(),
+            class: open.job.class.clone(),
+            gang_tasks: gang.then_some(open.job.tasks),
+            saves: saves(&open.job),
+        })
+    }
+
+    fn is_done(&self, task: TaskId) -> bool {
+        self.open(task.job)
+            .is_none_or(|open| open.done.contains(task.index))
+    }
+
+    fn attempts(&self, task: TaskId) -> Vec<Attempt> {
+        attempts_of(self.view, task)
+            .map(|(attempt, _)| attempt)
+            .collect()
+    }
+
+    fn runs(&self, attempt: &Attempt) -> bool {
+        self.running.contains(&attempt.number)
+    }
+
+    fn is_stopping(&self, attempt: &Attempt) -> bool {
+        self.queues.is_told_to_stop(attempt)
+    }
+
+    fn keeps_failing(&self, job: JobId) -> bool {
+        self.queues.failures.keeps_failing(job)
+    }
+
+    fn lacks_room(&self, task: TaskId) -> Option<NoRoom> {
+        let draining = self.queues.draining.as_ref()?;
+        draining.without_room.get(&task).copied()
+    }
+
+    fn reserve(&mut self, subject: &Subject) -> Result<Vec<Reservation>, NoRoom> {
+        match subject {
+            Subject::Task(attempt) => self.reserve_task(attempt.task),
+            Subject::Gang { job, .. } => self.reserve_gang(*job),
+        }
+    }
+}
+
+/// The attempts of a task that are on machines, with their machines.
+pub(super) fn attempts_of(
+    view: &View,
+    task: TaskId,
+) -> impl Iterator<Item = (Attempt, &MachineId)> {
+    view.placed(task.job)
+        .range((task.index, 0)..=(task.index, u64::MAX))
+        .filter(|(_, place)| view.machines.contains_key(&place.machine))
+        .map(move |((_, number), place)| {
+            let number = *number;
+            (Attempt { task, number }, &place.machine)
+        })
+}
--- a/src/queueing/draining.rs
+++ b/src/queueing/draining/mod.rs
@@ -4,6 +4,9 @@
 //! An eviction is recorded before the task is told to stop. From then on the record says what is to be done: whoever
 //! leads stops the old attempt, keeps room for the next one, and releases it once the old one is proven gone.
 
+mod fleet_view;
+mod replacement;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
@@ -13,26 +16,20 @@
 };
 use dappleshore_drain::settings::TeamSettings;
 use dappleshore_drain::{
-    Budgets, DrainId, DrainRecord, DrainSettings, Effect, Fleet, JobFacts, Ledger, MachineView,
-    Planner, Subject, TeamBudget,
+    Budgets, DrainId, DrainRecord, DrainSettings, Effect, Ledger, MachineView, Planner, TeamBudget,
 };
 use tracing::info;
 
-use super::gangs::find_room;
+use fleet_view::{FleetView, attempts_of};
+use replacement::count_unplaced;
+
 use super::stock::Stock;
-use super::waiting::{Waiting, zone_open};
 use super::{Plan, Queues, STATUS_LIFE};
-use crate::domain::{
-    Attempt, BlockId, Job, JobId, Kind, MachineId, Now, Room, TaskId, Team, Zone, since,
-};
+use crate::domain::{Attempt, BlockId, Job, Kind, MachineId, Now, TaskId, Team, Zone, since};
 use crate::leadership::Lead;
-use crate::placement;
 use crate::provisioning::Provisioner;
-use crate::provisioning::wire::Flavor;
-use crate::store::records::{
-    LEADER, MachineState, Ranges, drain_budget_key, drain_key, drain_ledger_key,
-};
-use crate::store::view::OpenJob;
+use crate::store::records::{LEADER, MachineState, drain_budget_key, drain_key, drain_ledger_key};
+use crate::store::view::{values, version_of};
 use crate::store::{Op, Outcome, Txn, Versioned, View, Writer};
 
 /// What an entry takes of a ledger's value, at the most.
@@ -145,9 +142,9 @@
                     }
                     drains.extend(new.iter().map(|eviction| &eviction.drain));
                     let key = drain_ledger_key(team);
-                    txn = txn.when(key.clone(), version(old)).when(
+                    txn = txn.when(key.clone(), version_of(old)).when(
                         drain_budget_key(team),
-                        version(view.drain_budgets.get(team)),
+                        version_of(view.drain_budgets.get(team)),
                     );
                     // Empty ones are kept: were the key removed, a transaction from before it existed could still be
                     // carried out, and spend what has been spent since.
@@ -157,7 +154,7 @@
                     let key = drain_key(id);
                     drains.remove(id);
                     txn = txn
-                        .when(key.clone(), version(view.drains.get(id)))
+                        .when(key.clone(), version_of(view.drains.get(id)))
                         .put(key, record);
                 }
                 Effect::Cordon(_)
@@ -170,7 +167,7 @@
         for id in drains {
             let key = drain_key(id);
             if !txn.conditions.iter().any(|(known, _)| *known == key) {
-                txn = txn.when(key, version(view.drains.get(id)));
+                txn = txn.when(key, version_of(view.drains.get(id)));
             }
         }
         (!txn.changes.is_empty()).then_some(txn)
@@ -206,20 +203,11 @@
     ledger.evictions.iter().filter(known).collect()
 }
 
-fn version<T>(record: Option<&Versioned<T>>) -> u64 {
-    record.map_or(0, |record| record.version)
-}
-
 /// Whether a task of the job can save its progress when it is stopped. What is left of a gang cannot.
 fn saves(job: &Job) -> bool {
     job.kind != Kind::Gang && job.checkpoint_every_s > 0.0
 }
 
-fn values<K: Ord + Clone, T: Clone>(records: &BTreeMap<K, Versioned<T>>) -> BTreeMap<K, T> {
-    let value = |(key, record): (&K, &Versioned<T>)| (key.clone(), record.value.clone());
-    records.iter().map(value).collect()
-}
-
 fn budgets(settings: &DrainSettings, view: &View) -> Budgets {
     let of_team = |(team, stated): (&String, &TeamSettings)| {
         let budget = TeamBudget {
@@ -270,215 +258,6 @@
     machines.into_values().collect()
 }
 
-/// What the planner sees, and the room that it may give away.
-struct FleetView<'a, 'v> {
-    queues: &'a Queues,
-    stock: &'a Stock<'a>,
-    view: &'v View,
-    plan: &'a mut Plan,
-    machines: Vec<MachineView>,
-    running: HashSet<u64>,
-    /// Tasks for which no machine had room.
-    unplaced: Vec<TaskId>,
-}
-
-impl FleetView<'_, '_> {
-    fn open(&self, job: JobId) -> Option<&OpenJob> {
-        self.view.open.get(&job).filter(|open| !open.cancelled)
-    }
-
-    /// Where the other tasks of a job are, in all: placed, released, or with room kept for them.
-    fn zones_of_others(&self, task: TaskId) -> BTreeMap<Zone, u32> {
-        self.queues.zones_of_others(self.view, task)
-    }
-
-    fn reserve_task(&mut self, task: TaskId) -> Result<Vec<Reservation>, NoRoom> {
-        let Some(open) = self.view.open.get(&task.job) else {
-            return Err(NoRoom::Anywhere);
-        };
-        let zones = self.zones_of_others(task);
-        match self.plan.keep_room(self.view, &open.job, &zones) {
-            Some(machine) => Ok(vec![Reservation { task, machine }]),
-            None => {
-                let reason = no_room(self.stock, &open.job, &zones);
-                if reason == NoRoom::Yet {
-                    self.unplaced.push(task);
-                }
-                Err(reason)
-            }
-        }
-    }
-
-    fn reserve_gang(&mut self, id: JobId) -> Result<Vec<Reservation>, NoRoom> {
-        let Some(open) = self.view.open.get(&id) else {
-            return Err(NoRoom::Anywhere);
-        };
-        let waiting = gang_waiting(id, open);
-        let block_of = |machine: &MachineId| Some(self.view.machines.get(machine)?.block.clone());
-        let room = find_room(
-            &self.plan.candidates,
-            &waiting,
-            |_| true,
-            &self.plan.spaces,
-            block_of,
-        );
-        if !room.whole {
-            if no_room(self.stock, &open.job, &BTreeMap::new()) == NoRoom::Anywhere {
-                return Err(NoRoom::Anywhere);
-            }
-            let missing = room.tasks.len() as u32..open.job.tasks;
-            self.unplaced
-                .extend(missing.map(|index| TaskId { job: id, index }));
-            return Err(NoRoom::Yet);
-        }
-        let mut reservations = Vec::new();
-        for (index, candidate) in (0..).zip(room.tasks) {
-            let machine = self.plan.candidates[candidate].machine.clone();
-            self.plan.take_room(self.view, candidate, &open.job.need);
-            let task = TaskId { job: id, index };
-            reservations.push(Reservation { task, machine });
-        }
-        Ok(reservations)
-    }
-}
-
-/// Why there is no room for a task whose job's others are in these zones: whether machines can be had where it may go.
-fn no_room(stock: &Stock<'_>, job: &Job, zones: &BTreeMap<Zone, u32>) -> NoRoom {
-    let open = |flavor: &Flavor, zone: &Zone| {
-        job.allows_zone(zone)
-            && zone_open(job, zones, zone)
-            && !stock.provisioner.is_closed(&flavor.name, zone)
-    };
-    let obtainable = stock.lead.flavors.all().any(|flavor| {
-        let fits = job.allows_type(&flavor.name) && flavor.room().count_of(&job.need) > 0;
-        fits && flavor.zones.iter().any(|zone| open(flavor, zone))
-    });
-    if obtainable {
-        NoRoom::Yet
-    } else {
-        NoRoom::Anywhere
-    }
-}
-
-fn gang_waiting<'v>(id: JobId, open: &'v OpenJob) -> Waiting<'v> {
-    Waiting {
-        id,
-        open,
-        left: u64::from(open.job.tasks),
-        taken: Ranges::default(),
-        zones: BTreeMap::new(),
-        overdue: false,
-        waited: Duration::ZERO,
-        blocked: false,
-    }
-}
-
-impl Fleet for FleetView<'_, '_> {
-    fn machines(&self) -> &[MachineView] {
-        &self.machines
-    }
-
-    fn job(&self, job: JobId) -> Option<JobFacts> {
-        let open = self.open(job)?;
-        let gang = open.job.kind == Kind::Gang;
-        Some(JobFacts {
-            team: open.job.team.clone(),
-            class: open.job.class.clone(),
-            gang_tasks: gang.then_some(open.job.tasks),
-            saves: saves(&open.job),
-        })
-    }
-
-    fn is_done(&self, task: TaskId) -> bool {
-        self.open(task.job)
-            .is_none_or(|open| open.done.contains(task.index))
-    }
-
-    fn attempts(&self, task: TaskId) -> Vec<Attempt> {
-        attempts_of(self.view, task)
-            .map(|(attempt, _)| attempt)
-            .collect()
-    }
-
-    fn runs(&self, attempt: &Attempt) -> bool {
-        self.running.contains(&attempt.number)
-    }
-
-    fn is_stopping(&self, attempt: &Attempt) -> bool {
-        self.queues.is_told_to_stop(attempt)
-    }
-
-    fn keeps_failing(&self, job: JobId) -> bool {
-        self.queues.failures.keeps_failing(job)
-    }
-
-    fn lacks_room(&self, task: TaskId) -> Option<NoRoom> {
-        let draining = self.queues.draining.as_ref()?;
-        draining.without_room.get(&task).copied()
-    }
-
-    fn reserve(&mut self, subject: &Subject) -> Result<Vec<Reservation>, NoRoom> {
-        match subject {
-            Subject::Task(attempt) => self.reserve_task(attempt.task),
-            Subject::Gang { job, .. } => self.reserve_gang(*job),
-        }
-    }
-}
-
-/// The attempts of a task that are on machines, with their machines.
-fn attempts_of(view: &View, task: TaskId) -> impl Iterator<Item = (Attempt, &MachineId)> {
-    view.placed(task.job)
-        .range((task.index, 0)..=(task.index, u64::MAX))
-        .filter(|(_, place)| view.machines.contains_key(&place.machine))
-        .map(move |((_, number), place)| {
-            let number = *number;
-            (Attempt { task, number }, &place.machine)
-        })
-}
-
-impl Plan {
-    /// Keeps room for a task where it would be placed best. Returns the machine.
-    fn keep_room(
-        &mut self,
-        view: &View,
-        job: &Job,
-        zones: &BTreeMap<Zone, u32>,
-    ) -> Option<MachineId> {
-        let has_space = |machine: &MachineId| {
-            let block = view.machines.get(machine).map(|machine| &machine.block);
-            block.is_some_and(|block| self.spaces.get(block).is_some_and(|space| *space > 0))
-        };
-        let open = self.candidates.iter().filter(|c| has_space(&c.machine));
-        let chosen = placement::choose(open, job, |zone| zone_open(job, zones, zone))?;
-        let machine = chosen.machine.clone();
-        let index = self.index_of(&machine)?;
-        self.take_room(view, index, &job.need);
-        Some(machine)
-    }
-
-    /// Takes room of a machine, and of its block's value.
-    fn take_room(&mut self, view: &View, candidate: usize, need: &Room) {
-        let chosen = &mut self.candidates[candidate];
-        chosen.free.take(need);
-        let block = view.machines.get(&chosen.machine).map(|m| &m.block);
-        if let Some(space) = block.and_then(|block| self.spaces.get_mut(block)) {
-            *space = space.saturating_sub(1);
-        }
-    }
-
-    fn index_of(&self, machine: &MachineId) -> Option<usize> {
-        self.candidates.iter().position(|c| c.machine == *machine)
-    }
-
-    /// The machine's index, if it has room for a task.
-    fn room_on(&self, machine: &MachineId, job: &Job) -> Option<usize> {
-        let fits = |c: &placement::Candidate| {
-            c.machine == *machine && c.free.fits(&job.need) && c.allows(job)
-        };
-        self.candidates.iter().position(fits)
-    }
-}
-
 impl Queues {
     /// Carries out drains from now on.
     pub fn with_draining(mut self, draining: Draining) -> Self {
@@ -566,241 +345,6 @@
         self.watch(view, &ledgers);
     }
 
-    fn stop_evicted(&mut self, now: Now, view: &View, ledgers: &BTreeMap<Team, Ledger>) {
-        let subjects = ledgers.values().flat_map(|ledger| &ledger.evictions);
-        for subject in subjects.map(|eviction| eviction.subject) {
-            for ((index, number), place) in view.placed(subject.job()) {
-                let attempt = Attempt {
-                    task: TaskId {
-                        job: subject.job(),
-                        index: *index,
-                    },
-                    number: *number,
-                };
-                let Some(block_state) = self.block_states.get_mut(&place.block) else {
-                    continue;
-                };
-                if subject.covers(&attempt) && !block_state.stops.contains_key(&attempt) {
-                    block_state.stops.insert(attempt, now.steady);
-                    block_state.dirty = true;
-                }
-            }
-        }
-    }
-
-    /// Releases evicted tasks that are proven gone to the machines that have room kept for them. For the others the
-    /// room is kept on.
-    fn replace_evicted(
-        &mut self,
-        stock: &Stock<'_>,
-        view: &View,
-        plan: &mut Plan,
-        ledgers: &BTreeMap<Team, Ledger>,
-    ) {
-        let Some(draining) = &mut self.draining else {
-            return;
-        };
-        let outstanding: Vec<Subject> = draining
-            .planner
-            .outstanding(ledgers)
-            .into_iter()
-            .map(|eviction| eviction.subject)
-            .collect();
-        let evicted: BTreeSet<TaskId> = outstanding.iter().flat_map(Subject::tasks).collect();
-        let proposed = &draining.proposed;
-        draining
-            .reserved
-            .retain(|task, _| evicted.contains(task) || proposed.contains(task));
-        draining.without_room.clear();
-        for subject in outstanding {
-            let Some(open) = view.open.get(&subject.job()).filter(|open| !open.cancelled) else {
-                continue;
-            };
-            match subject {
-                Subject::Task(old) => {
-                    self.replace_task(stock, view, plan, open, old);
-                }
-                Subject::Gang { job, .. } => self.replace_gang(stock, view, plan, open, job),
-            }
-        }
-        self.keep_proposed_room(view, plan);
-        let without_room = self.draining.iter().flat_map(|d| &d.without_room);
-        let unplaced = without_room.filter(|(_, reason)| **reason == NoRoom::Yet);
-        for (task, _) in unplaced {
-            count_unplaced(stock, view, plan, *task, &self.zones_of_others(view, *task));
-        }
-    }
-
-    fn keep_proposed_room(&self, view: &View, plan: &mut Plan) {
-        let Some(draining) = &self.draining else {
-            return;
-        };
-        for task in &draining.proposed {
-            let open = view.open.get(&task.job);
-            let machine = draining.reserved.get(task);
-            if let (Some(open), Some(machine)) = (open, machine)
-                && let Some(candidate) = plan.room_on(machine, &open.job)
-            {
-                plan.take_room(view, candidate, &open.job.need);
-            }
-        }
-    }
-
-    fn replace_task(
-        &mut self,
-        stock: &Stock<'_>,
-        view: &View,
-        plan: &mut Plan,
-        open: &OpenJob,
-        old: Attempt,
-    ) {
-        let task = old.task;
-        let others = attempts_of(view, task).filter(|(attempt, _)| *attempt != old);
-        if others.count() > 0 || self.is_released(task) || open.done.contains(task.index) {
-            return;
-        }
-        let zones = self.zones_of_others(view, task);
-        let Some(draining) = &mut self.draining else {
-            return;
-        };
-        if draining.proposed.contains(&task) {
-            return;
-        }
-        let kept = draining.reserved.get(&task).and_then(|machine| {
-            let candidate = plan.room_on(machine, &open.job)?;
-            let zone = plan.candidates[candidate].zone.clone();
-            zone_open(&open.job, &zones, &zone).then(|| machine.clone())
-        });
-        let machine = match kept {
-            Some(machine) => {
-                if let Some(candidate) = plan.room_on(&machine, &open.job) {
-                    plan.take_room(view, candidate, &open.job.need);
-                }
-                Some(machine)
-            }
-            None => plan.keep_room(view, &open.job, &zones),
-        };
-        let Some(machine) = machine else {
-            draining.reserved.remove(&task);
-            let reason = no_room(stock, &open.job, &zones);
-            draining.without_room.insert(task, reason);
-            return;
-        };
-        draining.reserved.insert(task, machine.clone());
-        let gone = attempts_of(view, task).next().is_none();
-        let within_limit = plan.usage.within_limit(stock.lead.config, &open.job);
-        if gone && within_limit && !self.failures.backs_off(stock.now, task.job) {
-            self.release_replacement(stock.now, view, plan, open, task, &machine);
-        }
-    }
-
-    /// Releases a task to a machine whose room has been taken for it.
-    fn release_replacement(
-        &mut self,
-        now: Now,
-        view: &View,
-        plan: &mut Plan,
-        open: &OpenJob,
-        task: TaskId,
-        machine: &MachineId,
-    ) {
-        let block = view.machines.get(machine).map(|machine| &machine.block);
-        let Some(block_state) = block.and_then(|block| self.block_states.get_mut(block)) else {
-            return;
-        };
-        let attempt = Attempt {
-            task,
-            number: self.next_attempt,
-        };
-        self.next_attempt += 1;
-        info!(%attempt, %machine, "replacement released");
-        block_state.release(now, attempt, machine.clone(), Vec::new());
-        if let Some(index) = plan.index_of(machine) {
-            plan.count_released(index, &open.job);
-        }
-        if let Some(draining) = &mut self.draining {
-            draining.reserved.remove(&task);
-        }
-    }
-
-    fn replace_gang(
-        &mut self,
-        stock: &Stock<'_>,
-        view: &View,
-        plan: &mut Plan,
-        open: &OpenJob,
-        job: JobId,
-    ) {
-        let tasks = || (0..open.job.tasks).map(|index| TaskId { job, index });
-        let placed: Vec<Attempt> = tasks()
-            .flat_map(|task| attempts_of(view, task).map(|(attempt, _)| attempt))
-            .collect();
-        let released = tasks().any(|task| self.is_released(task));
-        let Some(draining) = &mut self.draining else {
-            return;
-        };
-        let machines: Option<Vec<MachineId>> = tasks()
-            .map(|task| draining.reserved.get(&task).cloned())
-            .collect();
-        let starts: BTreeSet<Option<u64>> = placed.iter().map(Attempt::gang_start).collect();
-        if released || starts.len() > 1 {
-            return;
-        }
-        // Without room for all of it, it waits as any gang.
-        let Some(machines) = machines else { return };
-        let mut taken = Vec::new();
-        for machine in &machines {
-            let Some(candidate) = plan.room_on(machine, &open.job) else {
-                break;
-            };
-            plan.take_room(view, candidate, &open.job.need);
-            taken.push(candidate);
-        }
-        let whole = taken.len() == machines.len();
-        if !whole {
-            for task in tasks() {
-                draining.reserved.remove(&task);
-            }
-            for candidate in taken {
-                plan.candidates[candidate].free.add(&open.job.need);
-            }
-            return;
-        }
-        let within = plan.usage.room_within_limit(stock.lead.config, &open.job);
-        if placed.is_empty() && within >= u64::from(open.job.tasks) {
-            self.release_gang_replacement(stock.now, view, plan, open, job, &machines);
-        }
-    }
-
-    fn release_gang_replacement(
-        &mut self,
-        now: Now,
-        view: &View,
-        plan: &mut Plan,
-        open: &OpenJob,
-        job: JobId,
-        machines: &[MachineId],
-    ) {
-        let start = self.next_attempt;
-        self.next_attempt += 1;
-        info!(%job, start, "gang released to the room kept for it");
-        for (index, machine) in (0..).zip(machines) {
-            let task = TaskId { job, index };
-            let block = view.machines.get(machine).map(|machine| &machine.block);
-            let block_state = block.and_then(|block| self.block_states.get_mut(block));
-            if let (Some(attempt), Some(block_state)) = (Attempt::of_gang(task, start), block_state)
-            {
-                block_state.release(now, attempt, machine.clone(), Vec::new());
-            }
-            if let Some(index) = plan.index_of(machine) {
-                plan.count_released(index, &open.job);
-            }
-            if let Some(draining) = &mut self.draining {
-                draining.reserved.remove(&task);
-            }
-        }
-    }
-
     fn decide_drains(
         &mut self,
         stock: &Stock<'_>,
@@ -966,31 +510,3 @@
         self.reserved.clear();
     }
 }
-
-/// Counts a task for which no machine has room as waiting, so that the rule orders one. Where it may go only to some
-/// zones, one of those.
-fn count_unplaced(
-    stock: &Stock<'_>,
-    view: &View,
-    plan: &mut Plan,
-    task: TaskId,
-    zones: &BTreeMap<Zone, u32>,
-) {
-    let Some(open) = view.open.get(&task.job) else {
-        return;
-    };
-    let waiting = Waiting {
-        zones: zones.clone(),
-        ..gang_waiting(task.job, open)
-    };
-    let pinned = stock.pinned(&waiting);
-    let cheapest = stock.cheapest(&open.job, &plan.demand, pinned.as_ref(), f64::INFINITY);
-    let Some((pool, share)) = cheapest else {
-        return;
-    };
-    if let Some(zone) = pinned {
-        let demand = plan.demand.pinned.entry((pool.clone(), zone)).or_default();
-        *demand += share;
-    }
-    *plan.demand.machines.entry(pool).or_default() += share;
-}
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -12,6 +12,7 @@
 mod holders;
 mod opportunistic;
 mod preemption;
+mod releases;
 mod stock;
 mod turns;
 mod usage;
@@ -25,11 +26,11 @@
 use crate::config::Config;
 use crate::domain::{
     Attempt, BlockId, Final, Image, Job, JobId, Kind, MachineId, NodeName, Now, Priority, Room,
-    TaskId, Team, Zone, since,
+    TaskId, Team, since,
 };
 use crate::leadership::Lead;
 use crate::peer::{BlockStatus, MachineStatus};
-use crate::placement::{Candidate, Ranking};
+use crate::placement::Candidate;
 use crate::provisioning::{Demand, Flavors, Health, Pool, Provisioner, Runs};
 use crate::store::records::{JobRecord, LEADER, job_key, progress_key};
 use crate::store::{Op, Outcome, Txn, View, Writer};
@@ -37,23 +38,14 @@
 use demand::Present;
 use draining::Draining;
 use failures::Failures;
-use opportunistic::{Opportunities, Reach};
-use preemption::Victims;
+use opportunistic::Opportunities;
+use releases::Releases;
 use stock::Stock;
-use turns::Turns;
 use usage::Usage;
-use waiting::{Shape, smallest, zone_open};
+use waiting::{Shape, smallest};
 
 /// A holder's word on its machines is believed this long.
 const STATUS_LIFE: Duration = Duration::from_secs(5);
-/// Releases decided in one go, so that a large job can't hold up everything else.
-const RELEASES: usize = 150;
-/// The room of a machine whose block can't hold another task.
-const BLOCK_IS_FULL: Room = Room {
-    cpus: -1.0,
-    gpus: -1.0,
-    memory_gb: -1.0,
-};
 /// What one attempt takes of its block's value, at the most.
 const ATTEMPT_BYTES: usize = 64;
 
@@ -120,6 +112,10 @@
         self.count_released(index, job);
     }
 
+    fn index_of(&self, machine: &MachineId) -> Option<usize> {
+        self.candidates.iter().position(|c| c.machine == *machine)
+    }
+
     /// Counts a task that is released to a machine.
     fn count_released(&mut self, index: usize, job: &Job) {
         let chosen = &self.candidates[index];
@@ -437,11 +433,11 @@
     }
 
     /// Releases what may run and has room. Returns the demand that provisioning has to meet.
-    pub fn plan<'v>(
+    pub fn plan(
         &mut self,
         now: Now,
         lead: &Lead<'_>,
-        view: &'v View,
+        view: &View,
         provisioner: &Provisioner,
     ) -> Demand {
         let Lead {
@@ -460,11 +456,6 @@
             guaranteed,
             demand,
         } = self.present(&stock, view);
-        let all_zones: BTreeSet<Zone> = view
-            .grants
-            .values()
-            .map(|grant| grant.value.zone.clone())
-            .collect();
         let candidates = self.candidates(now, view, flavors, provisioner);
         let opportunities =
             Opportunities::new(lead, provisioner, &self.runs, &guaranteed, &candidates);
@@ -489,119 +480,9 @@
         let mut queue = self.queue(now, view);
         self.count_waiting(&queue);
         plan.demand.smallest = smallest(&queue);
-        let mut released = 0;
-        let mut turns = Turns::new(&queue);
-        let mut rankings: HashMap<(Shape, Image, Option<JobId>), Ranking> = HashMap::new();
-        let mut victims: Option<Victims<'v>> = None;
-        while complete && released < RELEASES {
-            let Some(next) = turns.next(&queue, &plan.usage, lead) else {
-                break;
-            };
-            let Some(waiting) = queue.get_mut(next) else {
-                break;
-            };
-            if waiting.open.job.kind == Kind::Gang {
-                waiting.blocked = true;
-                let reach = waiting.reach(lead);
-                let limit = waiting.price_limit(lead);
-                let job = &waiting.open.job;
-                let allowed =
-                    |c: &Candidate| reach == Reach::All || opportunities.allow(job, limit, c);
-                let shape = Shape::of(job, &all_zones, |zone| job.allows_zone(zone), reach);
-                released += self.release_gang(now, lead, view, waiting, shape, allowed, &mut plan);
-                continue;
-            }
-            let fits = plan.usage.within_limit(config, &waiting.open.job);
-            let zones = &waiting.zones;
-            let job = &waiting.open.job;
-            let open_zone = |zone: &Zone| zone_open(job, zones, zone);
-            // Jobs alike find no room where one of them found none: room only shrinks while tasks are released.
-            let reach = waiting.reach(lead);
-            let shape = Shape::of(job, &all_zones, open_zone, reach);
-            let mut chosen = None;
-            let mut preempted = Vec::new();
-            if fits && !plan.exhausted.no_room.contains(&shape) {
-                // A job that keeps failing goes to machines on which it has not failed yet: its own ranking.
-                let id = waiting.id;
-                let failing = self.failures.keeps_failing(id).then_some(id);
-                let key = (shape.clone(), job.image.clone(), failing);
-                let ranking = rankings.entry(key).or_insert_with(|| {
-                    let avoided = |c: &Candidate| self.failures.failed_on(id, &c.machine);
-                    let limit = waiting.price_limit(lead);
-                    let open =
-                        |c: &Candidate| reach == Reach::All || opportunities.allow(job, limit, c);
-                    let allowed = |c: &Candidate| open_zone(&c.zone) && open(c);
-                    Ranking::new(&plan.candidates, job, allowed, |c| {
-                        failing.is_some() && avoided(c)
-                    })
-                });
-                chosen = ranking.best(&plan.candidates, job).cloned();
-                if chosen.is_none() {
-                    plan.exhausted.no_room.insert(shape.clone());
-                }
-            }
-            let urgency = (shape, job.team.clone(), job.priority);
-            if fits
-                && reach == Reach::All
-                && chosen.is_none()
-                && !plan.exhausted.no_way.contains(&urgency)
-            {
-                let victims = victims.get_or_insert_with(|| self.victims(now, view));
-                match self.make_room(
-                    now,
-                    lead,
-                    &plan.candidates,
-                    &mut plan.kept,
-                    victims,
-                    job,
-                    &open_zone,
-                ) {
-                    Some(room) => (chosen, preempted) = (Some(room.machine), room.preempted),
-                    None => {
-                        plan.exhausted.no_way.insert(urgency);
-                    }
-                }
-            }
-            let (Some(chosen), Some(index)) = (chosen, waiting.taken.first_gap(job.tasks)) else {
-                waiting.blocked = true;
-                continue;
-            };
-            let Some(block) = view
-                .machines
-                .get(&chosen.machine)
-                .map(|machine| machine.block.clone())
-            else {
-                waiting.blocked = true;
-                continue;
-            };
-            let index_of = |c: &Candidate| c.machine == chosen.machine;
-            let Some(candidate) = plan.candidates.iter().position(index_of) else {
-                waiting.blocked = true;
-                continue;
-            };
-            let space = plan.spaces.get(&block).copied().unwrap_or(0);
-            let block_state = self.block_states.get_mut(&block).filter(|_| space > 0);
-            let Some(block_state) = block_state else {
-                plan.candidates[candidate].free = BLOCK_IS_FULL;
-                continue;
-            };
-            let attempt = Attempt {
-                task: TaskId {
-                    job: waiting.id,
-                    index,
-                },
-                number: self.next_attempt,
-            };
-            self.next_attempt += 1;
-            released += 1;
-            debug!(%attempt, machine = %chosen.machine, "released");
-            block_state.release(now, attempt, chosen.machine, preempted);
-            plan.take(candidate, &block, &waiting.open.job);
-            *waiting.zones.entry(chosen.zone).or_default() += 1;
-            waiting.taken.insert(index);
-            waiting.left -= 1;
-            // It has begun: the rest of it waits for its turn.
-            waiting.blocked = waiting.overdue;
+        if complete {
+            let mut releases = Releases::new(now, lead, view, opportunities);
+            self.release_in_turn(&mut releases, &mut queue, &mut plan);
         }
         demand::count_waiting(&stock, &queue, &mut plan.usage, &mut plan.demand);
         plan.demand
--- /dev/null
+++ b/src/queueing/releases.rs
@@ -0,0 +1,249 @@
+//! Releases in turn: the next job that may run gets a task placed where it fits best, or room is made for it.
+
+use std::collections::{BTreeSet, HashMap};
+
+use tracing::debug;
+
+use super::opportunistic::{Opportunities, Reach};
+use super::preemption::{MadeRoom, Victims};
+use super::turns::Turns;
+use super::waiting::{Shape, Waiting, zone_open};
+use super::{Plan, Queues};
+use crate::domain::{Attempt, BlockId, Image, JobId, Kind, Now, Room, TaskId, Zone};
+use crate::leadership::Lead;
+use crate::placement::{Candidate, Ranking};
+use crate::store::View;
+
+/// Releases decided in one go, so that a large job can't hold up everything else.
+const RELEASES: usize = 150;
+/// The room of a machine whose block can't hold another task.
+const BLOCK_IS_FULL: Room = Room {
+    cpus: -1.0,
+    gpus: -1.0,
+    memory_gb: -1.0,
+};
+
+/// What the releases of one plan go by, and what was worked out for several of them.
+pub(super) struct Releases<'a, 'v> {
+    now: Now,
+    lead: &'a Lead<'a>,
+    view: &'v View,
+    zones: BTreeSet<Zone>,
+    opportunities: Opportunities<'a>,
+    /// Machines in order for each kind of task; jobs that keep failing have an order of their own.
+    rankings: HashMap<(Shape, Image, Option<JobId>), Ranking>,
+    victims: Option<Victims<'v>>,
+}
+
+impl<'a, 'v> Releases<'a, 'v> {
+    /// Of a plan that begins.
+    pub(super) fn new(
+        now: Now,
+        lead: &'a Lead<'a>,
+        view: &'v View,
+        opportunities: Opportunities<'a>,
+    ) -> Self {
+        let zones = view.grants.values().map(|grant| grant.value.zone.clone());
+        Releases {
+            now,
+            lead,
+            view,
+            zones: zones.collect(),
+            opportunities,
+            rankings: HashMap::new(),
+            victims: None,
+        }
+    }
+}
+
+/// Where a task goes, and the tasks that are stopped for it.
+struct Choice {
+    machine: Candidate,
+    preempted: Vec<Attempt>,
+}
+
+impl From<MadeRoom> for Choice {
+    fn from(room: MadeRoom) -> Self {
+        Choice {
+            machine: room.machine,
+            preempted: room.preempted,
+        }
+    }
+}
+
+impl Queues {
+    /// Releases what may run and has room, one job after the other in turn.
+    pub(super) fn release_in_turn(
+        &mut self,
+        releases: &mut Releases<'_, '_>,
+        queue: &mut [Waiting<'_>],
+        plan: &mut Plan,
+    ) {
+        let mut released = 0;
+        let mut turns = Turns::new(queue);
+        while released < RELEASES {
+            let Some(next) = turns.next(queue, &plan.usage, releases.lead) else {
+                break;
+            };
+            let Some(waiting) = queue.get_mut(next) else {
+                break;
+            };
+            released += if waiting.open.job.kind == Kind::Gang {
+                self.release_next_gang(releases, waiting, plan)
+            } else {
+                self.release_next_task(releases, waiting, plan)
+            };
+        }
+    }
+
+    fn release_next_gang(
+        &mut self,
+        releases: &Releases<'_, '_>,
+        waiting: &mut Waiting<'_>,
+        plan: &mut Plan,
+    ) -> usize {
+        let Releases {
+            now, lead, view, ..
+        } = *releases;
+        waiting.blocked = true;
+        let reach = waiting.reach(lead);
+        let limit = waiting.price_limit(lead);
+        let job = &waiting.open.job;
+        let opportunities = &releases.opportunities;
+        let allowed = |c: &Candidate| reach == Reach::All || opportunities.allow(job, limit, c);
+        let shape = Shape::of(job, &releases.zones, |zone| job.allows_zone(zone), reach);
+        self.release_gang(now, lead, view, waiting, shape, allowed, plan)
+    }
+
+    /// Releases a task of the job, if there is a place for it. Returns how many.
+    fn release_next_task(
+        &mut self,
+        releases: &mut Releases<'_, '_>,
+        waiting: &mut Waiting<'_>,
+        plan: &mut Plan,
+    ) -> usize {
+        let index = waiting.taken.first_gap(waiting.open.job.tasks);
+        let choice = self.choose_place(releases, waiting, plan);
+        let (Some(choice), Some(index)) = (choice, index) else {
+            waiting.blocked = true;
+            return 0;
+        };
+        let machine = &choice.machine.machine;
+        let block = releases.view.machines.get(machine).map(|m| m.block.clone());
+        let (Some(block), Some(candidate)) = (block, plan.index_of(machine)) else {
+            waiting.blocked = true;
+            return 0;
+        };
+        self.release_to(
+            releases.now,
+            waiting,
+            plan,
+            (block, candidate),
+            choice,
+            index,
+        )
+    }
+
+    fn release_to(
+        &mut self,
+        now: Now,
+        waiting: &mut Waiting<'_>,
+        plan: &mut Plan,
+        (block, candidate): (BlockId, usize),
+        choice: Choice,
+        index: u32,
+    ) -> usize {
+        let space = plan.spaces.get(&block).copied().unwrap_or(0);
+        let block_state = self.block_states.get_mut(&block).filter(|_| space > 0);
+        let Some(block_state) = block_state else {
+            plan.candidates[candidate].free = BLOCK_IS_FULL;
+            return 0;
+        };
+        let attempt = Attempt {
+            task: TaskId {
+                job: waiting.id,
+                index,
+            },
+            number: self.next_attempt,
+        };
+        self.next_attempt += 1;
+        let Choice { machine, preempted } = choice;
+        debug!(%attempt, machine = %machine.machine, "released");
+        block_state.release(now, attempt, machine.machine, preempted);
+        plan.take(candidate, &block, &waiting.open.job);
+        *waiting.zones.entry(machine.zone).or_default() += 1;
+        waiting.taken.insert(index);
+        waiting.left -= 1;
+        // It has begun: the rest of it waits for its turn.
+        waiting.blocked = waiting.overdue;
+        1
+    }
+
+    /// A machine with room, or one where room is made.
+    fn choose_place(
+        &mut self,
+        releases: &mut Releases<'_, '_>,
+        waiting: &Waiting<'_>,
+        plan: &mut Plan,
+    ) -> Option<Choice> {
+        let job = &waiting.open.job;
+        if !plan.usage.within_limit(releases.lead.config, job) {
+            return None;
+        }
+        let open_zone = |zone: &Zone| zone_open(job, &waiting.zones, zone);
+        let reach = waiting.reach(releases.lead);
+        let shape = Shape::of(job, &releases.zones, open_zone, reach);
+        // Jobs alike find no room where one of them found none: room only shrinks while tasks are released.
+        if !plan.exhausted.no_room.contains(&shape) {
+            if let Some(machine) = self.best_machine(releases, waiting, plan, &shape, reach) {
+                return Some(Choice {
+                    machine,
+                    preempted: Vec::new(),
+                });
+            }
+            plan.exhausted.no_room.insert(shape.clone());
+        }
+        let urgency = (shape, job.team.clone(), job.priority);
+        if reach != Reach::All || plan.exhausted.no_way.contains(&urgency) {
+            return None;
+        }
+        let Releases {
+            now, lead, view, ..
+        } = *releases;
+        let victims = releases
+            .victims
+            .get_or_insert_with(|| self.victims(now, view));
+        let candidates = &plan.candidates;
+        let kept = &mut plan.kept;
+        let room = self.make_room(now, lead, candidates, kept, victims, job, &open_zone);
+        if room.is_none() {
+            plan.exhausted.no_way.insert(urgency);
+        }
+        room.map(Choice::from)
+    }
+
+    fn best_machine(
+        &self,
+        releases: &mut Releases<'_, '_>,
+        waiting: &Waiting<'_>,
+        plan: &Plan,
+        shape: &Shape,
+        reach: Reach,
+    ) -> Option<Candidate> {
+        let job = &waiting.open.job;
+        // A job that keeps failing goes to machines on which it has not failed yet: its own ranking.
+        let id = waiting.id;
+        let failing = self.failures.keeps_failing(id).then_some(id);
+        let key = (shape.clone(), job.image.clone(), failing);
+        let (lead, opportunities) = (releases.lead, &releases.opportunities);
+        let ranking = releases.rankings.entry(key).or_insert_with(|| {
+            let limit = waiting.price_limit(lead);
+            let open = |c: &Candidate| reach == Reach::All || opportunities.allow(job, limit, c);
+            let allowed = |c: &Candidate| zone_open(job, &waiting.zones, &c.zone) && open(c);
+            let avoided =
+                |c: &Candidate| failing.is_some() && self.failures.failed_on(id, &c.machine);
+            Ranking::new(&plan.candidates, job, allowed, avoided)
+        });
+        ranking.best(&plan.candidates, job).cloned()
+    }
+}
--- a/src/queueing/tests.rs
+++ b/src/queueing/tests.rs
@@ -1,5 +1,6 @@
 //! The leader's queues, as holders and the records show them.
 
+use super::opportunistic::Reach;
 use super::waiting::BEGIN_WITHIN;
 use super::*;
 use crate::config::tests::SETTINGS;
--- a/src/store/view.rs
+++ b/src/store/view.rs
@@ -23,6 +23,17 @@
     pub version: u64,
 }
 
+/// The version that a change of a record is conditioned on: 0 if there is none.
+pub fn version_of<T>(record: Option<&Versioned<T>>) -> u64 {
+    record.map_or(0, |record| record.version)
+}
+
+/// Records without their versions.
+pub fn values<K: Ord + Clone, T: Clone>(records: &BTreeMap<K, Versioned<T>>) -> BTreeMap<K, T> {
+    let value = |(key, record): (&K, &Versioned<T>)| (key.clone(), record.value.clone());
+    records.iter().map(value).collect()
+}
+
 /// The values that a block's record is kept in.
 pub type Parts<T> = BTreeMap<Part, Versioned<T>>;
 
