--- a/crates/drain/src/disruption.rs
+++ b/crates/drain/src/disruption.rs
@@ -32,6 +32,13 @@
         }
     }
 
+    /// Forgets losses of tasks that are not wanted any more.
+    pub fn forget_unless(&mut self, is_wanted: impl Fn(TaskId) -> bool) {
+        self.lost.retain(|task, _| is_wanted(*task));
+        self.replaced.clear();
+        self.recovered.clear();
+    }
+
     /// Takes in what runs again.
     pub fn observe(&mut self, ledgers: &BTreeMap<Team, Ledger>, fleet: &impl Fleet) {
         // Noted, and so recorded, before they are proven gone: a new leader could not tell that they were there.
--- a/crates/drain/src/planner.rs
+++ b/crates/drain/src/planner.rs
@@ -150,6 +150,10 @@
 pub enum Event<'a, F> {
     /// A task's attempt has gone, neither done nor stopped.
     Lost(Attempt),
+    /// Nothing is to be drained. Tasks that are over or done need not be kept in mind.
+    Idle {
+        is_wanted: &'a dyn Fn(TaskId) -> bool,
+    },
     /// What the fleet and the records show now.
     Observed {
         records: Records<'a>,
@@ -227,6 +231,11 @@
                 self.tracker.note_lost(attempt);
                 Vec::new()
             }
+            Event::Idle { is_wanted } => {
+                self.tracker.forget_unless(is_wanted);
+                self.progress.clear();
+                Vec::new()
+            }
             Event::Observed {
                 records,
                 bounds,
--- a/src/queueing/draining/mod.rs
+++ b/src/queueing/draining/mod.rs
@@ -333,7 +333,7 @@
             .is_none_or(|draining| draining.is_idle(view))
         {
             if let Some(draining) = &mut self.draining {
-                draining.forget();
+                draining.rest(stock.now, view);
             }
             return;
         }
@@ -504,9 +504,21 @@
 }
 
 impl Draining {
-    /// No drain is left.
-    fn forget(&mut self) {
+    /// No drain is left, and no disruption is recorded.
+    fn rest(&mut self, now: Now, view: &View) {
         self.decided.clear();
         self.reserved.clear();
+        if self.upkeep.is_some_and(|at| since(now, at) < UPKEEP_EVERY) {
+            return;
+        }
+        self.upkeep = Some(now.steady);
+        let is_wanted = |task: TaskId| {
+            let open = view.open.get(&task.job);
+            open.is_some_and(|open| !open.cancelled && !open.done.contains(task.index))
+        };
+        let event: Event<'_, FleetView<'_, '_>> = Event::Idle {
+            is_wanted: &is_wanted,
+        };
+        self.planner.handle(now, event);
     }
 }
