--- a/tests/simulation/measure.rs
+++ b/tests/simulation/measure.rs
@@ -176,6 +176,22 @@
     measured.extra_machine_hours = (seconds as f64 - usual_seconds as f64) / 3600.0;
 }
 
+/// `ZONE_DRAIN=seconds` plays the drain of a zone on a quiet day for so long, for its log.
+#[test]
+#[ignore = "for looking into one drain by hand"]
+fn play_a_zone_drain() {
+    let text = std::env::var("ZONE_DRAIN").expect("how long to play");
+    let seconds = text.parse().expect("seconds");
+    let mut world = world(Faults::default());
+    world.plan(DRAIN_AT, |world| {
+        let zone = Scope::Zone("a".into());
+        world.operate(start("drain", zone, Purpose::Drain, None));
+    });
+    world.run_until(DRAIN_AT + Duration::from_secs(seconds));
+    let running = TEAMS.map(|team| world.rules.on_machines(&team.into(), LASTING));
+    println!("{running:?} replicas run; {:?}", world.rules.broken);
+}
+
 #[test]
 #[ignore = "takes minutes: measures drains of a large fleet and writes a report"]
 fn measure_drains() {
