A request becomes a record in one place; nothing is looked up for drains that are off

Cause: found on reading the change again: the record of a request to cordon or drain was built twice; a fact of jobs and a length that nothing used; lost tasks looked up among all stops though draining is off. Change: DrainRecord::requested; the unused removed; an early return. Behaviour as it was.

--- a/crates/drain/src/ledger.rs
+++ b/crates/drain/src/ledger.rs
@@ -76,9 +76,4 @@
     pub fn is_empty(&self) -> bool {
         self.evictions.is_empty() && self.lost.is_empty()
     }
-
-    /// The entries, for which the value must have room.
-    pub fn len(&self) -> usize {
-        self.evictions.len() + self.lost.len()
-    }
 }
--- a/crates/drain/src/planner.rs
+++ b/crates/drain/src/planner.rs
@@ -66,8 +66,6 @@
     pub class: Arc<str>,
     /// The tasks of a gang, which are moved together. None: its tasks are moved one by one.
     pub gang_tasks: Option<u32>,
-    /// Whether its tasks can save their progress when they are stopped.
-    pub saves: bool,
 }
 
 /// Why a task finds no room elsewhere.
--- a/crates/drain/src/record.rs
+++ b/crates/drain/src/record.rs
@@ -97,6 +97,26 @@
 }
 
 impl DrainRecord {
+    /// A request as it is recorded at first.
+    pub fn requested(
+        scope: Scope,
+        purpose: Purpose,
+        return_machines: bool,
+        step: Option<Limit>,
+        now_ms: u64,
+    ) -> Self {
+        DrainRecord {
+            scope,
+            purpose,
+            return_machines,
+            step,
+            requested_ms: now_ms,
+            resumed_ms: 0,
+            phase: Phase::Active,
+            except: BTreeSet::new(),
+        }
+    }
+
     /// Whether it keeps its machines out of service.
     pub fn holds(&self) -> bool {
         !matches!(self.phase, Phase::Cancelled | Phase::Uncordoned)
--- a/crates/drain/src/requests.rs
+++ b/crates/drain/src/requests.rs
@@ -60,16 +60,8 @@
             return_machines,
             step,
         } => {
-            let record = DrainRecord {
-                scope: scope.clone(),
-                purpose: *purpose,
-                return_machines: *return_machines,
-                step: *step,
-                requested_ms: known.now_ms,
-                resumed_ms: 0,
-                phase: Phase::Active,
-                except: BTreeSet::new(),
-            };
+            let (scope, now_ms) = (scope.clone(), known.now_ms);
+            let record = DrainRecord::requested(scope, *purpose, *return_machines, *step, now_ms);
             start(id, record, known)
         }
         Request::Uncordon { scope } => uncordon(scope, known),
--- a/crates/drain/tests/planner.rs
+++ b/crates/drain/tests/planner.rs
@@ -96,7 +96,6 @@
             team: team(name),
             class: "lookup".into(),
             gang_tasks: gang.map(|_| tasks),
-            saves: false,
         };
         self.jobs.insert(job, facts);
         for index in 0..tasks {
--- a/src/operations/mod.rs
+++ b/src/operations/mod.rs
@@ -292,16 +292,9 @@
             step,
         } => {
             let drains = values(&view.drains);
-            let record = DrainRecord {
-                scope: scope.clone(),
-                purpose: *purpose,
-                return_machines: *return_machines,
-                step: *step,
-                requested_ms: 0,
-                resumed_ms: 0,
-                phase: Phase::Active,
-                except: BTreeSet::new(),
-            };
+            let asked_ms = 0;
+            let scope = scope.clone();
+            let record = DrainRecord::requested(scope, *purpose, *return_machines, *step, asked_ms);
             let existing = requests::existing(id, &record, &drains).cloned();
             drains_reply(existing.as_ref().or(Some(id)), cx, view)
         }
--- a/src/queueing/draining/fleet_view.rs
+++ b/src/queueing/draining/fleet_view.rs
@@ -10,7 +10,6 @@
 use super::super::stock::Stock;
 use super::super::waiting::{Waiting, zone_open};
 use super::super::{Plan, Queues};
-use super::saves;
 use crate::domain::{Attempt, Job, JobId, Kind, MachineId, TaskId, Zone};
 use crate::provisioning::wire::Flavor;
 use crate::store::View;
@@ -132,7 +131,6 @@
             team: open.job.team.clone(),
             class: open.job.class.clone(),
             gang_tasks: gang.then_some(open.job.tasks),
-            saves: saves(&open.job),
         })
     }
 
--- a/src/queueing/draining/mod.rs
+++ b/src/queueing/draining/mod.rs
@@ -272,6 +272,9 @@
 
     /// A task's attempt is gone and was not done: lost, unless it was told to stop or failed by itself.
     pub(super) fn note_lost(&mut self, now: Now, attempt: Attempt, machine: &MachineId) {
+        if self.draining.is_none() {
+            return;
+        }
         let failed = self.failures.failed_on(attempt.task.job, machine);
         if failed || self.is_told_to_stop(&attempt) {
             return;
