--- a/review/lib/cloud.py
+++ b/review/lib/cloud.py
@@ -138,6 +138,7 @@
         self.off = False
         self.hung = threading.Event()
         self.rule = None
+        self.faulty = False
         self.lease_end = time.monotonic() + lease_s
         self.changed = threading.Event()
         self.server = Server(self.handle)
@@ -279,6 +280,8 @@
                         t["until"] = None if job["shape"] == "service" or length is None else now + length
                         self.ledger.begin(task, t["try"], self.name)
                         self.changed.set()
+                    elif t["status"] == "running" and self.faulty:
+                        self.exit(task, "error")
                     elif t["status"] == "running" and t["until"] and now >= t["until"]:
                         self.exit(task, "done")
 
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -32,11 +32,15 @@
 }
 TABYLGY = {
     "zones": ["cityhall-room"],
-    "flavors": [{"name": "alatau-node", "cpus": 32.0, "cards": 0, "ramGb": 128.0, "cacheGb": 100.0,
-                 "pullGbPerS": 1.0, "rate": 1.57, "spotPrice": 0.36, "readyS": 35.0, "wings": ["cityhall-room"]}],
+    "flavors": [{"name": "alatau-node", "cpus": 32.0, "cards": 0, "ramGb": 128.0, "cacheGb": 60.0,
+                 "pullGbPerS": 0.6, "rate": 1.57, "spotPrice": 0.36, "readyS": 35.0, "wings": ["cityhall-room"]}],
     "teams": [("intake-desk", 240.0, 600.0), ("returns-desk", 304.0, 544.0), ("transit-liaison", 600.0, 1800.0)],
     "state": (150.0, 50.0, 16.0, 16), "cloud": (6.0, 10.0), "quota": (0.12, 136.0),
 }
+# The large deployment once more, as the hunt page has it.
+TABYLGY_HUNT = dict(
+    TABYLGY, teams=[("intake-desk", 8000.0, 20000.0), ("returns-desk", 10000.0, 18000.0),
+                    ("transit-liaison", 20000.0, 60000.0)], quota=(0.112, 128.0), sockets=2289)
 
 
 def free_port():
@@ -108,8 +112,9 @@
         text += ('[params.workers]\nreport_s = %s\nlease_s = %s\ngang_wait_s = 50.0\ngang_peer_s = 6.0\n'
                  'cancel_s = %s\n[params.state]\nrps = %s\nwrite_rps = %s\nvalue_kb = %s\ntxn_ops = %d\n'
                  '[params.cloud]\nrps = %s\nlist_lag_s = %s\n[params.quota]\ncpu = %s\nram_mb = %s\n'
-                 'sockets = 2500\n' % ((self.report_s, self.lease_s, self.cancel_s) + self.site["state"]
-                                       + self.site["cloud"] + self.site["quota"]))
+                 'sockets = %d\n' % ((self.report_s, self.lease_s, self.cancel_s) + self.site["state"]
+                                       + self.site["cloud"] + self.site["quota"]
+                                       + (self.site.get("sockets", 2500),)))
         return text + self.extra
 
     def start(self, name):
