--- a/review/lib/cloud.py
+++ b/review/lib/cloud.py
@@ -123,13 +123,44 @@
                 self.record("task", "%s try %d leaves %s: %s" % (task, self.intervals[at][1], machine, why))
 
 
+class Gangs:
+    """The tasks of gangs find each other by their attempt number: they run and complete together."""
+
+    def __init__(self, length, peer_s=6.0, wait_s=50.0):
+        self.lock, self.waiting = threading.RLock(), {}
+        self.length, self.peer_s, self.wait_s = length, peer_s, wait_s
+
+    def arrive(self, job, attempt, task, worker):
+        with self.lock:
+            tasks = self.waiting.setdefault((job["id"], attempt), {})
+            tasks[task] = worker
+            if len(tasks) == job["entries"]:
+                end = time.monotonic() + self.length(task)
+                for name, other in tasks.items():
+                    entry = other.tasks.get(name)
+                    if entry and entry["try"] == attempt and entry["status"] == "waiting":
+                        entry.update(status="running", gang_end=end)
+                        other.changed.set()
+
+    def gone(self, task, attempt):
+        with self.lock:
+            tasks = self.waiting.get((task.split("/")[0], attempt), {})
+            tasks.pop(task, None)
+            for name, other in tasks.items():
+                entry = other.tasks.get(name)
+                if entry and entry["try"] == attempt and entry["status"] == "running":
+                    entry["peers_at"] = time.monotonic() + random.uniform(0.2, 0.95) * self.peer_s
+
+
 class Worker:
     """`jobs(id)` returns the description that the user uploaded, or None. `clerks`: the controllers' addresses."""
 
-    def __init__(self, record, ledger, machine, clerks, jobs, size, report_s=3.0, lease_s=26.0, run_s=None):
+    def __init__(self, record, ledger, machine, clerks, jobs, size, report_s=3.0, lease_s=26.0, run_s=None,
+                 gangs=None):
         self.record, self.ledger, self.machine, self.jobs, self.size = record, ledger, machine, jobs, size
         self.clerks, self.names = clerks, sorted(clerks)
         self.report_s, self.lease_s, self.run_s = report_s, lease_s, run_s
+        self.gangs = gangs
         self.name = machine["id"]
         self.lock = threading.RLock()
         self.shift, self.folio, self.seal = 1, 0, 0
@@ -159,6 +190,8 @@
         if self.tasks[task].get("on"):
             self.tasks[task]["on"] = False
             self.ledger.end(task, self.name, why)
+            if self.gangs and why != "done":
+                threading.Thread(target=self.gangs.gone, args=(task, self.tasks[task]["try"]), daemon=True).start()
 
     def exit(self, task, why):
         self.leave(task, why)
@@ -270,10 +303,22 @@
                 if self.off:
                     return
                 self.check_lease()
-                now = time.monotonic()
-                for task, t in self.tasks.items():
+                now, arrived = time.monotonic(), []
+                for task, t in list(self.tasks.items()):
                     job = self.jobs(task.split("/")[0])
-                    if t["status"] == "pulling" and now >= t["ready"]:
+                    if t["status"] == "pulling" and now >= t["ready"] and job["shape"] == "ensemble":
+                        self.images[job["bundle"]] = True
+                        t.update(status="waiting", on=True, alone_at=now + self.gangs.wait_s)
+                        self.ledger.begin(task, t["try"], self.name)
+                        arrived.append((job, t["try"], task))
+                        self.changed.set()
+                    elif t["status"] == "waiting" and now >= t["alone_at"]:
+                        self.exit(task, "alone")
+                    elif t["status"] == "running" and t.get("peers_at") and now >= t["peers_at"]:
+                        self.exit(task, "peers")
+                    elif t["status"] == "running" and t.get("gang_end") and now >= t["gang_end"]:
+                        self.exit(task, "done")
+                    elif t["status"] == "pulling" and now >= t["ready"]:
                         self.images[job["bundle"]] = True
                         t.update(status="running", on=True)
                         length = self.run_s(task) if self.run_s else job["expectS"]
@@ -282,9 +327,12 @@
                         self.changed.set()
                     elif t["status"] == "running" and self.faulty:
                         self.exit(task, "error")
-                    elif t["status"] == "running" and t["until"] and now >= t["until"]:
+                    elif t["status"] == "running" and t.get("until") and now >= t["until"]:
                         self.exit(task, "done")
 
+            for arrival in arrived:
+                self.gangs.arrive(*arrival, self)
+
     def report_loop(self):
         pause = 0.0
         while not self.off:
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -10,7 +10,7 @@
 import time
 import tomllib
 
-from cloud import Cloud, Ledger, Worker
+from cloud import Cloud, Gangs, Ledger, Worker
 from state import State
 from wire import call
 
@@ -60,6 +60,7 @@
         self.log = open(os.path.join(folder, "record.txt"), "w", buffering=1)
         self.log_lock = threading.Lock()
         self.ledger = Ledger(self.record)
+        self.gangs = Gangs(run_s) if run_s else None
         self.lease_s, self.report_s, self.cancel_s, self.run_s = lease_s, report_s, cancel_s, run_s
         self.descriptions = {}
         self.workers = {}
@@ -89,7 +90,7 @@
     def boot(self, machine):
         size = next(f for f in self.site["flavors"] if f["name"] == machine["berthKind"])
         worker = Worker(self.record, self.ledger, machine, self.clerks, self.descriptions.get, size,
-                        self.report_s, self.lease_s, self.run_s)
+                        self.report_s, self.lease_s, self.run_s, self.gangs)
         self.workers[machine["id"]] = worker
         return worker
 
