--- a/review/lib/cloud.py
+++ b/review/lib/cloud.py
@@ -16,8 +16,6 @@
         self.next = 1
         self.rule = None
         self.boot_s = lambda ready: ready * random.uniform(0.6, 1.2)
-        self.refused = []
-        self.deleted_at = {}
         self.server = Server(self.handle)
         self.addr = self.server.addr
 
@@ -27,7 +25,10 @@
         machine = {"id": name, "berthKind": kind, "wing": wing, "loaner": loaner, "status": "booting",
                    "since": time.monotonic(), "endpoint": None, "worker": None, "gone": None}
         self.machines[name] = machine
-        threading.Timer(boot_s, self.up, [machine]).start() if boot_s else self.up(machine)
+        if boot_s:
+            threading.Timer(boot_s, self.up, [machine]).start()
+        else:
+            self.up(machine)
         return name
 
     def up(self, machine):
@@ -73,7 +74,6 @@
                            for m in self.machines.values())
                 count = min(body["howMany"], 50, self.capacity.get(key, 0) - used)
                 if count <= 0:
-                    self.refused.append(body)
                     return 503, {"error": "no capacity"}
                 ready = next(f["readyS"] for f in self.flavors if f["name"] == body["berthKind"])
                 names = [self.rent(*key, self.boot_s(ready)) for _ in range(count)]
--- a/review/lib/wire.py
+++ b/review/lib/wire.py
@@ -2,6 +2,7 @@
 import http.client
 import socket
 import struct
+import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 
@@ -192,7 +193,6 @@
         self.handle = handle
         self.server = Threads((host, port), Handler)
         self.addr = "%s:%d" % self.server.server_address[:2]
-        import threading
         threading.Thread(target=self.server.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
 
     def close(self):
