--- a/review/1/case.py
+++ b/review/1/case.py
@@ -63,7 +63,7 @@
     if not unanswered:
         d.record("case", "no rental went unanswered")
         return 2
-    time.sleep(2.4)
+    time.sleep(2.6)
     # The rental request without an answer is carried out: now the cloud has one machine for it.
     newcomer = "m-%06d" % d.cloud.next
     held = {}
