Logs show which block a machine is recorded in, and whether it is in two

The machine's record could have been removed, or moved to another block by a second write of the leader.

Change: "unrecorded machine added to inventory" names the block, and the watch cache warns when an inventory adds a machine that another block's inventory lists.

--- a/src/provisioning/inventory_edits.rs
+++ b/src/provisioning/inventory_edits.rs
@@ -117,15 +117,15 @@
     }
 
     /// Adds a machine to the block of its zone with the lowest fill, or to a new block if all are full.
-    /// `reserved_values`: values of the transaction that are kept for other changes. Returns false if the transaction
-    /// can't change another value.
+    /// `reserved_values`: values of the transaction that are kept for other changes. Returns the block, or None if the
+    /// transaction can't change another value.
     pub(super) fn add(
         &mut self,
         zone: &Zone,
         id: &MachineId,
         entry: InventoryEntry,
         reserved_values: usize,
-    ) -> bool {
+    ) -> Option<BlockId> {
         let share = self.fill_share(id, &entry);
         let is_transaction_full = self.inventories.len() + reserved_values >= self.max_values;
         let zone_blocks = self.block_fill.entry(zone.clone()).or_default();
@@ -146,7 +146,7 @@
             .min_by(|a, b| a.2.total_cmp(&b.2));
         let (block, part) = match least_filled {
             Some((block, part, _)) => (block, part),
-            None if is_transaction_full => return false,
+            None if is_transaction_full => return None,
             None => (new_block, FIRST_PART),
         };
         *self
@@ -158,7 +158,7 @@
         self.inventory_mut(&block, part, zone)
             .machines
             .insert(id.clone(), entry);
-        true
+        Some(block)
     }
 
     /// Returns the part of a block that can hold another machine, preferably one that is edited already, or else a new
--- a/src/provisioning/inventory_writes.rs
+++ b/src/provisioning/inventory_writes.rs
@@ -135,10 +135,10 @@
                 rented_s: (now.unix_ms() / 1000)
                     .saturating_sub(listed.age_s.0.clamp(0.0, MAX_LISTED_AGE_S) as u64),
             };
-            if !edits.add(&listed.zone, &id, entry, 0) {
+            let Some(block) = edits.add(&listed.zone, &id, entry, 0) else {
                 break;
-            }
-            info!(machine = %id, type_name = %listed.type_name, "unrecorded machine added to inventory");
+            };
+            info!(machine = %id, %block, type_name = %listed.type_name, "unrecorded machine added to inventory");
             self.unrecorded_machines.remove(&id);
         }
         edits.has_edits().then(|| edits.apply(txn.clone()))
--- a/src/store/cache/apply.rs
+++ b/src/store/cache/apply.rs
@@ -97,7 +97,11 @@
                 continue;
             }
             let machine = machine_from_entry(entry, &new.zone, block);
-            self.machines.insert(id.clone(), machine);
+            if let Some(other) = self.machines.insert(id.clone(), machine)
+                && other.block != *block
+            {
+                warn!(machine = %id, block = %other.block, other_block = %block, "machine recorded in two blocks");
+            }
             self.changed.machines.insert(id.clone());
         }
     }
