--- a/src/operations/mod.rs
+++ b/src/operations/mod.rs
@@ -412,3 +412,6 @@
         (false, false) => "default",
     }
 }
+
+#[cfg(test)]
+mod tests;
