A machine counts as deleted only when no block lists it

Cause: a holder took "not in this block" for "deleted". The watch cache keeps one block for each machine, the one that was written last, so a second inventory with the machine looked like its deletion to the holder of the first.

Evidence: "machine recorded in two blocks" and "task lost" with `proof="machine deleted"` within 1 ms on the holder, while the cloud had deleted nothing.

Change: the proof needs that no inventory lists the machine. When it is removed from one of two, the watch cache shows the other. The leader terminates a machine that two blocks list and removes it from both, since their holders stop each other's tasks and can't prove these ended.

--- a/src/provisioning/machine_observations.rs
+++ b/src/provisioning/machine_observations.rs
@@ -75,9 +75,20 @@
                 warn!(machine = %id, unresponsive, faulty = health.faulty, known_up, "machine terminated: unresponsive or faulty");
             }
         }
+        self.fail_machines_in_several_blocks(cache);
         self.fail_overdue_cancellations(now, leader.config, cache, proven_ended);
     }
 
+    /// Declares machines failed that several blocks list. Their holders stop each other's tasks, and only the machine's
+    /// termination proves these ended.
+    fn fail_machines_in_several_blocks(&mut self, cache: &WatchCache) {
+        for id in &cache.machines_in_several_blocks {
+            if self.failed.insert(id.clone()) {
+                warn!(machine = %id, "machine terminated: recorded in several blocks");
+            }
+        }
+    }
+
     fn retain_recorded(
         &mut self,
         now: Now,
--- a/src/provisioning/tests/late_transactions.rs
+++ b/src/provisioning/tests/late_transactions.rs
@@ -1,6 +1,7 @@
 //! Transactions of the provisioner that get no response and are executed after newer ones.
 
 use super::*;
+use crate::cloud::CloudResponse;
 use crate::domain::{AgentEpoch, FencingToken};
 use crate::store::records::pending_rental_key;
 use crate::workers::wire::Heartbeat;
@@ -95,6 +96,36 @@
         txn
     }
 
+    /// Observes the machines. The cloud confirms the termination of those that have failed. Returns them.
+    fn terminate_failed_machines(&mut self) -> Vec<String> {
+        self.now.monotonic += ROUND;
+        let cache = &mut self.records.cache;
+        cache.set_current_as_of(self.now.monotonic);
+        let LeaderFixture { config, policy, .. } = &self.fixture;
+        let leader = self.fixture.leader(16);
+        let (health, zones) = (BTreeMap::new(), BTreeSet::new());
+        self.provisioner
+            .observe(self.now, &leader, cache, &health, &zones, |_, _| false);
+        let requests = self
+            .provisioner
+            .cloud_requests(self.now, config, cache, &self.demand);
+        let mut terminated = Vec::new();
+        for (purpose, _) in requests {
+            if let CloudRequestPurpose::Terminate(machines) = &purpose {
+                terminated.extend(machines.iter().map(|id| id.0.to_string()));
+                self.provisioner.handle_cloud_response(
+                    self.now,
+                    policy,
+                    config,
+                    cache,
+                    purpose,
+                    CloudResponse::Terminated,
+                );
+            }
+        }
+        terminated
+    }
+
     /// The inventories that contain a machine.
     fn blocks_with(&self, id: &str) -> Vec<&BlockId> {
         let inventories = self.records.cache.inventories.iter();
@@ -152,3 +183,19 @@
         StoreResponse::Conflict
     );
 }
+
+/// Guards against a machine that stays in two blocks, as an earlier version may have recorded it: each holder stops the
+/// tasks of the other one, and none of these is proven ended.
+#[test]
+fn a_machine_in_two_blocks_is_terminated_and_removed_from_both() {
+    let mut fixture = ProvisionerFixture::new();
+    fixture.set_inventory(0, &["m-1"]);
+    fixture.set_inventory(1, &["m-1"]);
+    assert_eq!(fixture.terminate_failed_machines(), ["m-1"]);
+    assert_eq!(fixture.blocks_with("m-1").len(), 2, "not confirmed yet");
+    for _ in 0..MAX_ROUNDS {
+        fixture.run_round();
+    }
+    assert_eq!(fixture.blocks_with("m-1"), [] as [&BlockId; 0]);
+    assert!(fixture.records.cache.machines.is_empty());
+}
--- a/src/store/cache/apply.rs
+++ b/src/store/cache/apply.rs
@@ -80,16 +80,15 @@
     fn index_machines(&mut self, block: &BlockId, old: Option<&MachineInventory>) {
         let new = self.inventories.get(block).map(|new| &new.value);
         for id in old.iter().flat_map(|old| old.machines.keys()) {
-            let still_listed = new.is_some_and(|new| new.machines.contains_key(id));
-            let in_this_block = self
-                .machines
-                .get(id)
-                .is_some_and(|machine| machine.block == *block);
-            // A machine that has moved to another block is kept.
-            if !still_listed && in_this_block {
-                self.machines.remove(id);
-                self.changed.machines.insert(id.clone());
+            if new.is_some_and(|new| new.machines.contains_key(id)) {
+                continue;
             }
+            match self.machine_in_other_block(block, id) {
+                Some(machine) => self.machines.insert(id.clone(), machine),
+                None => self.machines.remove(id),
+            };
+            self.machines_in_several_blocks.remove(id);
+            self.changed.machines.insert(id.clone());
         }
         let Some(new) = new else {
             return;
@@ -104,11 +103,21 @@
                 && other.block != *block
             {
                 warn!(machine = %id, block = %other.block, other_block = %block, "machine recorded in two blocks");
+                self.machines_in_several_blocks.insert(id.clone());
             }
             self.changed.machines.insert(id.clone());
         }
     }
 
+    /// Returns a machine as another block's inventory lists it.
+    fn machine_in_other_block(&self, block: &BlockId, id: &MachineId) -> Option<Machine> {
+        let mut others = self.inventories.iter().filter(|(other, _)| *other != block);
+        others.find_map(|(other, inventory)| {
+            let entry = inventory.value.machines.get(id)?;
+            Some(machine_from_entry(entry, &inventory.value.zone, other))
+        })
+    }
+
     fn apply_placements(&mut self, block: BlockId, part: Part, change: Change) {
         let version = change.version;
         let parts = self.placements_parts.entry(block.clone()).or_default();
--- a/src/store/cache/mod.rs
+++ b/src/store/cache/mod.rs
@@ -163,6 +163,8 @@
     inventory_parts: BTreeMap<BlockId, Parts<MachineInventory>>,
     /// The machines of all inventories.
     pub machines: BTreeMap<MachineId, Machine>,
+    /// Machines that the inventories of several blocks list, which is not expected.
+    pub machines_in_several_blocks: BTreeSet<MachineId>,
     /// Rental requests that may have been sent.
     pub pending_rentals: BTreeMap<InstanceTypeName, Versioned<PendingRental>>,
     /// Jobs that have not ended.
@@ -208,6 +210,7 @@
             inventories: BTreeMap::new(),
             inventory_parts: BTreeMap::new(),
             machines: BTreeMap::new(),
+            machines_in_several_blocks: BTreeSet::new(),
             pending_rentals: BTreeMap::new(),
             open_jobs: BTreeMap::new(),
             ended_jobs: HashMap::new(),
--- a/src/workers/block/mod.rs
+++ b/src/workers/block/mod.rs
@@ -9,7 +9,7 @@
 //! - An attempt is launched only after it is recorded, and only on a worker that has confirmed the block's token.
 //! - An attempt is added to `proven_ended` only if its end is proven: the worker, having confirmed the block's token,
 //!   reports the exit, or does not list the attempt while no launch of it can still be executed; or the machine is
-//!   deleted.
+//!   deleted and in no inventory.
 //! - At most one transaction on the placements is in flight.
 
 mod assignments;
@@ -189,15 +189,20 @@
             .cloned()
             .collect();
         for machine in known {
-            let record = cache.machines.get(&machine);
-            let in_block = record.is_some_and(|record| record.block == self.id);
-            self.sync_machine(now, &machine, in_block);
+            let current_block = cache.machines.get(&machine).map(|record| &record.block);
+            self.sync_machine(now, &machine, current_block);
         }
     }
 
-    /// Adds a machine that is in the block, and removes one that is not.
-    pub(super) fn sync_machine(&mut self, now: Now, id: &MachineId, in_block: bool) {
-        if in_block {
+    /// Adds a machine that is in the block, and removes one that is not. `current_block`: the block that the machine is
+    /// recorded in, if any.
+    pub(super) fn sync_machine(
+        &mut self,
+        now: Now,
+        id: &MachineId,
+        current_block: Option<&BlockId>,
+    ) {
+        if current_block == Some(&self.id) {
             if !self.workers.contains_key(id) {
                 self.workers.insert(id.clone(), Worker::new(now));
                 self.workers_to_report.insert(id.clone());
@@ -205,7 +210,11 @@
             return;
         }
         self.workers.remove(id);
-        // The record of a machine is removed only after the cloud has deleted it, so its tasks have ended.
+        if current_block.is_some() {
+            // It is recorded in two blocks and not deleted: its tasks may still run.
+            return;
+        }
+        // A machine is removed from all inventories only after the cloud has deleted it, so its tasks have ended.
         for attempt in self.recorded.attempts_on(id) {
             let ended = EndedAttempt {
                 machine: id.clone(),
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -83,7 +83,7 @@
         for id in &changed.machines {
             let current_block = cache.machines.get(id).map(|machine| &machine.block);
             for block in self.blocks.values_mut() {
-                block.sync_machine(now, id, current_block == Some(&block.id));
+                block.sync_machine(now, id, current_block);
             }
         }
         self.request_stops(cache, changed);
--- a/src/workers/tests/placement_writes.rs
+++ b/src/workers/tests/placement_writes.rs
@@ -214,3 +214,18 @@
         .remove(0);
     assert_eq!(status.pending, [] as [u64; 0]);
 }
+
+/// Guards against tasks that count as ended, and run twice, because a second block lists the machine that they run on.
+#[test]
+fn a_machine_that_another_block_lists_too_is_no_proof_that_its_tasks_have_ended() {
+    let mut holder = Holder::new(job(1, 1.0));
+    holder.assign_task(1, "m-1", 1);
+    let running = [("m-1".to_owned(), 1)];
+    assert_eq!(holder.commit_due_writes(), running);
+    holder.put_inventory("a.1", &["m-1"]);
+    assert_eq!(holder.commit_due_writes(), running);
+    holder.put_inventory("a.0", &["m-2"]);
+    assert_eq!(holder.commit_due_writes(), running, "still in block a.1");
+    holder.put_inventory("a.1", &[]);
+    assert_eq!(holder.commit_due_writes(), [], "deleted");
+}
