--- a/review/lib2/machines.py
+++ b/review/lib2/machines.py
@@ -43,6 +43,8 @@
         self.is_hung = False
         self.deaf = False
         self.mute = False
+        # Tasks fail here a second after they began.
+        self.faulty = False
         self.session, self.seq, self.token = 1, 0, 0
         self.tasks = {}
         self.images = set()
@@ -137,6 +139,8 @@
                         self.begin(task)
                     elif image not in self.fetching:
                         self.fetching[image] = task.job["imageGb"] / self.type["pullGbPerS"]
+                elif task.status == "running" and self.faulty and now - task.since > 1.0:
+                    self.exit(task, "error")
                 elif task.status == "waiting":
                     self.wait_for_gang(task, now)
                 elif task.status == "running" and task.job["shape"] == "ensemble":
