--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,4 @@
-"""All controllers are restarted one after the other, with a lower number of blocks in the operators' own settings.
-After that no task is started any more."""
+"""One machine turns faulty. The replicas that failed on it never run again, although other machines have room."""
 
 import asyncio
 import os
@@ -10,70 +9,67 @@
 from deployment import job, main  # noqa: E402
 
 WAITING_S = 90.0
+REPLICAS = 6
+SERVICE = "j-000001"
 
+ALATAU = {"name": "alatau-node", "cpus": 32.0, "cards": 0.0, "ramGb": 128.0, "cacheGb": 60.0, "pullGbPerS": 0.6,
+          "rate": 1.57, "spotPrice": 0.36, "readyS": 35.0, "wings": ["cityhall-room"]}
 
-def machine_with_room(site, need):
-    """The name of a machine that is up and has room for a task, if there is one."""
+
+def sound_machines_with_room(site, need):
+    """The machines that are up, are not faulty, and have room for a task."""
+    names = []
     for machine in site.platform.machines.values():
         used = sum(task.job["cpus"] for task in machine.tasks.values() if task.status != "exited")
-        if machine.up and used + need["cpus"] <= machine.type["cpus"]:
-            return machine.name
-    return None
+        if machine.up and not machine.faulty and used + need["cpus"] <= machine.type["cpus"]:
+            names.append(machine.name)
+    return names
 
 
-async def case(site, trouble):
-    policy = os.path.join(site.temp, "policy.toml")
+def sound_replicas(site):
+    return [m for m in site.running(SERVICE) if not site.platform.machines[m].faulty]
 
-    def write_policy(blocks):
-        with open(policy, "w") as file:
-            file.write(f'blocks_per_controller = "{blocks}"\n')
-        site.record("operators' own settings", blocks_per_controller=blocks)
 
-    write_policy("2.0")
-    site.arguments = ["--policy", policy]
+async def case(site, trouble):
     await site.start()
     if not await site.healthy():
         return 2
-    first = job(1, "transcribers-00", entries=2)
-    if await site.submit(first) not in (200, 201):
+    service = job(1, "intake-desk", REPLICAS, cpus=2.0, ramGb=4.3, shape="service", precedence="prod",
+                  docket="claim-portal", expectS=0.0)
+    if await site.submit(service) not in (200, 201):
         return 2
-    if not await site.until(lambda: len(site.platform.results) == 2, 20):
+    if not await site.until(lambda: len(site.running(SERVICE)) == REPLICAS, 20):
         return 2
+    await asyncio.sleep(2)
 
     if trouble:
-        write_policy("1.0")
-    for node in range(site.count):
-        await site.restart(node, after=0.3)
-        await asyncio.sleep(1.5)
-    if not await site.healthy(15):
-        return 2
-    site.record("all controllers are back", leader=site.leader())
-
-    second = job(2, "transcribers-00", entries=2)
-    if await site.submit(second) not in (200, 201):
-        return 2
-    accepted = time.monotonic()
-    room_since = None
-    while time.monotonic() - accepted < WAITING_S + 3:
-        await asyncio.sleep(0.5)
-        if any(task.startswith("j-000002/") for _, task, _, _ in site.platform.starts):
-            site.record("the second job has begun", after_s=time.monotonic() - accepted)
-            return 0
-        machine = machine_with_room(site, second)
-        if machine is None:
-            room_since = None
-        elif room_since is None:
-            room_since = time.monotonic()
-        elif time.monotonic() - room_since > WAITING_S:
-            await site.poll("j-000002")
-            site.record("RULE BROKEN: an accepted job waits beside room", machine=machine,
-                        waited_s=time.monotonic() - accepted)
-            for key in sorted(site.state.keys):
-                if key.startswith(("dappleshore/grant/", "dappleshore/leader")):
-                    site.record("record", key=key, value=site.state.keys[key][0])
+        on = site.running(SERVICE)
+        name = max(set(on), key=on.count)
+        site.platform.machines[name].faulty = True
+        site.record("a machine turns faulty: tasks fail on it", machine=name, replicas=on.count(name))
+    begun = time.monotonic()
+    missing_since, fewest, room = None, REPLICAS, []
+    while time.monotonic() - begun < WAITING_S + 12:
+        await asyncio.sleep(0.2)
+        running = sound_replicas(site)
+        room = sound_machines_with_room(site, service)
+        fewest = min(fewest, len(running))
+        if len(running) == REPLICAS or not room:
+            missing_since = None
+        elif missing_since is None:
+            missing_since = time.monotonic()
+        elif time.monotonic() - missing_since > WAITING_S:
+            await site.poll(SERVICE)
+            site.record("RULE BROKEN: replicas do not run beside room", running=running, wanted=REPLICAS,
+                        machines_with_room=room, faulty_machine_rented=any(
+                            machine.faulty for machine in site.platform.machines.values()))
             return 1
-    site.record("the job waits, but no machine had room for the whole time")
-    return 2
+    site.record("the replicas run", running=sound_replicas(site), fewest=fewest)
+    return 0 if len(sound_replicas(site)) == REPLICAS else 2
 
 
-main(case, seed=4)
+main(case, seed=4, zones=["cityhall-room"], types=[ALATAU],
+     capacity={("alatau-node", "cityhall-room", False): 30, ("alatau-node", "cityhall-room", True): 18},
+     teams=[("intake-desk", 240.0, 600.0), ("returns-desk", 304.0, 544.0), ("transit-liaison", 600.0, 1800.0)],
+     state={"rps": 150.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 16}, cloud={"rps": 6.0, "list_lag_s": 10.0},
+     workers={"report_s": 3.0, "lease_s": 26.0, "gang_wait_s": 30.0, "gang_peer_s": 6.0, "cancel_s": 56.0})
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,5 @@
-"""One machine turns faulty. The replicas that failed on it never run again, although other machines have room."""
+"""A flood of small batch jobs of one team, within its limit, shuts out another team's job that is within its
+guarantee, while machines are empty."""
 
 import asyncio
 import os
@@ -9,63 +10,69 @@
 from deployment import job, main  # noqa: E402
 
 WAITING_S = 90.0
-REPLICAS = 6
-SERVICE = "j-000001"
+# 12 jobs of 250 tasks of 0.25 CPUs are 750 CPUs of the 1800 that the team may use.
+FLOOD_JOBS, FLOOD_TASKS, FLOOD_CPUS, FLOOD_RUN_S, FLOOD_JOBS_PER_S = 12, 250, 0.25, 200.0, 4
 
 ALATAU = {"name": "alatau-node", "cpus": 32.0, "cards": 0.0, "ramGb": 128.0, "cacheGb": 60.0, "pullGbPerS": 0.6,
           "rate": 1.57, "spotPrice": 0.36, "readyS": 35.0, "wings": ["cityhall-room"]}
 
 
-def sound_machines_with_room(site, need):
-    """The machines that are up, are not faulty, and have room for a task."""
+def machines_with_room(site, need):
+    """The machines that are up, report, and have room for a task."""
     names = []
     for machine in site.platform.machines.values():
-        used = sum(task.job["cpus"] for task in machine.tasks.values() if task.status != "exited")
-        if machine.up and not machine.faulty and used + need["cpus"] <= machine.type["cpus"]:
+        tasks = [task for task in machine.tasks.values() if task.status != "exited"]
+        cpus = sum(task.job["cpus"] for task in tasks)
+        ram = sum(task.job["ramGb"] for task in tasks)
+        if machine.up and cpus + need["cpus"] <= 32.0 and ram + need["ramGb"] <= 128.0:
             names.append(machine.name)
     return names
 
 
-def sound_replicas(site):
-    return [m for m in site.running(SERVICE) if not site.platform.machines[m].faulty]
-
-
 async def case(site, trouble):
     await site.start()
     if not await site.healthy():
         return 2
-    service = job(1, "intake-desk", REPLICAS, cpus=2.0, ramGb=4.3, shape="service", precedence="prod",
-                  docket="claim-portal", expectS=0.0)
-    if await site.submit(service) not in (200, 201):
-        return 2
-    if not await site.until(lambda: len(site.running(SERVICE)) == REPLICAS, 20):
-        return 2
-    await asyncio.sleep(2)
-
     if trouble:
-        on = site.running(SERVICE)
-        name = max(set(on), key=on.count)
-        site.platform.machines[name].faulty = True
-        site.record("a machine turns faulty: tasks fail on it", machine=name, replicas=on.count(name))
-    begun = time.monotonic()
-    missing_since, fewest, room = None, REPLICAS, []
-    while time.monotonic() - begun < WAITING_S + 12:
+        flood = [job(200001 + number, "transit-liaison", FLOOD_TASKS, cpus=FLOOD_CPUS, ramGb=0.9,
+                     docket="photo-match") for number in range(FLOOD_JOBS)]
+        submissions = []
+        for one in flood:
+            submissions.append(asyncio.ensure_future(site.submit(one, run_s=FLOOD_RUN_S)))
+            await asyncio.sleep(1 / FLOOD_JOBS_PER_S)
+        if any(answer not in (200, 201) for answer in await asyncio.gather(*submissions)):
+            return 2
+    # Until the flood has spread as far as it can.
+    count, since = -1, time.monotonic()
+    begun = since
+    while time.monotonic() - since < 4 and time.monotonic() - begun < 15:
         await asyncio.sleep(0.2)
-        running = sound_replicas(site)
-        room = sound_machines_with_room(site, service)
-        fewest = min(fewest, len(running))
-        if len(running) == REPLICAS or not room:
-            missing_since = None
-        elif missing_since is None:
-            missing_since = time.monotonic()
-        elif time.monotonic() - missing_since > WAITING_S:
-            await site.poll(SERVICE)
-            site.record("RULE BROKEN: replicas do not run beside room", running=running, wanted=REPLICAS,
-                        machines_with_room=room, faulty_machine_rented=any(
-                            machine.faulty for machine in site.platform.machines.values()))
+        if len(site.platform.on) != count:
+            count, since = len(site.platform.on), time.monotonic()
+    site.record("tasks on machines", count=len(site.platform.on), machines=len(site.platform.machines))
+
+    after = job(300001, "returns-desk", cpus=8.0, ramGb=27.0, docket="photo-match")
+    if await site.submit(after, run_s=2.0) not in (200, 201):
+        return 2
+    accepted = time.monotonic()
+    room_since = None
+    while time.monotonic() - accepted < WAITING_S + 3:
+        await asyncio.sleep(0.5)
+        if any(task.startswith("j-300001/") for _, task, _, _ in site.platform.starts):
+            site.record("the team's job has begun", after_s=time.monotonic() - accepted)
+            return 0
+        machines = machines_with_room(site, after)
+        if not machines:
+            room_since = None
+        elif room_since is None:
+            room_since = time.monotonic()
+        elif time.monotonic() - room_since > WAITING_S:
+            await site.poll("j-300001")
+            site.record("RULE BROKEN: a job within its team's guarantee waits beside room", machines=machines,
+                        waited_s=time.monotonic() - accepted, tasks_on_machines=len(site.platform.on))
             return 1
-    site.record("the replicas run", running=sound_replicas(site), fewest=fewest)
-    return 0 if len(sound_replicas(site)) == REPLICAS else 2
+    site.record("the job waits, but no machine had room for the whole time")
+    return 2
 
 
 main(case, seed=7, zones=["cityhall-room"], types=[ALATAU],
