--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,5 @@
-"""One machine turns faulty. The replicas that failed on it never run again, although other machines have room."""
+"""The write that places a service's tasks gets no answer and is carried out late, when the value that it puts has been
+divided into several. A task that was replaced in between is started twice after an absence of all controllers."""
 
 import asyncio
 import os
@@ -8,68 +9,67 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib2"))
 from deployment import job, main  # noqa: E402
 
-WAITING_S = 90.0
-REPLICAS = 6
-SERVICE = "j-000001"
+ZONE = "gauteng-rack"
+PLACES = f"dappleshore/places/{ZONE}.0"
+# The late write comes within 12 s; the controllers are away for longer than `lease_s` (26 s).
+LATE_S, AWAY_S = 11.5, 28.0
+REPLICAS = 120
+SERVICE = "j-400001"
 
-ALATAU = {"name": "alatau-node", "cpus": 32.0, "cards": 0.0, "ramGb": 128.0, "cacheGb": 60.0, "pullGbPerS": 0.6,
-          "rate": 1.57, "spotPrice": 0.36, "readyS": 35.0, "wings": ["cityhall-room"]}
 
+async def case(site, trouble):
+    first = {}
 
-def sound_machines_with_room(site, need):
-    """The machines that are up, are not faulty, and have room for a task."""
-    names = []
-    for machine in site.platform.machines.values():
-        used = sum(task.job["cpus"] for task in machine.tasks.values() if task.status != "exited")
-        if machine.up and not machine.faulty and used + need["cpus"] <= machine.type["cpus"]:
-            names.append(machine.name)
-    return names
-
-
-def sound_replicas(site):
-    return [m for m in site.running(SERVICE) if not site.platform.machines[m].faulty]
-
+    def commit_fault(node, body):
+        values = [change["value"] for change in body.get("apply") or [] if change.get("put") == PLACES]
+        if first or not values or not values[0]["on"]:
+            return None
+        first.update(at=time.monotonic(), value=values[0])
+        site.record("first write of the block", attempts=sum(map(len, values[0]["on"].values())), when=body["when"][:3])
+        return ("late", LATE_S) if trouble else None
 
-async def case(site, trouble):
-    await site.start()
-    if not await site.healthy():
-        return 2
-    service = job(1, "intake-desk", REPLICAS, cpus=2.0, ramGb=4.3, shape="service", precedence="prod",
-                  docket="claim-portal", expectS=0.0)
+    site.state.commit_fault = commit_fault
+    await site.state.start(site.state_ports)
+    await site.platform.start(site.cloud_port)
+    for node in (0, 1):
+        await site.start_node(node)
+    service = job(400001, "transcribers-00", REPLICAS, cpus=0.1, ramGb=0.2, shape="service", precedence="prod",
+                  docket="lineage-lookup", wing=ZONE, expectS=0.0, imageGb=0.1)
     if await site.submit(service) not in (200, 201):
         return 2
     if not await site.until(lambda: len(site.running(SERVICE)) == REPLICAS, 20):
         return 2
-    await asyncio.sleep(2)
-
-    if trouble:
-        on = site.running(SERVICE)
-        name = max(set(on), key=on.count)
-        site.platform.machines[name].faulty = True
-        site.record("a machine turns faulty: tasks fail on it", machine=name, replicas=on.count(name))
-    begun = time.monotonic()
-    missing_since, fewest, room = None, REPLICAS, []
-    while time.monotonic() - begun < WAITING_S + 12:
-        await asyncio.sleep(0.2)
-        running = sound_replicas(site)
-        room = sound_machines_with_room(site, service)
-        fewest = min(fewest, len(running))
-        if len(running) == REPLICAS or not room:
-            missing_since = None
-        elif missing_since is None:
-            missing_since = time.monotonic()
-        elif time.monotonic() - missing_since > WAITING_S:
-            await site.poll(SERVICE)
-            site.record("RULE BROKEN: replicas do not run beside room", running=running, wanted=REPLICAS,
-                        machines_with_room=room, faulty_machine_rented=any(
-                            machine.faulty for machine in site.platform.machines.values()))
-            return 1
-    site.record("the replicas run", running=sound_replicas(site), fewest=fewest)
-    return 0 if len(sound_replicas(site)) == REPLICAS else 2
+    site.record("all replicas run")
+    # The third controller comes back with the new program: the last one of the upgrade.
+    await site.start_node(2)
+    if not await site.until(lambda: "dappleshore/format" in site.state.keys, 6):
+        return 2
+    site.record("the format is switched on")
+    other = job(400002, "transcribers-01", cpus=0.1, ramGb=0.2, wing=ZONE, imageGb=0.1)
+    if await site.submit(other, run_s=1.0) not in (200, 201):
+        return 2
+    # The next write of the block, which the limits don't allow in one value any more.
+    if not await site.until(lambda: PLACES not in site.state.keys, first["at"] + LATE_S - 0.5 - time.monotonic()):
+        site.record("the value was not divided in time")
+        return 2
+    site.record("the value is divided", keys=[key for key in sorted(site.state.keys) if "/places" in key])
+    machine, attempts = next(iter(sorted(first["value"]["on"].items())))
+    name = "j-" + attempts[0].split(":")[0]
+    site.platform.machines[machine].exit(site.platform.machines[machine].tasks[name], "error")
+    site.record("a replica exits with error", task=name, machine=machine)
+    if not await site.until(lambda: len(site.running(SERVICE)) == REPLICAS, 5):
+        return 2
+    await asyncio.sleep(max(0, first["at"] + LATE_S + 1 - time.monotonic()))
+    site.record("records of placements", keys=[k for k in sorted(site.state.keys) if "/places" in k])
+    for node in range(site.count):
+        await site.kill(node)
+    await asyncio.sleep(AWAY_S)
+    for node in range(site.count):
+        await site.start_node(node)
+    await site.until(lambda: len(site.running(SERVICE)) >= REPLICAS, 20)
+    await asyncio.sleep(3)
+    site.record("rules broken", broken=site.platform.broken)
+    return 1 if any(rule == "ran_twice" for rule, _ in site.platform.broken) else 0
 
 
-main(case, seed=4, zones=["cityhall-room"], types=[ALATAU],
-     capacity={("alatau-node", "cityhall-room", False): 30, ("alatau-node", "cityhall-room", True): 18},
-     teams=[("intake-desk", 240.0, 600.0), ("returns-desk", 304.0, 544.0), ("transit-liaison", 600.0, 1800.0)],
-     state={"rps": 150.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 16}, cloud={"rps": 6.0, "list_lag_s": 10.0},
-     workers={"report_s": 3.0, "lease_s": 26.0, "gang_wait_s": 30.0, "gang_peer_s": 6.0, "cancel_s": 56.0})
+main(case, seed=4, boot_s=(1.0, 1.05), next_limits={"value_kb": 2.0, "txn_ops": 5, "write_rps": 15.0})
