--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,8 +10,8 @@
 from deployment import job, main  # noqa: E402
 
 WAITING_S = 90.0
-# 12 jobs of 250 tasks of 0.25 CPUs are 750 CPUs of the 1800 that the team may use.
-FLOOD_JOBS, FLOOD_TASKS, FLOOD_CPUS, FLOOD_RUN_S, FLOOD_JOBS_PER_S = 12, 250, 0.25, 200.0, 4
+# 24 jobs of 250 tasks of 0.25 CPUs are 1500 CPUs of the 1800 that the team may use.
+FLOOD_JOBS, FLOOD_TASKS, FLOOD_CPUS, FLOOD_RUN_S, FLOOD_JOBS_PER_S = 24, 250, 0.25, 200.0, 4
 
 ALATAU = {"name": "alatau-node", "cpus": 32.0, "cards": 0.0, "ramGb": 128.0, "cacheGb": 60.0, "pullGbPerS": 0.6,
           "rate": 1.57, "spotPrice": 0.36, "readyS": 35.0, "wings": ["cityhall-room"]}
