A new leader renews the leases of all blocks, required or not

Cause: releases wait until every block lease is of the present term. The leases that a leader renews were those of the blocks that follow from the policy, the number of controllers and the zones, and of those with an inventory. The lease of a block without machines that is no longer required stayed in its old term for good.

Evidence: nothing in the logs told why no task was released, so a warning and the metric `leases_outdated` come first.

Change: the leader renews the leases of required and of leased blocks, and gives those of a controller that is gone to others. Leases are not removed: that would let the condition "there is no lease" become true again. Releases still wait for all leases, as they have to: a holder may record its earlier leader's releases under each lease that is not renewed.

--- a/src/block_leases/assignment.rs
+++ b/src/block_leases/assignment.rs
@@ -111,14 +111,14 @@
 
     /// Moves one block from the controller with the most blocks to the controller with the fewest if they differ by
     /// two or more, so that a controller that has come back gets blocks again.
-    pub(super) fn rebalance(&mut self, required_blocks: &BTreeMap<BlockId, Zone>) -> Option<()> {
+    pub(super) fn rebalance(&mut self, blocks: &BTreeMap<BlockId, Zone>) -> Option<()> {
         let (least_loaded, fewest) = self.lease_counts.iter().min_by_key(|(_, count)| **count)?;
         let (most_loaded, most) = self.lease_counts.iter().max_by_key(|(_, count)| **count)?;
         if *most < fewest + 2 {
             return None;
         }
         let config = self.leader.config;
-        let (block, _) = required_blocks
+        let (block, _) = blocks
             .iter()
             .filter(|(block, _)| {
                 self.cache
--- a/src/block_leases/mod.rs
+++ b/src/block_leases/mod.rs
@@ -60,6 +60,20 @@
     required
 }
 
+/// Adds the blocks that are leased already, whether or not they are still required. The previous leader's holders may
+/// record its releases there until each lease is renewed, so that a new leader waits for all of them.
+fn with_leased_blocks(
+    mut blocks: BTreeMap<BlockId, Zone>,
+    cache: &WatchCache,
+) -> BTreeMap<BlockId, Zone> {
+    for (block, lease) in &cache.block_leases {
+        blocks
+            .entry(block.clone())
+            .or_insert_with(|| lease.value.zone.clone());
+    }
+    blocks
+}
+
 /// The last heartbeat received from a controller.
 #[derive(Debug)]
 struct LastHeartbeat {
@@ -177,7 +191,8 @@
         let mut assignment = LeaseAssignment::new(leader, cache, holders);
         let zones = leader.catalog.zones(leader.config);
         let required = required_blocks(&zones, leader.config, leader.policy, cache);
-        for (block, zone) in &required {
+        let blocks = with_leased_blocks(required, cache);
+        for (block, zone) in &blocks {
             assignment.assign(block, zone, self.token_renewals.get(block));
         }
         let term_age = self
@@ -185,7 +200,7 @@
             .as_ref()
             .map(|current| since(now, current.known_since));
         if assignment.is_empty() && term_age.is_some_and(|age| age > REBALANCE_DELAY) {
-            assignment.rebalance(&required);
+            assignment.rebalance(&blocks);
         }
         if assignment.is_empty() {
             return None;
--- a/src/block_leases/tests.rs
+++ b/src/block_leases/tests.rs
@@ -20,6 +20,7 @@
     version: u64,
     other: ControllerName,
     manager: BlockLeaseManager,
+    term: Term,
 }
 
 impl Fixture {
@@ -50,6 +51,7 @@
             version: 2,
             other,
             manager: BlockLeaseManager::new(),
+            term: Term(1),
         }
     }
 
@@ -71,7 +73,7 @@
             config: &self.config,
             policy: &self.policy,
             catalog: &self.catalog,
-            term: Term(1),
+            term: self.term,
             record_version: 1,
             max_changes: 16,
             has_spare_writes: true,
@@ -130,3 +132,32 @@
     fixture.suspend(120, &leader);
     assert!(fixture.commit_leases(121) > 0);
 }
+
+/// Guards against leases that no leader renews, for which all releases wait: those of blocks that a restart with a lower
+/// `blocks_per_controller`, or with fewer controllers or zones, no longer requires.
+#[test]
+fn a_new_leader_renews_the_leases_of_blocks_that_are_no_longer_required() {
+    let mut fixture = Fixture::new();
+    fixture.policy.blocks_per_controller = 2;
+    fixture.commit_leases(0);
+    fixture.commit_leases(1);
+    let leased = fixture.cache.block_leases.len();
+    fixture.policy.blocks_per_controller = 1;
+    let zones = fixture.catalog.zones(&fixture.config);
+    let required = required_blocks(&zones, &fixture.config, &fixture.policy, &fixture.cache);
+    assert!(required.len() < leased, "{required:?} of {leased}");
+    fixture.term = Term(2);
+    // The holder of some of them is gone.
+    fixture.cache.apply(Change {
+        key: member_key(&fixture.other),
+        version: fixture.version,
+        value: None,
+    });
+    fixture.commit_leases(2);
+    fixture.commit_leases(3);
+    assert_eq!(fixture.cache.block_leases.len(), leased);
+    for (block, lease) in &fixture.cache.block_leases {
+        assert_eq!(lease.value.term, Term(2), "{block}");
+        assert_eq!(lease.value.holder, fixture.config.name, "{block}");
+    }
+}
--- a/src/controller/metrics_summary.rs
+++ b/src/controller/metrics_summary.rs
@@ -67,6 +67,8 @@
         for (team, count) in &state.scheduler.pending_tasks {
             gauges.insert(format!("waiting{{team=\"{team}\"}}"), *count as f64);
         }
+        let outdated_leases = state.scheduler.outdated_lease_count(self.cache);
+        gauges.insert("leases_outdated".to_owned(), outdated_leases as f64);
         gauges.insert("jobs_open".to_owned(), self.cache.open_jobs.len() as f64);
         gauges.insert("jobs_ended".to_owned(), self.cache.ended_jobs.len() as f64);
         let waiting: u64 = state.scheduler.pending_tasks.values().sum();
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod fair_share_order;
 mod gangs;
 mod holder_health;
+mod outdated_leases;
 mod preemption;
 mod releases;
 mod usage;
@@ -42,6 +43,7 @@
 use demand::CurrentLoad;
 use draining::DrainCoordinator;
 use failures::Failures;
+use outdated_leases::OutdatedLeases;
 use releases::ReleaseContext;
 use usage::Usage;
 use waiting::{PlacementRequirements, minimum_need};
@@ -71,6 +73,7 @@
     update_sequence_number: u64,
     /// The state of each block whose lease is of this term.
     block_states: BTreeMap<BlockId, BlockState>,
+    outdated_leases: OutdatedLeases,
     writer: WriterState,
     /// The attempts that the records showed in the last round, by number, to detect those that have ended since.
     observed_attempts: HashMap<u64, ObservedAttempt>,
@@ -149,6 +152,7 @@
             next_attempt: term.0 << 20,
             update_sequence_number: 0,
             block_states: BTreeMap::new(),
+            outdated_leases: OutdatedLeases::new(now, term),
             writer: WriterState::Unconfirmed {
                 since: now.monotonic,
             },
@@ -515,11 +519,9 @@
             gang_capacity_reserved: false,
         };
         // Tasks are released only when all placements are known: every block has a block lease of this term.
-        let all_leases_current = !cache.block_leases.is_empty()
-            && cache
-                .block_leases
-                .values()
-                .all(|lease| lease.value.term == self.term);
+        self.outdated_leases.warn_if_overdue(now, cache);
+        let all_leases_current =
+            !cache.block_leases.is_empty() && self.outdated_lease_count(cache) == 0;
         if all_leases_current {
             self.plan_drains(&capacity, cache, &mut plan);
         }
@@ -534,6 +536,11 @@
         plan.demand
     }
 
+    /// The number of block leases of earlier terms. No task is released until this leader has renewed them.
+    pub fn outdated_lease_count(&self, cache: &WatchCache) -> usize {
+        self.outdated_leases.blocks(cache).count()
+    }
+
     /// Counts the waiting tasks of each team.
     fn count_pending_tasks(&mut self, queue: &[waiting::WaitingJob<'_>]) {
         self.pending_tasks.clear();
--- a/tests/simulation/fault_combinations.rs
+++ b/tests/simulation/fault_combinations.rs
@@ -450,6 +450,23 @@
     }
 }
 
+/// Guards against releases that wait for leases which no leader renews: those of blocks that have no machines yet and
+/// that restarted controllers no longer require.
+#[test]
+fn controllers_restart_with_fewer_blocks() {
+    for seed in 264..=265 {
+        run_and_check(seed, Faults::default(), Size::SMALL, |cluster| {
+            cluster.blocks_per_controller = 4;
+            cluster.plan(seconds(4.0), |cluster| cluster.blocks_per_controller = 1);
+            for controller in 0..CONTROLLERS {
+                cluster.plan(seconds(5.0 + controller as f64), move |cluster| {
+                    cluster.end_controller(controller, seconds(0.3));
+                });
+            }
+        });
+    }
+}
+
 /// Old heartbeats arrive after newer ones, including some from an earlier agent epoch or attempt.
 #[test]
 fn old_heartbeats_arrive_after_newer_ones() {
