Whether a gang fits is remembered with its bounds on zones

Cause: a plan remembers gangs that did not fit by the requirements of a task, the image and the number of tasks. A gang that must be in one zone and fits in none thereby counted as proof that a gang of the same size without that bound fits nowhere.

The log didn't say whether a gang was tried; it does now, at level trace.

Change: the key is `GangRequirements`: all that the answer depends on. The image is not in it any more: it decides the order of machines, and the number of tasks that fit does not depend on the order. `release_gang` is divided, for the linter.

Test, failing before (this commit without the two bounds in the key): a_gang_is_tried_although_one_with_stricter_bounds_on_its_zones_does_not_fit ("left: [], right: [JobId(2), ...]").

--- a/src/scheduler/gangs.rs
+++ b/src/scheduler/gangs.rs
@@ -7,11 +7,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use tracing::{debug, info};
+use tracing::{debug, info, trace};
 
 use super::waiting::{PlacementRequirements, WaitingJob};
 use super::{Plan, Scheduler};
-use crate::domain::{Attempt, BlockId, JobId, JobKind, MachineId, Now, TaskId, Zone};
+use crate::domain::{Attempt, BlockId, Job, JobId, JobKind, MachineId, Now, TaskId, Zone};
 use crate::leader_context::LeaderContext;
 use crate::placement::{self, Candidate};
 use crate::store::WatchCache;
@@ -20,6 +20,31 @@
 /// and again. Only one gang reserves at a time, so that no two gangs hold parts of the capacity that both need.
 const RESERVE_CAPACITY_AFTER: Duration = Duration::from_secs(8);
 
+/// All that decides whether a gang fits into the capacity that there is: gangs with equal requirements either all fit
+/// or none does.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct GangRequirements {
+    /// The requirements of each task.
+    task: PlacementRequirements,
+    tasks: u32,
+    /// All tasks must be in the same zone.
+    one_zone: bool,
+    /// The maximum number of tasks in one zone.
+    zone_limit: u32,
+}
+
+impl GangRequirements {
+    /// Returns the requirements of a gang whose tasks each have the given ones.
+    pub(super) fn of(job: &Job, task: PlacementRequirements) -> Self {
+        GangRequirements {
+            task,
+            tasks: job.tasks,
+            one_zone: job.one_zone,
+            zone_limit: job.zone_limit(),
+        }
+    }
+}
+
 /// The state of a gang, by the placed and released tasks of its current attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum GangState {
@@ -69,6 +94,16 @@
     any_stopping: bool,
 }
 
+impl Plan {
+    /// Reserves the capacity that there is for a gang that does not fit yet.
+    fn reserve_for_gang(&mut self, job: &Job, candidate_indexes: &[usize]) {
+        self.gang_capacity_reserved = true;
+        for index in candidate_indexes {
+            self.candidates[*index].free.subtract(&job.need);
+        }
+    }
+}
+
 impl Scheduler {
     /// Releases all tasks of a gang, or none. Returns the number of released tasks.
     #[allow(
@@ -90,8 +125,13 @@
             return 0;
         }
         let reserves_capacity = may_reserve_capacity(waiting) && !plan.gang_capacity_reserved;
-        let gang_key = (requirements, job.image.clone(), job.tasks);
-        if plan.infeasible.gangs_without_capacity.contains(&gang_key) && !reserves_capacity {
+        let requirements = GangRequirements::of(job, requirements);
+        let is_infeasible = plan
+            .infeasible
+            .gangs_without_capacity
+            .contains(&requirements);
+        if is_infeasible && !reserves_capacity {
+            trace!(job = %waiting.id, "gang not tried: another one with its requirements did not fit");
             return 0;
         }
         let block_of = |machine: &MachineId| Some(cache.machines.get(machine)?.block.clone());
@@ -103,36 +143,47 @@
             block_of,
         );
         if !gang_capacity.is_complete {
-            plan.infeasible.gangs_without_capacity.insert(gang_key);
+            let fitting = gang_capacity.candidate_indexes.len();
+            trace!(job = %waiting.id, fitting, reserves_capacity, "gang does not fit");
+            plan.infeasible.gangs_without_capacity.insert(requirements);
             if reserves_capacity {
-                plan.gang_capacity_reserved = true;
-                for index in gang_capacity.candidate_indexes {
-                    plan.candidates[index].free.subtract(&job.need);
-                }
+                plan.reserve_for_gang(job, &gang_capacity.candidate_indexes);
             }
             return 0;
         }
+        self.release_gang_tasks(now, cache, waiting, &gang_capacity.candidate_indexes, plan)
+    }
+
+    /// Releases all tasks of a gang, each to the candidate with the index at its position. Returns the number of tasks.
+    fn release_gang_tasks(
+        &mut self,
+        now: Now,
+        cache: &WatchCache,
+        waiting: &mut WaitingJob<'_>,
+        candidate_indexes: &[usize],
+        plan: &mut Plan,
+    ) -> usize {
         let start = self.next_attempt;
         self.next_attempt += 1;
-        debug!(job = %waiting.id, start, tasks = gang_capacity.candidate_indexes.len(), "gang released");
-        for (index, candidate_index) in (0..).zip(&gang_capacity.candidate_indexes) {
+        debug!(job = %waiting.id, start, tasks = candidate_indexes.len(), "gang released");
+        for (index, candidate_index) in (0..).zip(candidate_indexes) {
             let task = TaskId {
                 job: waiting.id,
                 index,
             };
             let machine = plan.candidates[*candidate_index].machine.clone();
-            let (Some(attempt), Some(block)) = (Attempt::of_gang(task, start), block_of(&machine))
-            else {
+            let block = cache.machines.get(&machine).map(|m| m.block.clone());
+            let (Some(attempt), Some(block)) = (Attempt::of_gang(task, start), block) else {
                 continue;
             };
             if let Some(block_state) = self.block_states.get_mut(&block) {
                 block_state.release(now, attempt, machine, Vec::new());
-                plan.allocate(*candidate_index, &block, job);
+                plan.allocate(*candidate_index, &block, &waiting.open.job);
                 waiting.assigned_tasks.insert(index);
                 waiting.pending_tasks -= 1;
             }
         }
-        gang_capacity.candidate_indexes.len()
+        candidate_indexes.len()
     }
 
     /// Stops the remaining tasks of gangs that have lost a task.
--- a/src/scheduler/gangs/tests.rs
+++ b/src/scheduler/gangs/tests.rs
@@ -212,3 +212,36 @@
         machine_id(0)
     );
 }
+
+/// Guards against gangs that are never tried because one of their size, with other bounds on its zones, does not fit.
+#[test]
+fn a_gang_is_tried_although_one_with_stricter_bounds_on_its_zones_does_not_fit() {
+    let in_one_zone = Job {
+        one_zone: true,
+        ..gang(4, 16.0)
+    };
+    let spread = Job {
+        spread: true,
+        ..gang(4, 16.0)
+    };
+    for unfitting in [in_one_zone, spread] {
+        let mut fixture = Fixture::new(3);
+        fixture.add_block("b", 3..4);
+        let earlier_ms = fixture.now.unix_ms() - 1000;
+        fixture.add_job(
+            1,
+            Job {
+                accepted_ms: earlier_ms,
+                ..unfitting
+            },
+        );
+        fixture.add_job(2, gang(4, 16.0));
+        let (_, updates) = fixture.plan();
+        let released: Vec<JobId> = updates
+            .iter()
+            .flat_map(|update| &update.assignments)
+            .map(|assignment| assignment.attempt.task.job)
+            .collect();
+        assert_eq!(released, [JobId(2); 4]);
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -28,8 +28,8 @@
 use crate::cloud::InstanceCatalog;
 use crate::config::Config;
 use crate::domain::{
-    Attempt, BlockId, ControllerName, Image, Job, JobId, JobKind, JobOutcome, MachineId, Now,
-    Priority, Resources, TaskId, Team, Term, since,
+    Attempt, BlockId, ControllerName, Job, JobId, JobKind, JobOutcome, MachineId, Now, Priority,
+    Resources, TaskId, Team, Term, since,
 };
 use crate::leader_context::LeaderContext;
 use crate::peer::{BlockStatus, MachineStatus};
@@ -43,6 +43,7 @@
 use demand::CurrentLoad;
 use draining::DrainCoordinator;
 use failures::Failures;
+use gangs::GangRequirements;
 use outdated_leases::OutdatedLeases;
 use releases::ReleaseContext;
 use usage::Usage;
@@ -98,8 +99,8 @@
     without_capacity: HashSet<PlacementRequirements>,
     /// Requirements, team and priority of tasks that no preemption can free resources for.
     preemption_failed: HashSet<(PlacementRequirements, Team, Priority)>,
-    /// Gangs without capacity for all their tasks, by the tasks' requirements and image and the number of tasks.
-    gangs_without_capacity: HashSet<(PlacementRequirements, Image, u32)>,
+    /// Requirements of gangs that there is no capacity for.
+    gangs_without_capacity: HashSet<GangRequirements>,
 }
 
 /// The free resources, usage and demand while a plan is made.
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,8 +1,11 @@
 //! Plans of the scheduler for given records and holders' statuses.
 
+use std::ops::Range;
+
 use super::best_effort::EligibleMachines;
 use super::waiting::FIRST_TASK_OVERDUE_AFTER;
 use super::*;
+use crate::block_leases::block_id;
 use crate::cloud::wire::InstanceTypeList;
 use crate::cloud::wire::tests::instance_type;
 use crate::config::tests::SETTINGS;
@@ -49,19 +52,24 @@
             provisioner: Provisioner::new(now, Term(TERM)),
             config,
         };
-        let holder = fixture.config.name.clone();
+        fixture.add_block("a", 0..machines);
+        fixture
+    }
+
+    /// Adds the first block of a zone, with these machines.
+    pub(super) fn add_block(&mut self, zone: &str, machines: Range<u32>) {
         let lease = BlockLease {
-            zone: "a".into(),
-            holder,
+            zone: zone.into(),
+            holder: self.config.name.clone(),
             incarnation: Incarnation(1),
             token: FencingToken(4),
             term: Term(TERM),
         };
-        fixture.put(block_lease_key(&"a.0".into()), encode(&lease));
-        fixture.set_inventory(0..machines);
-        fixture.plan();
-        fixture.report_status(machines, 0, &[]);
-        fixture
+        let block = block_id(&zone.into(), 0);
+        self.put(block_lease_key(&block), encode(&lease));
+        self.put_inventory(zone, machines.clone());
+        self.plan();
+        self.report_block_status(&block, machines, 0, &[]);
     }
 
     pub(super) fn put(&mut self, key: String, value: ciborium::Value) -> u64 {
@@ -74,7 +82,12 @@
         self.version
     }
 
-    fn set_inventory(&mut self, machines: std::ops::Range<u32>) {
+    fn set_inventory(&mut self, machines: Range<u32>) {
+        self.put_inventory("a", machines);
+    }
+
+    /// Writes the inventory of the first block of a zone.
+    fn put_inventory(&mut self, zone: &str, machines: Range<u32>) {
         let entry = || InventoryEntry {
             type_name: "large".into(),
             capacity_type: CapacityType::OnDemand,
@@ -83,9 +96,9 @@
         };
         let on = machines.map(|n| (machine_id(n), entry())).collect();
         self.put(
-            inventory_key(&"a.0".into()),
+            inventory_key(&block_id(&zone.into(), 0)),
             encode(&MachineInventory {
-                zone: "a".into(),
+                zone: zone.into(),
                 machines: on,
             }),
         );
@@ -106,9 +119,20 @@
         last_assignment_update: u64,
         pending: &[u64],
     ) {
-        let lease = &self.cache.block_leases[&BlockId::from("a.0")];
+        self.report_block_status(&"a.0".into(), 0..machines, last_assignment_update, pending);
+    }
+
+    /// Reports a status of a block with all its machines usable.
+    fn report_block_status(
+        &mut self,
+        block: &BlockId,
+        machines: Range<u32>,
+        last_assignment_update: u64,
+        pending: &[u64],
+    ) {
+        let lease = &self.cache.block_leases[block];
         let status = BlockStatus {
-            block: "a.0".into(),
+            block: block.clone(),
             token: lease.value.token,
             lease_version: lease.version,
             last_assignment_update,
@@ -118,13 +142,13 @@
             placements_revision: self
                 .cache
                 .placements
-                .get(&"a.0".into())
+                .get(block)
                 .map_or(0, |placements| placements.version),
             token_renewal_required: false,
-            expected_workers: machines,
+            expected_workers: machines.len() as u32,
             overdue_workers: 0,
             sequence_number: self.version * 1000 + last_assignment_update + 1,
-            machines: (0..machines)
+            machines: machines
                 .map(|n| MachineStatus {
                     machine: machine_id(n),
                     usable: true,
