A lost transaction no longer keeps an oversized value from being divided

What callers would have seen: tasks of a block that are neither started nor recorded as ended until its lease is renewed.

Cause: after a transaction of unknown outcome the next one writes the same parts again. Under lowered limits the division of a value takes several transactions, and all but the last would contain the oversized value itself if it is undecided. The state service refuses them as too large, again and again.

Change: while a value is oversized and parts are undecided, the holder writes the block's write fence alone. Once the records that are read afterwards show it, the outcome of all earlier transactions is known, and the division begins. The attempts that are undecided stay pending for the leader until those records are read.

--- a/src/store/records/write_fences.rs
+++ b/src/store/records/write_fences.rs
@@ -69,8 +69,8 @@
 }
 
 /// A record whose version is a condition of all transactions on a block's placements. It is written with each deletion
-/// of a part: a transaction of unknown outcome that requires the part's absence can't be executed afterwards. It is
-/// never deleted.
+/// of a part, and when a transaction has an unknown outcome while a value is oversized. Earlier transactions can't be
+/// executed afterwards, also those that require the part's absence. It is never deleted.
 ///
 /// Placements are stored in several parts only once their format is switched on, so that the production version never
 /// meets this record.
--- a/src/workers/block/placement_writer.rs
+++ b/src/workers/block/placement_writer.rs
@@ -27,7 +27,8 @@
 /// Ensures that the transactions on a block's placements are sent one at a time.
 ///
 /// The next transaction after one of unknown outcome writes the same parts again, so that at most one of the two is
-/// executed: the outcome of either one decides that of the other.
+/// executed: the outcome of either one decides that of the other. If these parts can't be written again, it writes the
+/// block's write fence instead, and the records that are read afterwards show the outcome.
 #[derive(Debug)]
 pub(super) struct PlacementWriter {
     writer: WriterState,
@@ -89,7 +90,7 @@
     pub(super) fn begin(&mut self, transaction: PartsTransaction, attempts: Vec<u64>) {
         self.undecided_before = self.undecided.clone();
         self.undecided.attempts.extend(attempts);
-        self.undecided.parts = transaction.changed().clone();
+        self.undecided.parts.extend(transaction.changed());
         self.in_flight = Some(transaction);
         self.writer.mark_sent();
     }
@@ -111,6 +112,12 @@
     ) -> Option<CommittedWrite> {
         self.writer.record_response(now, outcome);
         match (outcome, self.in_flight.take()) {
+            (StoreResponse::Committed { .. }, Some(fence)) if fence.only_writes_fence() => {
+                self.writer = WriterState::Unconfirmed {
+                    since: now.monotonic,
+                };
+                None
+            }
             (StoreResponse::Committed { revision }, Some(transaction)) => {
                 // The committed parts are known, so there is no need to wait until the cache shows them.
                 self.writer = WriterState::Idle;
--- a/src/workers/block/placement_writes.rs
+++ b/src/workers/block/placement_writes.rs
@@ -143,6 +143,10 @@
         let (transaction, new_placements) = match PartsTransaction::split_oversized(
             recorded, limits, undecided,
         ) {
+            Some(fence) if fence.only_writes_fence() => {
+                info!(block = %self.id, "writing fence: placements have an unknown outcome");
+                (fence, NewPlacements::default())
+            }
             Some(transaction) => {
                 info!(block = %self.id, changes = transaction.changed().len(), "oversized placements divided");
                 (transaction, NewPlacements::default())
@@ -176,9 +180,10 @@
     /// unknown.
     fn reload_recorded(&mut self, cache: &WatchCache) {
         // The copy contains every committed transaction of this holder, except for a late duplicate of the last one,
-        // which fails once another transaction has been committed.
+        // which fails once another transaction or the fence has been committed.
         let recorded = RecordedPlacements::read(cache, &self.id);
-        if recorded.version() > self.recorded.version() {
+        let fenced = recorded.fence_version() > self.recorded.fence_version();
+        if fenced || recorded.version() > self.recorded.version() {
             self.writer.clear_undecided();
         }
         self.recorded = recorded;
--- a/src/workers/parts/mod.rs
+++ b/src/workers/parts/mod.rs
@@ -129,6 +129,11 @@
         self.writes_fence
     }
 
+    /// Whether the transaction writes the block's write fence and nothing else.
+    pub(super) fn only_writes_fence(&self) -> bool {
+        self.writes_fence && self.changed.is_empty()
+    }
+
     /// Returns the parts that the transaction writes or deletes.
     pub(super) fn changed(&self) -> &BTreeSet<Part> {
         &self.changed
--- a/src/workers/parts/split.rs
+++ b/src/workers/parts/split.rs
@@ -16,6 +16,10 @@
 
 impl PartsTransaction {
     /// Creates a transaction that only splits an oversized value into other parts, if there is one.
+    ///
+    /// If there are parts in `undecided`, which a transaction of unknown outcome changes, it only writes the fence: an
+    /// oversized part can't be written again, as others are to decide the outcome. The parts have to be read anew
+    /// afterwards.
     pub(in crate::workers) fn split_oversized(
         parts: &Parts<BlockPlacements>,
         limits: PartLimits,
@@ -25,8 +29,12 @@
             limits.multiple_parts
                 && part.value.size().max(part.value.worst_case_size()) > limits.max_value_bytes
         })?;
-        let mut transaction = PartsTransaction::new(parts, limits, undecided);
-        transaction.split(*oversized);
+        let mut transaction = PartsTransaction::new(parts, limits, &BTreeSet::new());
+        if undecided.is_empty() {
+            transaction.split(*oversized);
+        } else {
+            transaction.writes_fence = true;
+        }
         Some(transaction)
     }
 
@@ -47,14 +55,7 @@
             .saturating_sub(CHANGES_PER_DELETION)
             .max(1);
         let max_bytes = (self.limits.max_value_bytes as f64 * SPLIT_FILL_RATIO) as usize;
-        while !not_copied.is_empty()
-            && self
-                .changed
-                .iter()
-                .filter(|part| **part != oversized)
-                .count()
-                < max_copies
-        {
+        while !not_copied.is_empty() && self.changed.len() < max_copies {
             let copied = take_entries(&mut not_copied, max_bytes);
             let next = self.next_part();
             let mut part = empty_part();
@@ -62,9 +63,7 @@
             self.parts.insert(next, part);
             self.changed.insert(next);
         }
-        let deletion_changes =
-            CHANGES_PER_DELETION - usize::from(self.changed.contains(&oversized));
-        let deletable = self.changed.len() + deletion_changes <= self.limits.max_changes;
+        let deletable = self.changed.len() + CHANGES_PER_DELETION <= self.limits.max_changes;
         if not_copied.is_empty() && deletable {
             self.parts.remove(&oversized);
             self.changed.insert(oversized);
--- a/src/workers/tests/mod.rs
+++ b/src/workers/tests/mod.rs
@@ -22,7 +22,7 @@
 use crate::placement::tests::job;
 use crate::store::records::{
     BlockLease, InventoryEntry, JobRecord, MachineInventory, MachineState, block_lease_key, encode,
-    inventory_key, job_key,
+    inventory_key, job_key, json_size,
 };
 use crate::store::{Change, Transaction, TransactionChange};
 
@@ -197,6 +197,13 @@
         assert!(self.fleet.apply_assignments(update));
     }
 
+    /// Whether the state service refuses the transaction as too large.
+    fn exceeds_limits(&self, txn: &Transaction) -> bool {
+        let limits = &self.config.state_limits;
+        let is_too_large = |change: &TransactionChange| matches!(change, TransactionChange::Put { value, .. } if json_size(value) > limits.value_bytes);
+        txn.changes.len() > limits.txn_ops || txn.changes.iter().any(is_too_large)
+    }
+
     /// Prepares the next transaction, if one is due.
     fn next_transaction(&mut self) -> Option<(BlockId, Transaction)> {
         let (block, request) = self.fleet.next_transaction(
@@ -217,6 +224,13 @@
         self.now.monotonic += WRITE_CHECK_INTERVAL;
         while let Some((block, txn)) = self.next_transaction() {
             assert!(self.conditions_hold(&txn), "{:?}", txn.conditions);
+            let lease_version = self.fleet.lease_version(&block);
+            if self.exceeds_limits(&txn) {
+                let outcome = StoreResponse::Invalid;
+                self.fleet
+                    .apply_write_outcome(self.now, &block, lease_version, &outcome);
+                break;
+            }
             self.revision += 1;
             for change in txn.changes {
                 match change {
--- a/src/workers/tests/placement_writes.rs
+++ b/src/workers/tests/placement_writes.rs
@@ -235,44 +235,99 @@
 /// absence of a value which was divided and deleted since.
 #[test]
 fn a_first_write_executed_late_fails_after_its_value_was_divided() {
-    const TASKS: u32 = 80;
     let mut holder = Holder::new(Job {
-        tasks: TASKS + 1,
+        tasks: TASKS_OF_LARGE_VALUE + 1,
         ..job(1, 0.1)
     });
-    let assignment = |index: u32| Assignment {
-        attempt: Attempt {
-            task: TaskId {
-                job: JobId(1),
-                index,
-            },
-            number: u64::from(index) + 20,
-        },
-        machine: "m-1".into(),
-    };
-    holder.assign((0..TASKS).map(assignment).collect(), 1);
-    holder.now.monotonic += WRITE_CHECK_INTERVAL;
-    let (block, late_transaction) = holder.next_transaction().expect("tasks have to be placed");
-    let lease_version = holder.fleet.lease_version(&block);
-    holder
-        .fleet
-        .apply_write_outcome(holder.now, &block, lease_version, &StoreResponse::Unknown);
+    holder.assign((0..TASKS_OF_LARGE_VALUE).map(assignment).collect(), 1);
+    let late_transaction = holder.send_without_response();
     assert!(holder.conditions_hold(&late_transaction));
     // The same value is written again.
-    holder.now.monotonic += Duration::from_secs(1);
-    holder.cache.set_current_as_of(holder.now.monotonic);
-    assert_eq!(holder.commit_due_writes().len(), TASKS as usize);
+    assert_eq!(
+        holder.commit_due_writes().len(),
+        TASKS_OF_LARGE_VALUE as usize
+    );
     assert!(!holder.conditions_hold(&late_transaction));
     // It is divided, once the limits are lower and something has to be written.
-    let switch = FormatSwitch {
-        version: PARTS_FORMAT,
-    };
-    holder.put_record(FORMAT_KEY.to_owned(), encode(&switch));
-    holder.config.state_limits.value_bytes = 512;
-    holder.assign(vec![assignment(TASKS)], 2);
-    let is_recorded = |holder: &mut Holder| holder.commit_due_writes().len() > TASKS as usize;
-    assert!((0..10).any(|_| is_recorded(&mut holder)));
-    let parts = holder.cache.placements_parts(&block);
-    assert!(parts.is_some_and(|parts| parts.len() > 2), "{parts:?}");
+    holder.lower_limits();
+    holder.assign(vec![assignment(TASKS_OF_LARGE_VALUE)], 2);
+    assert!(holder.records_within_limits(TASKS_OF_LARGE_VALUE + 1));
     assert!(!holder.conditions_hold(&late_transaction));
 }
+
+/// Guards against blocks whose placements are never written again, because the repeat of a lost transaction contains a
+/// value above the lowered limits.
+#[test]
+fn an_oversized_value_is_divided_after_its_last_transaction_was_lost() {
+    let mut holder = Holder::new(Job {
+        tasks: TASKS_OF_LARGE_VALUE + 2,
+        ..job(1, 0.1)
+    });
+    holder.assign((0..TASKS_OF_LARGE_VALUE).map(assignment).collect(), 1);
+    holder.commit_due_writes();
+    holder.assign(vec![assignment(TASKS_OF_LARGE_VALUE)], 2);
+    holder.send_without_response();
+    holder.lower_limits();
+    assert!(holder.records_within_limits(TASKS_OF_LARGE_VALUE + 1));
+}
+
+/// Enough tasks that their value exceeds the lowered limit by far.
+const TASKS_OF_LARGE_VALUE: u32 = 80;
+
+/// Assigns a task of job 1.
+fn assignment(index: u32) -> Assignment {
+    let task = TaskId {
+        job: JobId(1),
+        index,
+    };
+    Assignment {
+        attempt: Attempt {
+            task,
+            number: u64::from(index) + 20,
+        },
+        machine: "m-1".into(),
+    }
+}
+
+impl Holder {
+    /// Sends the next transaction, which gets no response. Returns it: it may still be executed.
+    fn send_without_response(&mut self) -> Transaction {
+        self.now.monotonic += WRITE_CHECK_INTERVAL;
+        let (block, transaction) = self.next_transaction().expect("a transaction must be due");
+        let lease_version = self.fleet.lease_version(&block);
+        self.fleet
+            .apply_write_outcome(self.now, &block, lease_version, &StoreResponse::Unknown);
+        self.wait_for_cache();
+        transaction
+    }
+
+    /// Lets time pass until the cache contains all that was committed before.
+    fn wait_for_cache(&mut self) {
+        self.now.monotonic += Duration::from_secs(1);
+        self.cache.set_current_as_of(self.now.monotonic);
+    }
+
+    /// Switches parts on, and lowers the limits so that a large value needs several transactions to be divided.
+    fn lower_limits(&mut self) {
+        let switch = FormatSwitch {
+            version: PARTS_FORMAT,
+        };
+        self.put_record(FORMAT_KEY.to_owned(), encode(&switch));
+        self.config.state_limits.value_bytes = 512;
+        self.config.state_limits.txn_ops = 4;
+    }
+
+    /// Whether this number of attempts is recorded after some writes, in several parts that are all within the limit.
+    fn records_within_limits(&mut self, attempts: u32) -> bool {
+        (0..20).any(|_| {
+            self.wait_for_cache();
+            let recorded = self.commit_due_writes().len();
+            let parts = self.cache.placements_parts(&"a.0".into());
+            let limit = self.config.state_limits.value_bytes;
+            recorded == attempts as usize
+                && parts.is_some_and(|parts| {
+                    parts.len() > 2 && parts.values().all(|part| part.value.size() <= limit)
+                })
+        })
+    }
+}
