Unit tests share one stand-in for the state service

Cause: the tests of provisioning, operators' requests and holders each had their own versions of keys and their own execution of transactions. Change: `StoredKeys` in src/store/tests.rs, used by all three. The one of operators' requests refused deletions, which none of its tests made; the one of provisioning gave each change of a transaction a revision of its own, where the state service gives one to all.

--- a/src/operations/tests.rs
+++ b/src/operations/tests.rs
@@ -1,13 +1,11 @@
-use std::collections::HashMap;
-
 use super::*;
 use crate::cloud::InstanceCatalog;
 use crate::config::Config;
 use crate::config::tests::SETTINGS;
 use crate::domain::Term;
 use crate::policy::Policy;
-use crate::store::TransactionChange;
 use crate::store::records::{FORMAT_KEY, FormatSwitch, LEADER_KEY};
+use crate::store::tests::StoredKeys;
 
 const LEADER_VERSION: u64 = 1;
 
@@ -19,8 +17,7 @@
     draining: DrainCoordinator,
     requests: OperatorRequests,
     cache: WatchCache,
-    /// The revision of the last change of each key that exists.
-    versions: HashMap<String, u64>,
+    keys: StoredKeys,
     now: Now,
 }
 
@@ -39,7 +36,7 @@
             draining: DrainCoordinator::new(now, settings),
             requests: OperatorRequests::default(),
             cache: WatchCache::loaded_for_tests(),
-            versions: HashMap::from([(LEADER_KEY.to_owned(), LEADER_VERSION)]),
+            keys: StoredKeys::with_versions([(LEADER_KEY, LEADER_VERSION)]),
             now,
         };
         let format = FormatSwitch {
@@ -50,32 +47,15 @@
     }
 
     fn put(&mut self, key: String, value: ciborium::Value) {
-        self.cache.revision += 1;
-        let version = self.cache.revision;
-        self.versions.insert(key.clone(), version);
-        self.cache.apply(crate::store::Change {
-            key,
-            version,
-            value: Some(value),
-        });
+        self.keys.set(&mut self.cache, key, Some(value));
+        self.cache.revision = self.keys.revision;
     }
 
-    /// Executes a transaction that deletes nothing, if its conditions hold.
+    /// Commits a transaction if its conditions hold.
     fn execute(&mut self, txn: &Transaction) -> StoreResponse {
-        let version = |key: &String| self.versions.get(key).copied().unwrap_or(0);
-        let mut conditions = txn.conditions.iter();
-        if conditions.any(|(key, required)| version(key) != *required) {
-            return StoreResponse::Conflict;
-        }
-        for change in txn.changes.clone() {
-            let TransactionChange::Put { key, value, .. } = change else {
-                panic!("not a put: {change:?}");
-            };
-            self.put(key, value);
-        }
-        StoreResponse::Committed {
-            revision: self.cache.revision,
-        }
+        let response = self.keys.execute(&mut self.cache, txn);
+        self.cache.revision = self.keys.revision;
+        response
     }
 
     /// Polls the requests after this time, with a current cache. Returns the replies and the next transaction.
--- a/src/provisioning/tests.rs
+++ b/src/provisioning/tests.rs
@@ -18,7 +18,8 @@
     MachineInventory, NEWEST_FORMAT, PendingRental, encode, inventory_key, job_key, json_size,
     placements_key,
 };
-use crate::store::{Change, Transaction, TransactionChange};
+use crate::store::tests::StoredKeys;
+use crate::store::{Transaction, TransactionChange};
 
 /// The version of the leader's record.
 const LEADER_VERSION: u64 = 1;
@@ -64,50 +65,24 @@
 /// A local copy of records that are written one after another.
 struct Records {
     cache: WatchCache,
-    /// The revision of the last change.
-    version: u64,
-    /// The revision of the last change of each key that exists.
-    versions_by_key: HashMap<String, u64>,
+    keys: StoredKeys,
 }
 
 impl Records {
     fn new() -> Self {
         Records {
             cache: WatchCache::loaded_for_tests(),
-            version: 0,
-            versions_by_key: HashMap::from([(LEADER_KEY.to_owned(), LEADER_VERSION)]),
+            keys: StoredKeys::with_versions([(LEADER_KEY, LEADER_VERSION)]),
         }
     }
 
-    /// Executes a transaction if its conditions hold. Its changes get a revision each.
+    /// Commits a transaction if its conditions hold.
     fn execute(&mut self, txn: &Transaction) -> StoreResponse {
-        let version = |key: &String| self.versions_by_key.get(key).copied().unwrap_or(0);
-        let mut conditions = txn.conditions.iter();
-        if conditions.any(|(key, required)| version(key) != *required) {
-            return StoreResponse::Conflict;
-        }
-        for change in txn.changes.clone() {
-            match change {
-                TransactionChange::Put { key, value, .. } => self.set(key, Some(value)),
-                TransactionChange::Delete { key } => self.set(key, None),
-            }
-        }
-        StoreResponse::Committed {
-            revision: self.version,
-        }
+        self.keys.execute(&mut self.cache, txn)
     }
 
     fn set(&mut self, key: String, value: Option<ciborium::Value>) {
-        self.version += 1;
-        match value {
-            Some(_) => self.versions_by_key.insert(key.clone(), self.version),
-            None => self.versions_by_key.remove(&key),
-        };
-        self.cache.apply(Change {
-            key,
-            version: self.version,
-            value,
-        });
+        self.keys.set(&mut self.cache, key, value);
     }
 }
 
--- a/src/provisioning/tests/late_transactions.rs
+++ b/src/provisioning/tests/late_transactions.rs
@@ -66,7 +66,7 @@
     fn next_transaction(&mut self) -> Option<Transaction> {
         self.now.monotonic += ROUND;
         let cache = &mut self.records.cache;
-        cache.revision = self.records.version;
+        cache.revision = self.records.keys.revision;
         cache.set_current_as_of(self.now.monotonic);
         let leader = self.fixture.leader(16);
         let request = self
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -194,3 +194,6 @@
     /// No usable response arrived; the request may have been executed or may still be.
     Unknown,
 }
+
+#[cfg(test)]
+pub(crate) mod tests;
--- a/src/workers/tests/mod.rs
+++ b/src/workers/tests/mod.rs
@@ -24,7 +24,8 @@
     BlockLease, InventoryEntry, JobRecord, MachineInventory, MachineState, block_lease_key, encode,
     inventory_key, job_key, json_size,
 };
-use crate::store::{Change, Transaction, TransactionChange};
+use crate::store::tests::StoredKeys;
+use crate::store::{Transaction, TransactionChange};
 
 const INCARNATION: Incarnation = Incarnation(7);
 
@@ -40,9 +41,7 @@
     cache: WatchCache,
     fleet: WorkerFleet,
     now: Now,
-    revision: u64,
-    /// The versions of the keys in the state service.
-    versions: HashMap<String, u64>,
+    keys: StoredKeys,
     sequence_number: u64,
 }
 
@@ -62,8 +61,7 @@
             cache,
             fleet,
             now: Now::read(),
-            revision: 0,
-            versions: HashMap::new(),
+            keys: StoredKeys::default(),
             sequence_number: 0,
         };
         holder.put_inventory("a.0", &["m-1", "m-2"]);
@@ -75,33 +73,10 @@
     }
 
     fn put_record(&mut self, key: String, value: ciborium::Value) {
-        self.revision += 1;
-        self.apply_change(key, Some(value));
+        self.keys.set(&mut self.cache, key, Some(value));
         self.sync();
     }
 
-    /// Applies a change of the present revision to the state service and to the cache. `None` removes the key.
-    fn apply_change(&mut self, key: String, value: Option<ciborium::Value>) {
-        let version = self.revision;
-        match value {
-            Some(_) => self.versions.insert(key.clone(), version),
-            None => self.versions.remove(&key),
-        };
-        self.cache.apply(Change {
-            key,
-            version,
-            value,
-        });
-    }
-
-    /// Whether the state service would commit the transaction now.
-    fn conditions_hold(&self, txn: &Transaction) -> bool {
-        let version = |key| self.versions.get(key).copied().unwrap_or(0);
-        txn.conditions
-            .iter()
-            .all(|(key, expected)| version(key) == *expected)
-    }
-
     /// Writes an inventory with these machines for the block.
     fn put_inventory(&mut self, block: &str, machines: &[&str]) {
         let entry = InventoryEntry {
@@ -223,32 +198,19 @@
     fn commit_due_writes(&mut self) -> Vec<(String, u64)> {
         self.now.monotonic += WRITE_CHECK_INTERVAL;
         while let Some((block, txn)) = self.next_transaction() {
-            assert!(self.conditions_hold(&txn), "{:?}", txn.conditions);
+            let is_too_large = self.exceeds_limits(&txn);
+            let outcome = if is_too_large {
+                StoreResponse::Invalid
+            } else {
+                self.keys.execute(&mut self.cache, &txn)
+            };
+            assert_ne!(outcome, StoreResponse::Conflict, "{:?}", txn.conditions);
             let lease_version = self.fleet.lease_version(&block);
-            if self.exceeds_limits(&txn) {
-                let outcome = StoreResponse::Invalid;
-                self.fleet
-                    .apply_write_outcome(self.now, &block, lease_version, &outcome);
+            self.fleet
+                .apply_write_outcome(self.now, &block, lease_version, &outcome);
+            if is_too_large {
                 break;
             }
-            self.revision += 1;
-            for change in txn.changes {
-                match change {
-                    TransactionChange::Put { key, value, .. } => {
-                        self.apply_change(key, Some(value))
-                    }
-                    TransactionChange::Delete { key } => self.apply_change(key, None),
-                }
-            }
-            let lease_version = self.fleet.lease_version(&block);
-            self.fleet.apply_write_outcome(
-                self.now,
-                &block,
-                lease_version,
-                &StoreResponse::Committed {
-                    revision: self.revision,
-                },
-            );
         }
         let recorded = &self.fleet.blocks[&BlockId::from("a.0")].recorded;
         recorded
--- a/src/workers/tests/placement_writes.rs
+++ b/src/workers/tests/placement_writes.rs
@@ -74,8 +74,8 @@
         let (block, _) = transaction.expect("a transaction must be due");
         let lease_version = holder.fleet.lease_version(&block);
         *written.entry(block.clone()).or_default() += 1;
-        holder.revision += 1;
-        let revision = holder.revision;
+        holder.keys.revision += 1;
+        let revision = holder.keys.revision;
         holder.fleet.apply_write_outcome(
             holder.now,
             &block,
@@ -207,7 +207,7 @@
         assert_eq!(status.pending, [20]);
     }
     // The next committed transaction decides the outcome.
-    let revision = holder.revision + 1;
+    let revision = holder.keys.revision + 1;
     write_with_outcome(&mut holder, StoreResponse::Committed { revision });
     let status = holder
         .fleet
@@ -241,18 +241,18 @@
     });
     holder.assign((0..TASKS_OF_LARGE_VALUE).map(assignment).collect(), 1);
     let late_transaction = holder.send_without_response();
-    assert!(holder.conditions_hold(&late_transaction));
+    assert!(holder.keys.conditions_hold(&late_transaction));
     // The same value is written again.
     assert_eq!(
         holder.commit_due_writes().len(),
         TASKS_OF_LARGE_VALUE as usize
     );
-    assert!(!holder.conditions_hold(&late_transaction));
+    assert!(!holder.keys.conditions_hold(&late_transaction));
     // It is divided, once the limits are lower and something has to be written.
     holder.lower_limits();
     holder.assign(vec![assignment(TASKS_OF_LARGE_VALUE)], 2);
     assert!(holder.records_within_limits(TASKS_OF_LARGE_VALUE + 1));
-    assert!(!holder.conditions_hold(&late_transaction));
+    assert!(!holder.keys.conditions_hold(&late_transaction));
 }
 
 /// Guards against blocks whose placements are never written again, because the repeat of a lost transaction contains a
