The shared stand-in of unit tests lets no unexpected deletion pass

Cause: when three unit tests' stand-ins for the state service became one, two of them lost a check: transactions of operators' requests and of holders were refused if they delete a key. Change: operators' requests refuse deletions as before. A holder's transaction may delete only together with a write of its block's fence, which the division of a value needs.

--- a/src/operations/tests.rs
+++ b/src/operations/tests.rs
@@ -4,6 +4,7 @@
 use crate::config::tests::SETTINGS;
 use crate::domain::Term;
 use crate::policy::Policy;
+use crate::store::TransactionChange;
 use crate::store::records::{FORMAT_KEY, FormatSwitch, LEADER_KEY};
 use crate::store::tests::StoredKeys;
 
@@ -51,8 +52,10 @@
         self.cache.revision = self.keys.revision;
     }
 
-    /// Commits a transaction if its conditions hold.
+    /// Commits a transaction that deletes nothing, if its conditions hold.
     fn execute(&mut self, txn: &Transaction) -> StoreResponse {
+        let is_put = |change: &TransactionChange| matches!(change, TransactionChange::Put { .. });
+        assert!(txn.changes.iter().all(is_put), "{:?}", txn.changes);
         let response = self.keys.execute(&mut self.cache, txn);
         self.cache.revision = self.keys.revision;
         response
--- a/src/workers/tests/mod.rs
+++ b/src/workers/tests/mod.rs
@@ -22,7 +22,7 @@
 use crate::placement::tests::job;
 use crate::store::records::{
     BlockLease, InventoryEntry, JobRecord, MachineInventory, MachineState, block_lease_key, encode,
-    inventory_key, job_key, json_size,
+    inventory_key, job_key, json_size, placements_fence_key,
 };
 use crate::store::tests::StoredKeys;
 use crate::store::{Transaction, TransactionChange};
@@ -198,6 +198,7 @@
     fn commit_due_writes(&mut self) -> Vec<(String, u64)> {
         self.now.monotonic += WRITE_CHECK_INTERVAL;
         while let Some((block, txn)) = self.next_transaction() {
+            assert!(deletes_only_with_fence(&block, &txn), "{:?}", txn.changes);
             let is_too_large = self.exceeds_limits(&txn);
             let outcome = if is_too_large {
                 StoreResponse::Invalid
@@ -260,6 +261,15 @@
     }
 }
 
+/// Whether the transaction deletes nothing, or writes the fence of the block's placements.
+fn deletes_only_with_fence(block: &BlockId, txn: &Transaction) -> bool {
+    let is_deletion =
+        |change: &TransactionChange| matches!(change, TransactionChange::Delete { .. });
+    let fence_key = placements_fence_key(block);
+    let is_fence = |change: &TransactionChange| matches!(change, TransactionChange::Put { key, .. } if *key == fence_key);
+    !txn.changes.iter().any(is_deletion) || txn.changes.iter().any(is_fence)
+}
+
 fn assignment_update(
     lease_version: u64,
     sequence_number: u64,
